--- /dev/null
+++ b/packages/admin/src/client.ts
@@ -0,0 +1,175 @@
+/**
+ * Calls the administration API of a daemon.
+ */
+import { request } from "node:http";
+import { Result } from "true-myth";
+import { z } from "zod";
+import { AdminError, AdminErrorKind } from "./errors.ts";
+import {
+  type Accepted,
+  acceptedSchema,
+  AdminPath,
+  errorSchema,
+  type Explanation,
+  explanationSchema,
+  type Force,
+  forceSchema,
+  type InstanceRequest,
+  type Publication,
+  type SystemStatus,
+  systemStatusSchema,
+} from "./wire.ts";
+
+const TIMEOUT_MS = 20_000;
+
+const configurationSchema = z.object({
+  version: z.number(),
+  by: z.string(),
+  configuration: z.unknown(),
+});
+const anyObject = z.looseObject({});
+
+const KIND_OF_STATUS = new Map<number, AdminErrorKind>([
+  [400, AdminErrorKind.Malformed],
+  [404, AdminErrorKind.NotFound],
+  [409, AdminErrorKind.Conflict],
+  [504, AdminErrorKind.Unsettled],
+]);
+
+interface Answer {
+  status: number;
+  document: unknown;
+}
+
+/** Client of one daemon's administration API. */
+export class AdminClient {
+  readonly #url: string;
+
+  /** `address` is an IP number and a port. */
+  constructor(address: string) {
+    this.#url = `http://${address}`;
+  }
+
+  /** State of the whole system. */
+  status(): Promise<Result<SystemStatus, AdminError>> {
+    return this.#get(AdminPath.Status, systemStatusSchema);
+  }
+
+  /** Configuration in force at the daemon. */
+  configuration(): Promise<
+    Result<z.infer<typeof configurationSchema>, AdminError>
+  > {
+    return this.#get(AdminPath.Configuration, configurationSchema);
+  }
+
+  /** Which version each daemon has in force. */
+  force(): Promise<Result<Force, AdminError>> {
+    return this.#get(AdminPath.Force, forceSchema);
+  }
+
+  /** Publishes a configuration. */
+  publish(publication: Publication): Promise<Result<Accepted, AdminError>> {
+    return this.#post(AdminPath.Configuration, acceptedSchema, publication);
+  }
+
+  /** Tells where a key is and why. */
+  explain(pool: string, key: string): Promise<Result<Explanation, AdminError>> {
+    const query = new URLSearchParams({ pool, key });
+    return this.#get(`${AdminPath.Explain}?${query}`, explanationSchema);
+  }
+
+  /** Drains an instance. */
+  drain(instance: InstanceRequest): Promise<Result<object, AdminError>> {
+    return this.#post(AdminPath.Drain, anyObject, instance);
+  }
+
+  /** Vouches that an instance's process does not run any more. */
+  declareLost(instance: InstanceRequest): Promise<Result<object, AdminError>> {
+    return this.#post(AdminPath.Lost, anyObject, instance);
+  }
+
+  #get<T>(path: string, schema: z.ZodType<T>): Promise<Result<T, AdminError>> {
+    return this.#call("GET", path, { schema });
+  }
+
+  #post<T>(
+    path: string,
+    schema: z.ZodType<T>,
+    body: object,
+  ): Promise<Result<T, AdminError>> {
+    return this.#call("POST", path, { schema, body });
+  }
+
+  async #call<T>(
+    method: string,
+    path: string,
+    options: { schema: z.ZodType<T>; body?: object },
+  ): Promise<Result<T, AdminError>> {
+    const called = await this.#send(method, path, options.body);
+    if (called.isErr) {
+      return Result.err(called.error);
+    }
+    const { status, document } = called.value;
+    if (status !== 200) {
+      return Result.err(readError(status, document));
+    }
+    const parsed = options.schema.safeParse(document);
+    if (!parsed.success) {
+      const message = `The daemon at ${this.#url} answered what this program does not understand`;
+      return Result.err(new AdminError(AdminErrorKind.Unavailable, message));
+    }
+    return Result.ok(parsed.data);
+  }
+
+  #send(
+    method: string,
+    path: string,
+    body?: object,
+  ): Promise<Result<Answer, AdminError>> {
+    return new Promise((resolve) => {
+      const fail = (error: Error) => {
+        const message = `The daemon at ${this.#url} does not answer: ${error.message}`;
+        resolve(
+          Result.err(new AdminError(AdminErrorKind.Unavailable, message)),
+        );
+      };
+      const signal = AbortSignal.timeout(TIMEOUT_MS);
+      const headers = { "content-type": "application/json" };
+      const call = request(`${this.#url}${path}`, {
+        method,
+        headers,
+        signal,
+        agent: false,
+      });
+      call.on("error", fail);
+      call.on("response", async (response) => {
+        try {
+          let text = "";
+          for await (const part of response) {
+            text += part;
+          }
+          resolve(
+            Result.ok({
+              status: response.statusCode ?? 0,
+              document: JSON.parse(text),
+            }),
+          );
+        } catch (error) {
+          fail(error as Error);
+        }
+      });
+      call.end(body === undefined ? undefined : JSON.stringify(body));
+    });
+  }
+}
+
+function readError(status: number, document: unknown): AdminError {
+  const parsed = errorSchema.safeParse(document);
+  const kind = KIND_OF_STATUS.get(status) ?? AdminErrorKind.Unavailable;
+  if (!parsed.success) {
+    return new AdminError(kind, `The daemon answered with status ${status}`);
+  }
+  return new AdminError(kind, parsed.data.error, {
+    faults: parsed.data.faults,
+  });
+}
--- /dev/null
+++ b/packages/admin/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * The administration API: its wire, its server and its client.
+ */
+export { AdminClient } from "./client.ts";
+export { AdminError, AdminErrorKind } from "./errors.ts";
+export { type AdminActions, AdminServer, type ConfigurationDocument } from "./server.ts";
+export * from "./wire.ts";
--- /dev/null
+++ b/packages/admission/src/deadline_queue.ts
@@ -0,0 +1,108 @@
+/**
+ * A queue ordered by time, as a binary heap, from which waiting entries can also be withdrawn.
+ */
+
+interface Entry<Item> {
+  item: Item;
+  order: number;
+  withdrawn: boolean;
+}
+
+/** Waiting items, the one with the earliest time first. */
+export class DeadlineQueue<Item> {
+  readonly #heap: Entry<Item>[] = [];
+  readonly #entries = new Map<Item, Entry<Item>>();
+
+  /** Number of items that wait. */
+  get size(): number {
+    return this.#entries.size;
+  }
+
+  /** Adds an item that is due at a time. */
+  add(item: Item, order: number): void {
+    const entry = { item, order, withdrawn: false };
+    this.#entries.set(item, entry);
+    this.#heap.push(entry);
+    this.#raise(this.#heap.length - 1);
+  }
+
+  /** Takes an item out of the queue; false when it does not wait. */
+  withdraw(item: Item): boolean {
+    const entry = this.#entries.get(item);
+    if (entry === undefined) {
+      return false;
+    }
+    entry.withdrawn = true;
+    return this.#entries.delete(item);
+  }
+
+  /** Time of the first item; undefined when none waits. */
+  get firstOrder(): number | undefined {
+    this.#dropWithdrawn();
+    return this.#heap[0]?.order;
+  }
+
+  /** Removes and returns the first item. */
+  shift(): Item | undefined {
+    this.#dropWithdrawn();
+    const entry = this.#pop();
+    if (entry !== undefined) {
+      this.#entries.delete(entry.item);
+    }
+    return entry?.item;
+  }
+
+  #dropWithdrawn(): void {
+    while (this.#heap[0]?.withdrawn) {
+      this.#pop();
+    }
+  }
+
+  #pop(): Entry<Item> | undefined {
+    const first = this.#heap[0];
+    const last = this.#heap.pop();
+    if (last !== undefined && last !== first) {
+      this.#heap[0] = last;
+      this.#lower(0);
+    }
+    return first;
+  }
+
+  #raise(index: number): void {
+    while (index > 0) {
+      const parent = (index - 1) >> 1;
+      if (this.#heap[parent].order <= this.#heap[index].order) {
+        return;
+      }
+      this.#swap(index, parent);
+      index = parent;
+    }
+  }
+
+  #lower(index: number): void {
+    while (true) {
+      const smallest = this.#smallestOf(index);
+      if (smallest === index) {
+        return;
+      }
+      this.#swap(index, smallest);
+      index = smallest;
+    }
+  }
+
+  #smallestOf(index: number): number {
+    let smallest = index;
+    for (const child of [2 * index + 1, 2 * index + 2]) {
+      const isSmaller = child < this.#heap.length &&
+        this.#heap[child].order < this.#heap[smallest].order;
+      smallest = isSmaller ? child : smallest;
+    }
+    return smallest;
+  }
+
+  #swap(left: number, right: number): void {
+    const entry = this.#heap[left];
+    this.#heap[left] = this.#heap[right];
+    this.#heap[right] = entry;
+  }
+}
--- /dev/null
+++ b/packages/cli/src/serve.ts
@@ -0,0 +1,36 @@
+/**
+ * The command `serve`: runs the daemon until it is told to stop.
+ */
+import process from "node:process";
+import { createLog, Daemon, LogLevel } from "@bulrushwood/daemon";
+import { loadDaemonSettings } from "@bulrushwood/settings";
+import { formatFaults } from "./check.ts";
+import { type CommonOptions, ExitCode, writeFailure } from "./output.ts";
+
+/** Runs the daemon. */
+export async function runServe(
+  path: string,
+  options: CommonOptions,
+): Promise<void> {
+  const loaded = loadDaemonSettings(path);
+  if (loaded.isErr) {
+    const faults = formatFaults(path, loaded.error);
+    writeFailure(loaded.error.message, {
+      json: options.json,
+      faults,
+      code: ExitCode.Malformed,
+    });
+    return;
+  }
+  const settings = loaded.value;
+  const log = createLog(settings.instance, settings.logLevel);
+  const daemon = Daemon.start({ settings, log });
+  const stop = (signal: string) => {
+    log(LogLevel.Info, "The daemon was told to stop", { signal });
+    daemon.close();
+  };
+  process.on("SIGTERM", () => stop("SIGTERM"));
+  process.on("SIGINT", () => stop("SIGINT"));
+  await daemon.stopped;
+  process.exit(ExitCode.Ok);
+}
--- /dev/null
+++ b/packages/daemon/src/incarnation.ts
@@ -0,0 +1,620 @@
+/**
+ * One incarnation of a daemon: everything that starts with a record in the log and ends when the daemon
+ * leaves, or learns that its peers counted it as lost.
+ */
+import { randomUUID } from "node:crypto";
+import { filter, firstValueFrom, Subscription, timeout } from "rxjs";
+import { Result } from "true-myth";
+import { AdminServer, type DaemonStatus } from "@bulrushwood/admin";
+import { Announcements } from "@bulrushwood/backend";
+import { Keeper } from "@bulrushwood/lease";
+import {
+  type Entry,
+  type Folded,
+  Follower,
+  Ledger,
+  LedgerErrorKind,
+  RecordKind,
+  type ServerDescription,
+  SnapshotWriter,
+  Submitter,
+} from "@bulrushwood/ledger";
+import { LogClient } from "@bulrushwood/log_client";
+import { Detector, Membership, Relay } from "@bulrushwood/membership";
+import { Planner } from "@bulrushwood/planner";
+import { type IncomingExchange, LinkError, LinkErrorKind, Links } from "@bulrushwood/protocol";
+import { createShardOf, IdempotencyMemory, RequestRecords } from "@bulrushwood/routing";
+import { type DaemonSettings, splitAddress } from "@bulrushwood/settings";
+import { type Address, now, sleep } from "@bulrushwood/types";
+import { createAdminActions, DRAIN_METHOD } from "./administration.ts";
+import { Callers } from "./callers.ts";
+import { GrantExtender } from "./grant_extender.ts";
+import { Holder } from "./holder.ts";
+import { Ingress } from "./ingress.ts";
+import { type Log, LogLevel } from "./logger.ts";
+import { Measures } from "./measures.ts";
+import { answerCall, type PeerServices, serveExchange } from "./peers.ts";
+import { ServerSide } from "./server_side.ts";
+import { Vacating } from "./vacating.ts";
+
+/** How long a starting daemon waits for the backend server beside it, in milliseconds. */
+const FIRST_ANNOUNCEMENT_MS = 1_000;
+const APPEND_TIMEOUT_MS = 5_000;
+const CHANGE_RETRY_MS = 500;
+
+/** Why an incarnation ended. */
+export enum Ending {
+  /** The daemon is to stop. */
+  Stopped = "stopped",
+  /** The daemon is to start again as a new incarnation. */
+  Restart = "restart",
+}
+
+/** What an incarnation needs. */
+export interface IncarnationOptions {
+  settings: DaemonSettings;
+  log: Log;
+  /** Aborts when the daemon is to stop before it has started. */
+  signal: AbortSignal;
+}
+
+/** One incarnation of a daemon. */
+export class Incarnation {
+  readonly #settings: DaemonSettings;
+  readonly #log: Log;
+  readonly #address: Address;
+  readonly #measures = new Measures();
+  readonly #ledger = new Ledger();
+  readonly #subscriptions = new Subscription();
+  readonly #logClient: LogClient;
+  readonly #follower: Follower;
+  readonly #submitter: Submitter;
+  readonly #membership: Membership;
+  readonly #records: RequestRecords;
+  #server!: ServerSide;
+  #announcements!: Announcements;
+  #links!: Links;
+  #keeper!: Keeper;
+  #detector!: Detector;
+  #relay!: Relay;
+  #planner!: Planner;
+  #snapshots!: SnapshotWriter;
+  #grants!: GrantExtender;
+  #callers!: Callers;
+  #admin!: AdminServer;
+  #holder!: Holder;
+  #vacating!: Vacating;
+  #services: PeerServices | undefined;
+  #isReady = false;
+  #isEnding = false;
+  #isDescribing = false;
+  #end!: (ending: Ending) => void;
+  /** Resolves when this incarnation has to end. */
+  readonly ended: Promise<Ending>;
+
+  private constructor(options: IncarnationOptions) {
+    const { settings, log } = options;
+    this.#settings = settings;
+    this.#log = log;
+    this.#address = settings.listen.peersSeenAs ?? settings.listen.peers;
+    const { url, requestTimeoutMs, pollWaitMs } = settings.log;
+    this.#logClient = new LogClient({ url, requestTimeoutMs });
+    const ledger = this.#ledger;
+    this.#follower = new Follower({
+      log: this.#logClient,
+      ledger,
+      sleep,
+      pollWaitMs,
+      onDamaged: (folded) => this.#noteDamaged(folded),
+      onWaiting: (reason) => this.#log(LogLevel.Warn, "The daemon waits for the log", { reason }),
+    });
+    this.#submitter = new Submitter({ log: this.#logClient, ledger, sleep });
+    const { instance: name, dataCentre, region, listen } = settings;
+    const identity = {
+      address: this.#address,
+      name,
+      dataCentre,
+      region,
+      admin: listen.admin,
+    };
+    const submitter = this.#submitter;
+    this.#membership = new Membership({
+      identity,
+      ledger,
+      submitter,
+      newId: randomUUID,
+    });
+    this.#records = new RequestRecords({
+      now,
+      keepMs: settings.limits.requestRecordMs,
+    });
+    this.ended = new Promise((resolve) => this.#end = resolve);
+  }
+
+  /** Starts an incarnation: reads the log, joins, and begins to serve. */
+  static async start(
+    options: IncarnationOptions,
+  ): Promise<Result<Incarnation, Error>> {
+    const incarnation = new Incarnation(options);
+    try {
+      const started = await incarnation.#start(options.signal);
+      if (started.isErr) {
+        await incarnation.close();
+        return Result.err(started.error);
+      }
+      return Result.ok(incarnation);
+    } catch (error) {
+      await incarnation.close();
+      return Result.err(error as Error);
+    }
+  }
+
+  async #start(signal: AbortSignal): Promise<Result<void, Error>> {
+    const closeFollower = () => this.#follower.close();
+    signal.addEventListener("abort", closeFollower, { once: true });
+    await this.#listen();
+    const caughtUp = await this.#follower.start();
+    if (caughtUp.isErr) {
+      return Result.err(caughtUp.error);
+    }
+    this.#follower.ended().then((ended) => this.#takeFollowerEnd(ended.isErr));
+    await this.#awaitAnnouncement();
+    const joined = await this.#membership.join(this.#describeNeighbour());
+    signal.removeEventListener("abort", closeFollower);
+    if (joined.isErr) {
+      return Result.err(joined.error);
+    }
+    await this.#serve();
+    this.#log(LogLevel.Info, "The daemon has joined", {
+      incarnation: joined.value,
+    });
+    return Result.ok(undefined);
+  }
+
+  /** Opens what listens before this incarnation has joined. */
+  async #listen(): Promise<void> {
+    const { listen, membership } = this.#settings;
+    const shardOf = await createShardOf();
+    this.#announcements = await Announcements.listen({
+      ...splitAddress(listen.backend),
+      timeoutMs: membership.announceTimeoutMs,
+      onMalformed: (message) => this.#noteMalformed("backend", message),
+    });
+    this.#server = new ServerSide(this.#announcements);
+    this.#links = await Links.listen({
+      ...splitAddress(listen.peers),
+      self: this.#address,
+      handlers: {
+        onCall: (method, payload) => this.#answerCall(method, payload),
+        onRequest: (exchange) => this.#takeRequest(exchange),
+        onMalformed: (error, peer) => this.#noteMalformed("peer", `${peer}: ${error.message}`),
+      },
+    });
+    const actions = createAdminActions({
+      address: this.#address,
+      ledger: this.#ledger,
+      submitter: this.#submitter,
+      measures: this.#measures,
+      shardOf,
+      call: (peer, method, payload, options) => this.#call(peer, method, payload, options),
+      newId: randomUUID,
+      isReady: () => this.#isReady && !this.#isEnding,
+      ownStatus: () => this.#status(),
+      drain: () => this.drain(),
+    });
+    this.#admin = await AdminServer.listen(actions, splitAddress(listen.admin));
+  }
+
+  /** Starts all that needs an incarnation, and opens the door to callers. */
+  async #serve(): Promise<void> {
+    const ledger = this.#ledger;
+    const incarnation = this.#membership.incarnation;
+    const { lease, membership, limits, log, listen } = this.#settings;
+    const call = this.#call.bind(this);
+    const append = (entry: Entry) => this.#append(entry);
+    const newId = randomUUID;
+    const onPeerFolded = (peer: Address, folded: number) => {
+      this.#relay.notePeerFolded(peer, folded);
+    };
+    const address = this.#address;
+    const common = {
+      ledger,
+      address,
+      incarnation,
+      now,
+      sleep,
+      call,
+      append,
+      newId,
+      onPeerFolded,
+    };
+    this.#relay = new Relay({ ledger, follower: this.#follower, call, sleep });
+    this.#keeper = new Keeper({
+      ...common,
+      ...lease,
+      onUnowned: (pool, cause, shardMs) => this.#measures.noteUnowned(pool, cause, shardMs),
+    });
+    this.#detector = new Detector({ ...common, ...membership });
+    this.#planner = new Planner({
+      ...common,
+      submit: (entry, options) => this.#submitter.submit(entry, options),
+      isUpToDate: () => this.#follower.isReachable,
+      settleMs: membership.heartbeatMs,
+    });
+    this.#snapshots = new SnapshotWriter({
+      ...common,
+      log: this.#logClient,
+      isWriter: () => this.#planner.hasClaim,
+      everyRecords: log.snapshotEveryRecords,
+      everyMs: log.snapshotEveryMs,
+    });
+    this.#vacating = new Vacating({
+      keeper: this.#keeper,
+      ledger,
+      address,
+      incarnation,
+    });
+    this.#grants = new GrantExtender({
+      keeper: this.#keeper,
+      server: this.#server,
+      everyMs: lease.durationMs / 4,
+    });
+    const memory = new IdempotencyMemory({
+      now,
+      keepMs: limits.idempotencyMs,
+      entries: limits.idempotencyEntries,
+    });
+    this.#holder = new Holder({
+      keeper: this.#keeper,
+      ledger,
+      server: this.#server,
+      records: this.#records,
+      memory,
+      measures: this.#measures,
+      settings: this.#settings,
+      grants: this.#grants,
+      isDraining: () => this.#isEnding,
+    });
+    this.#services = {
+      incarnation,
+      keeper: this.#keeper,
+      detector: this.#detector,
+      relay: this.#relay,
+      holder: this.#holder,
+      records: this.#records,
+      status: () => this.#status(),
+    };
+    this.#watch();
+    this.#addGauges();
+    const ingress = new Ingress({
+      address,
+      ledger,
+      keeper: this.#keeper,
+      links: this.#links,
+      holder: this.#holder,
+      settings: this.#settings,
+    });
+    this.#callers = await Callers.listen({
+      ledger,
+      ingress,
+      measures: this.#measures,
+      settings: this.#settings,
+      shardOf: await createShardOf(),
+      idPrefix: `${incarnation}`,
+      isEnding: () => this.#isEnding,
+    }, splitAddress(listen.callers));
+    this.#detector.start();
+    this.#planner.start();
+    this.#snapshots.start();
+    this.#isReady = true;
+  }
+
+  #watch(): void {
+    const changes = this.#ledger.changes.subscribe((folded) => this.#takeFolded(folded));
+    const neighbour = this.#announcements.neighbour.subscribe(() => this.#syncServer());
+    this.#subscriptions.add(changes);
+    this.#subscriptions.add(neighbour);
+  }
+
+  #takeFolded(folded: Folded): void {
+    const { entry, effect } = folded;
+    if (entry === undefined || effect !== "applied") {
+      return;
+    }
+    const isOwnLoss = entry.kind === RecordKind.InstanceLost &&
+      entry.incarnation === this.#membership.incarnation;
+    const isSuperseded = entry.kind === RecordKind.InstanceJoined &&
+      entry.address === this.#address;
+    if (isOwnLoss || isSuperseded) {
+      this.#log(
+        LogLevel.Warn,
+        "The log counts this daemon as lost; it starts again",
+        {},
+      );
+      this.#end(Ending.Restart);
+    }
+    if (entry.kind === RecordKind.ShardsMoved) {
+      const shards = entry.shards.reduce(
+        (sum, range) => sum + range.last - range.first + 1,
+        0,
+      );
+      this.#measures.noteMoved(entry.pool, entry.cause, shards);
+    }
+  }
+
+  #takeFollowerEnd(isExpired: boolean): void {
+    if (isExpired) {
+      this.#log(
+        LogLevel.Warn,
+        "The log no longer keeps the next record; the daemon starts again",
+      );
+      this.#end(Ending.Restart);
+    }
+  }
+
+  async #awaitAnnouncement(): Promise<void> {
+    const first = this.#announcements.neighbour.pipe(
+      filter((neighbour) => neighbour !== undefined),
+      timeout({ first: FIRST_ANNOUNCEMENT_MS }),
+    );
+    await firstValueFrom(first).catch(() => undefined);
+  }
+
+  /** What the log should know of the server beside this daemon now. */
+  #describeNeighbour(): ServerDescription | null {
+    const announcement = this.#server.announcement;
+    if (announcement === undefined || announcement.draining || this.#isEnding) {
+      return null;
+    }
+    const { pool, slots, connections, checksGrants } = announcement;
+    return { pool, slots, connections, checksGrants };
+  }
+
+  /** Brings the log's description of the server up to date; gives up its keys when it is gone. */
+  async #syncServer(): Promise<void> {
+    if (this.#isDescribing || this.#isEnding) {
+      return;
+    }
+    this.#isDescribing = true;
+    try {
+      await this.#describeUntilEqual();
+    } finally {
+      this.#isDescribing = false;
+    }
+  }
+
+  async #describeUntilEqual(): Promise<void> {
+    while (!this.#isEnding) {
+      const wanted = this.#describeNeighbour();
+      const known = this.#ledger.instances.get(this.#address)?.server ?? null;
+      if (JSON.stringify(wanted) === JSON.stringify(known)) {
+        return;
+      }
+      const isOther = wanted !== null && known !== null &&
+        (wanted.pool !== known.pool ||
+          wanted.checksGrants !== known.checksGrants);
+      if (isOther) {
+        this.#end(Ending.Restart);
+        return;
+      }
+      if (wanted === null) {
+        this.#vacating.vacate({
+          isServerGone: this.#server.announcement === undefined,
+        });
+      }
+      const described = await this.#membership.describeServer(wanted);
+      if (described.isErr) {
+        const fields = { reason: described.error.message };
+        this.#log(
+          LogLevel.Warn,
+          "The log did not take the server's description",
+          fields,
+        );
+        await sleep(CHANGE_RETRY_MS);
+      }
+    }
+  }
+
+  async #call(
+    peer: Address,
+    method: string,
+    payload: unknown,
+    options: { timeoutMs: number },
+  ): Promise<Result<unknown, LinkError>> {
+    if (peer === this.#address) {
+      return Result.err(
+        new LinkError(
+          LinkErrorKind.Unreachable,
+          "A daemon does not call itself",
+        ),
+      );
+    }
+    const linked = await this.#links.get(peer);
+    return linked.isErr
+      ? Result.err(linked.error)
+      : await linked.value.call(method, payload, options);
+  }
+
+  #answerCall(method: string, payload: unknown): Promise<unknown> {
+    if (method === DRAIN_METHOD) {
+      this.drain();
+      return Promise.resolve(null);
+    }
+    if (this.#services === undefined) {
+      return Promise.reject(new Error("The daemon has not joined yet"));
+    }
+    try {
+      return answerCall(this.#services, method, { payload });
+    } catch (error) {
+      this.#noteMalformed("peer", `${method}: ${(error as Error).message}`);
+      return Promise.reject(error as Error);
+    }
+  }
+
+  #takeRequest(exchange: IncomingExchange): void {
+    if (this.#services === undefined) {
+      exchange.breakOff();
+      return;
+    }
+    serveExchange(this.#holder, exchange).catch((error) => {
+      const fields = { id: exchange.head.id, reason: (error as Error).message };
+      this.#log(LogLevel.Error, "A forwarded request failed", fields);
+      exchange.breakOff();
+    });
+  }
+
+  /** Appends a record in the background; tries again while the log does not take it. */
+  async #append(entry: Entry): Promise<void> {
+    while (!this.#isEnding) {
+      const submitted = await this.#submitter.submit(entry, {
+        timeoutMs: APPEND_TIMEOUT_MS,
+      });
+      if (submitted.isOk || submitted.error.kind === LedgerErrorKind.Conflict) {
+        return;
+      }
+      await sleep(CHANGE_RETRY_MS);
+    }
+  }
+
+  #noteDamaged(folded: Folded): void {
+    this.#measures.noteDamaged();
+    const { offset, reason } = folded;
+    this.#log(LogLevel.Warn, "A log record was skipped", { offset, reason });
+  }
+
+  #noteMalformed(source: string, message: string): void {
+    this.#measures.noteMalformed(source);
+    this.#log(LogLevel.Warn, "Malformed input was refused", {
+      source,
+      reason: message,
+    });
+  }
+
+  #addGauges(): void {
+    const measures = this.#measures;
+    measures.addGauge(
+      "bulrushwood_log_offset",
+      "Last folded offset of the log",
+      {
+        read: () => this.#ledger.folded,
+      },
+    );
+    measures.addGauge(
+      "bulrushwood_configuration_version",
+      "Configuration in force",
+      {
+        read: () => this.#ledger.configuration?.version ?? 0,
+      },
+    );
+    measures.addGauge("bulrushwood_log_reachable", "1 while the log answers", {
+      read: () => this.#follower.isReachable ? 1 : 0,
+    });
+    measures.addGauge("bulrushwood_groups_held", "Lease groups held", {
+      read: () => this.#keeper.held.length,
+    });
+    measures.addGauge(
+      "bulrushwood_requests_in_flight",
+      "Keyed requests at the backend server",
+      {
+        read: () => this.#keeper.inFlight,
+      },
+    );
+    measures.addGauge(
+      "bulrushwood_requests_waiting",
+      "Requests waiting for a slot",
+      {
+        read: () => this.#server.admission.waiting,
+      },
+    );
+    measures.addGauge("bulrushwood_links", "Links to other daemons", {
+      read: () => this.#links.count,
+    });
+    measures.addGauge(
+      "bulrushwood_link_bytes",
+      "Bytes sent and received on links",
+      {
+        read: () => this.#links.bytes,
+      },
+    );
+  }
+
+  #status(): DaemonStatus {
+    const { instance, dataCentre } = this.#settings;
+    const own = this.#ledger.instances.get(this.#address);
+    const held = this.#keeper?.held ?? [];
+    return {
+      instance,
+      address: this.#address,
+      dataCentre,
+      incarnation: this.#membership.incarnation,
+      presence: own?.presence ?? "starting",
+      folded: this.#ledger.folded,
+      logReachable: this.#follower.isReachable,
+      configurationVersion: this.#ledger.configuration?.version ?? 0,
+      isPlanner: this.#planner?.hasClaim ?? false,
+      groupsHeld: held.length,
+      shardsHeld: held.reduce((sum, tenure) => sum + tenure.group.shards, 0),
+      inFlight: this.#keeper?.inFlight ?? 0,
+      server: this.#serverStatus(),
+      served: this.#measures.served,
+      classes: this.#measures.classes,
+      unavailable: this.#measures.unowned,
+    };
+  }
+
+  #serverStatus(): DaemonStatus["server"] {
+    const announcement = this.#server.announcement;
+    if (announcement === undefined) {
+      return null;
+    }
+    const { pool, slots, draining, checksGrants } = announcement;
+    const { running, waiting } = this.#server.admission;
+    return {
+      pool,
+      slots,
+      draining,
+      checksGrants,
+      running,
+      waiting,
+      limit: this.#server.limit,
+    };
+  }
+
+  /** Asks the daemon to leave: it finishes its work, gives up its keys and ends. */
+  drain(): void {
+    this.#end(Ending.Stopped);
+  }
+
+  /** Leaves gracefully: no request in flight is cut off, and no new work is taken after a while. */
+  async leave(): Promise<void> {
+    this.#isEnding = true;
+    this.#log(LogLevel.Info, "The daemon is leaving");
+    const { shutdownMs } = this.#settings.limits;
+    const callersClosed = this.#callers.close({ timeoutMs: shutdownMs });
+    const announced = this.#membership.announceLeaving();
+    await this.#vacating.vacate({ isServerGone: false });
+    await announced;
+    await callersClosed;
+    await this.#vacating.awaitReplacement();
+    await this.#membership.leave();
+    this.#log(LogLevel.Info, "The daemon has left");
+  }
+
+  /** Ends at once. */
+  async close(): Promise<void> {
+    this.#isEnding = true;
+    this.#subscriptions.unsubscribe();
+    this.#grants?.close();
+    await this.#planner?.close();
+    await this.#snapshots?.close();
+    await this.#detector?.close();
+    await this.#callers?.close({ timeoutMs: 0 });
+    await this.#links?.close();
+    await this.#keeper?.close();
+    this.#server?.close();
+    await this.#announcements?.close();
+    await this.#admin?.close();
+    await this.#follower.close();
+    this.#logClient.close();
+  }
+}
--- /dev/null
+++ b/packages/lease/src/keeper.ts
@@ -0,0 +1,557 @@
+/**
+ * Keeps the leases of one daemon: bids for the groups that name it as holder or successor, one task for
+ * each peer; answers the bids of others; seals the earlier owners of shards that came to its groups; and
+ * tells, for each shard, whether this daemon may serve it now.
+ */
+import { firstValueFrom, merge, type Observable, Subject, take, timer } from "rxjs";
+import { Result } from "true-myth";
+import {
+  type Address,
+  type Clock,
+  createStop,
+  type Group,
+  type Incarnation,
+  MoveCause,
+  type Offset,
+  type Sleep,
+} from "@bulrushwood/types";
+import {
+  type Entry,
+  type Folded,
+  fromRanges,
+  type LeaseGroup,
+  type Ledger,
+  RecordKind,
+} from "@bulrushwood/ledger";
+import {
+  type Bid,
+  LeaseMethod,
+  type Renewal,
+  type RenewalReply,
+  renewalReplySchema,
+  renewalSchema,
+  type SealReply,
+  sealRequestSchema,
+  surrenderSchema,
+  type Vote,
+} from "./messages.ts";
+import { includesMove } from "./released.ts";
+import { ALL_RULES, type Rules } from "./rules.ts";
+import { Sealing } from "./sealing.ts";
+import { Tenure } from "./tenure.ts";
+import { Voter } from "./voter.ts";
+
+/** Renewals in the time of one lease. */
+const RENEWALS_PER_LEASE = 4;
+/** Longest time that a voter keeps a seal request open before it refuses, as a share of the lease. */
+const SEAL_HOLD_SHARE = 0.4;
+
+/** Calls a method of a peer; fails when the peer does not answer in time. */
+export type CallPeer = (
+  peer: Address,
+  method: string,
+  payload: unknown,
+  options: { timeoutMs: number },
+) => Promise<Result<unknown, Error>>;
+
+/** What a keeper needs. Times are in milliseconds. */
+export interface KeeperOptions {
+  ledger: Ledger;
+  address: Address;
+  incarnation: Incarnation;
+  now: Clock;
+  sleep: Sleep;
+  call: CallPeer;
+  /** Appends a record without waiting for it to take effect. */
+  append: (entry: Entry) => void;
+  /** Makes an id for a record. */
+  newId: () => string;
+  durationMs: number;
+  driftMarginMs: number;
+  rules?: Rules;
+  /** Told how far a peer has folded the log. */
+  onPeerFolded?: (peer: Address, folded: Offset) => void;
+  /** Told for how long shards had no owner, in milliseconds times shards. */
+  onUnowned?: (pool: string, cause: MoveCause, shardMs: number) => void;
+}
+
+/** Why a daemon does not serve a shard at this moment. */
+export enum ServeState {
+  /** It may serve the shard now. */
+  Ready = "ready",
+  /** It may come to serve the shard soon: support or seals are missing. */
+  Pending = "pending",
+  /** Another daemon is to serve the shard. */
+  Elsewhere = "elsewhere",
+}
+
+/** The right to run one request for a shard; ended when the request is done. */
+export interface Permit {
+  group: Group;
+  shard: number;
+  /** Since when this daemon has seen all requests of the shard, on its own clock in milliseconds. */
+  vouchedSince: number;
+  /** Orders the holders of a shard in time. */
+  token: string;
+  /** Until when the lease runs as of now, on this process's clock in milliseconds. */
+  heldUntil: () => number;
+  /** The last check before work is sent to the backend server. */
+  isValid: () => boolean;
+  end: () => void;
+}
+
+/** The leases of one daemon. */
+export class Keeper {
+  readonly #options: KeeperOptions;
+  readonly #rules: Rules;
+  readonly #voter: Voter;
+  readonly #tenures = new Map<Group, Tenure>();
+  readonly #peerTasks = new Map<Address, Promise<void>>();
+  readonly #sealing: Sealing;
+  readonly #changed = new Subject<void>();
+  readonly #hurry = new Subject<void>();
+  readonly #stop = createStop();
+  readonly #subscription;
+  /** When moves to groups of this daemon were folded, on its own clock in milliseconds. */
+  readonly #movedAt = new Map<Offset, number>();
+  readonly #lastHeard = new Map<Address, number>();
+
+  constructor(options: KeeperOptions) {
+    this.#options = options;
+    this.#rules = options.rules ?? ALL_RULES;
+    this.#voter = new Voter(options);
+    this.#sealing = new Sealing({
+      ...options,
+      signal: this.#stop.signal,
+      sealHere: (group, move) => this.#sealHere(group, move),
+      onSealed: (move) => this.#noteSealed(move),
+    });
+    this.#subscription = options.ledger.changes.subscribe((folded) => this.#takeFolded(folded));
+    this.#adoptGroups();
+  }
+
+  /** Emits whenever what this daemon may serve can have changed. */
+  get changed(): Observable<void> {
+    return this.#changed;
+  }
+
+  /** The groups that this daemon holds now. */
+  get held(): Tenure[] {
+    const now = this.#options.now();
+    return [...this.#tenures.values()].filter((tenure) => tenure.heldUntil > now);
+  }
+
+  /** Requests in flight over all groups. */
+  get inFlight(): number {
+    return [...this.#tenures.values()].reduce(
+      (sum, tenure) => sum + tenure.inFlight,
+      0,
+    );
+  }
+
+  /** When a peer's renewal or reply last came, on this process's clock; undefined for never. */
+  lastHeard(peer: Address): number | undefined {
+    return this.#lastHeard.get(peer);
+  }
+
+  #takeFolded(folded: Folded): void {
+    const { entry, effect, offset } = folded;
+    if (entry === undefined || effect !== "applied") {
+      return;
+    }
+    switch (entry.kind) {
+      case RecordKind.GroupCreated:
+        this.#adoptGroup(this.#options.ledger.groups.get(offset)!);
+        break;
+      case RecordKind.GroupRetired:
+        this.#tenures.delete(entry.group);
+        this.#voter.forgetRetired();
+        break;
+      case RecordKind.ShardsMoved:
+        this.#tenures.get(entry.from)?.noteMovedOut(
+          offset,
+          fromRanges(entry.shards),
+        );
+        this.#sealing.take(offset, entry.to);
+        if (this.#tenures.has(entry.to)) {
+          this.#movedAt.set(offset, this.#options.now());
+        }
+        this.#hurry.next();
+        break;
+      default:
+        break;
+    }
+    this.#changed.next();
+  }
+
+  #adoptGroups(): void {
+    for (const group of this.#options.ledger.groups.values()) {
+      this.#adoptGroup(group);
+    }
+  }
+
+  #adoptGroup(group: LeaseGroup): void {
+    const { address, incarnation } = this.#options;
+    const index = group.members.findIndex((member) =>
+      member.address === address && member.incarnation === incarnation
+    );
+    if (index !== 0 && index !== 1) {
+      return;
+    }
+    const succeedAfter = this.#options.now() + this.#options.durationMs * 2;
+    this.#tenures.set(group.group, new Tenure(group, index, { succeedAfter }));
+    this.#startPeers(group);
+    this.#hurry.next();
+  }
+
+  #startPeers(group: LeaseGroup): void {
+    const { address } = this.#options;
+    const others = group.members.filter((member) => member.address !== address);
+    for (const { address: peer } of others) {
+      if (!this.#peerTasks.has(peer)) {
+        this.#peerTasks.set(peer, this.#runPeer(peer));
+      }
+    }
+    if (others.length === 0) {
+      this.#peerTasks.set(address, this.#runAlone());
+    }
+  }
+
+  /** Renews with one peer for as long as the daemon runs. */
+  async #runPeer(peer: Address): Promise<void> {
+    while (!this.#stop.signal.aborted) {
+      await this.#renewWith(peer);
+      await this.#pause();
+    }
+  }
+
+  /** Renews the groups that have no other member. */
+  async #runAlone(): Promise<void> {
+    while (!this.#stop.signal.aborted) {
+      for (const tenure of this.#tenures.values()) {
+        if (tenure.group.members.length === 1) {
+          this.#voteForSelf(tenure);
+        }
+      }
+      await this.#pause();
+    }
+  }
+
+  /** Waits for the next renewal; ends early when there is news that peers should have at once. */
+  async #pause(): Promise<void> {
+    const { sleep, durationMs } = this.#options;
+    const hurry = new AbortController();
+    const subscription = this.#hurry.pipe(take(1)).subscribe(() => hurry.abort());
+    await sleep(durationMs / RENEWALS_PER_LEASE, hurry.signal);
+    subscription.unsubscribe();
+  }
+
+  async #renewWith(peer: Address): Promise<void> {
+    const { call, now, address, incarnation, ledger, durationMs } = this.#options;
+    const bids = this.#bidsFor(peer);
+    if (bids.length === 0) {
+      return;
+    }
+    const renewal: Renewal = {
+      from: { address, incarnation },
+      folded: ledger.folded,
+      bids,
+    };
+    const sentAt = now();
+    const called = await call(peer, LeaseMethod.Renew, renewal, {
+      timeoutMs: durationMs,
+    });
+    const reply = renewalReplySchema.safeParse(
+      called.isOk ? called.value : undefined,
+    );
+    if (!reply.success) {
+      return;
+    }
+    this.#lastHeard.set(peer, now());
+    this.#options.onPeerFolded?.(peer, reply.data.folded);
+    for (const vote of reply.data.votes) {
+      this.#takeVote(peer, vote, sentAt);
+    }
+  }
+
+  #bidsFor(peer: Address): Bid[] {
+    const bids: Bid[] = [];
+    for (const tenure of this.#tenures.values()) {
+      const isMember = tenure.group.members.some((member) => member.address === peer);
+      const bid = this.#bidOf(tenure);
+      if (isMember && this.#mayBid(tenure, bid)) {
+        bids.push(bid);
+      }
+    }
+    return bids;
+  }
+
+  #bidOf(tenure: Tenure): Bid {
+    const { ledger, incarnation } = this.#options;
+    const released = tenure.released(ledger.folded);
+    return { group: tenure.id, step: tenure.step, incarnation, released };
+  }
+
+  /** A candidate asks others only for what its own voter would grant. */
+  #mayBid(tenure: Tenure, bid: Bid): boolean {
+    const isEarly = this.#voter.stepOf(tenure.id) === 0 &&
+      tenure.isTooEarly(this.#options.now());
+    return !tenure.isSurrendered && !isEarly && this.#voter.wouldGrant(bid);
+  }
+
+  /** Counts a vote from the time the bid was sent, less the drift margin. */
+  #takeVote(peer: Address, vote: Vote, sentAt: number): void {
+    const tenure = this.#tenures.get(vote.group);
+    if (tenure === undefined || !vote.granted || tenure.isSurrendered) {
+      return;
+    }
+    const wasHeld = tenure.heldUntil > this.#options.now();
+    tenure.noteSupport(peer, sentAt + this.#countedMs());
+    this.#voteForSelf(tenure);
+    if (!wasHeld && tenure.heldUntil > this.#options.now()) {
+      this.#takeHold(tenure);
+    }
+  }
+
+  #countedMs(): number {
+    const { durationMs, driftMarginMs } = this.#options;
+    return this.#rules.driftMargin ? durationMs - driftMarginMs : durationMs;
+  }
+
+  #voteForSelf(tenure: Tenure): void {
+    const { now, address } = this.#options;
+    const wasHeld = tenure.heldUntil > now();
+    if (!this.#voter.vote(this.#bidOf(tenure)).granted) {
+      return;
+    }
+    tenure.noteSupport(address, now() + this.#countedMs());
+    if (!wasHeld && tenure.heldUntil > now()) {
+      this.#takeHold(tenure);
+    }
+  }
+
+  #takeHold(tenure: Tenure): void {
+    const isFirst = tenure.heldSince === Number.POSITIVE_INFINITY;
+    tenure.noteHeld(this.#options.now());
+    if (tenure.step === 1 && isFirst) {
+      this.#reportUnowned(tenure);
+      this.#options.append({
+        id: this.#options.newId(),
+        kind: RecordKind.GroupSucceeded,
+        group: tenure.id,
+        incarnation: this.#options.incarnation,
+      });
+    }
+    this.#sealing.start(tenure);
+    this.#changed.next();
+  }
+
+  /** A successor's shards had no owner since the holder was last heard. */
+  #reportUnowned(tenure: Tenure): void {
+    const since = this.#voter.lastSupportedAt(tenure.id);
+    if (since !== undefined) {
+      const { group } = tenure;
+      const shardMs = (this.#options.now() - since) * group.shards;
+      this.#options.onUnowned?.(group.pool, MoveCause.Loss, shardMs);
+    }
+  }
+
+  /** Moved shards had no owner from the time their move was folded until it was sealed. */
+  #noteSealed(move: Offset): void {
+    const pending = this.#options.ledger.pending.get(move);
+    const since = this.#movedAt.get(move);
+    if (pending !== undefined && since !== undefined) {
+      const shardMs = (this.#options.now() - since) * pending.shards.length;
+      this.#options.onUnowned?.(pending.pool, pending.cause, shardMs);
+    }
+    this.#changed.next();
+  }
+
+  /** Answers a call that concerns leases; undefined when the method is another's. */
+  answer(method: string, payload: unknown): Promise<unknown> | undefined {
+    switch (method) {
+      case LeaseMethod.Renew:
+        return this.#answerRenewal(renewalSchema.parse(payload));
+      case LeaseMethod.Seal:
+        return this.#answerSeal(payload);
+      case LeaseMethod.Surrender:
+        return this.#answerSurrender(payload);
+      default:
+        return undefined;
+    }
+  }
+
+  #answerRenewal(renewal: Renewal): Promise<RenewalReply> {
+    const { from, folded, bids } = renewal;
+    this.#lastHeard.set(from.address, this.#options.now());
+    this.#options.onPeerFolded?.(from.address, folded);
+    const votes = bids.map((bid) => this.#voter.vote(bid));
+    return Promise.resolve({ folded: this.#options.ledger.folded, votes });
+  }
+
+  /** Keeps a seal request open for a while, since the holder may release the move meanwhile. */
+  async #answerSeal(payload: unknown): Promise<SealReply> {
+    const { group, move } = sealRequestSchema.parse(payload);
+    const { now, sleep, durationMs } = this.#options;
+    const deadline = now() + durationMs * SEAL_HOLD_SHARE;
+    while (!this.#sealHere(group, move)) {
+      if (now() >= deadline || this.#stop.signal.aborted) {
+        return { granted: false };
+      }
+      await sleep(durationMs / 100, this.#stop.signal);
+    }
+    return { granted: true };
+  }
+
+  /** Seals a move as a voter; a daemon that holds the group itself first has to release the move. */
+  #sealHere(group: Group, move: Offset): boolean {
+    const tenure = this.#tenures.get(group);
+    if (tenure !== undefined && this.#rules.sealCheck) {
+      const released = tenure.released(this.#options.ledger.folded);
+      if (!includesMove(released, move)) {
+        return false;
+      }
+      const supportsItself = this.#voter.stepOf(group) === tenure.step;
+      if (supportsItself) {
+        this.#voter.noteReleased(group, released);
+      }
+    }
+    return this.#voter.seal(group, move);
+  }
+
+  #answerSurrender(payload: unknown): Promise<null> {
+    const { group, incarnation } = surrenderSchema.parse(payload);
+    const holder = this.#options.ledger.groups.get(group)?.members[0];
+    if (holder?.incarnation === incarnation) {
+      this.#voter.acceptSurrender(group);
+      this.#hurry.next();
+    }
+    return Promise.resolve(null);
+  }
+
+  /** What this daemon may do for a shard now. */
+  stateOf(pool: string, shard: number): ServeState {
+    const table = this.#options.ledger.pools.get(pool);
+    const tenure = this.#tenures.get(table?.groupOf(shard) ?? 0);
+    if (table === undefined || tenure === undefined || tenure.isClosing) {
+      return ServeState.Elsewhere;
+    }
+    if (tenure.heldUntil <= this.#options.now()) {
+      return this.#mayComeToHold(tenure) ? ServeState.Pending : ServeState.Elsewhere;
+    }
+    const sealed = this.#sealing.isSealed(table.predecessorsOf(shard));
+    return sealed ? ServeState.Ready : ServeState.Pending;
+  }
+
+  /** A successor whose voter supports the holder expects that the holder serves. */
+  #mayComeToHold(tenure: Tenure): boolean {
+    if (tenure.step === 0) {
+      return this.#voter.stepOf(tenure.id) === 0;
+    }
+    return !(this.#voter.stepOf(tenure.id) === 0 &&
+      this.#voter.isSupporting(tenure.id));
+  }
+
+  /** Begins a request for a shard; undefined when this daemon may not serve it now. */
+  begin(pool: string, shard: number): Permit | undefined {
+    if (this.stateOf(pool, shard) !== ServeState.Ready) {
+      return undefined;
+    }
+    const table = this.#options.ledger.pools.get(pool)!;
+    const tenure = this.#tenures.get(table.groupOf(shard))!;
+    const { now, incarnation } = this.#options;
+    let isOver = false;
+    tenure.begin(shard);
+    return {
+      group: tenure.id,
+      shard,
+      vouchedSince: this.#vouchedSince(tenure, pool, shard),
+      token: `${table.moveOf(shard)}.${tenure.step}.${incarnation}`,
+      heldUntil: () => tenure.heldUntil,
+      isValid: () => !this.#rules.lastStepCheck || tenure.heldUntil > now(),
+      end: () => {
+        if (!isOver) {
+          isOver = true;
+          this.#end(tenure, shard);
+        }
+      },
+    };
+  }
+
+  #vouchedSince(tenure: Tenure, pool: string, shard: number): number {
+    const table = this.#options.ledger.pools.get(pool)!;
+    if (tenure.step === 0 && table.hasFirstGroup(shard)) {
+      return Number.NEGATIVE_INFINITY;
+    }
+    const movedAt = this.#movedAt.get(table.moveOf(shard)) ??
+      Number.NEGATIVE_INFINITY;
+    return Math.max(tenure.heldSince, movedAt);
+  }
+
+  #end(tenure: Tenure, shard: number): void {
+    if (tenure.end(shard)) {
+      this.#hurry.next();
+    }
+    if (tenure.isClosing && tenure.inFlight === 0) {
+      this.#changed.next();
+    }
+  }
+
+  /** Waits until something that `stateOf` depends on can have changed, or time is up. */
+  async waitForChange(timeoutMs: number): Promise<void> {
+    const wait = merge(this.#changed, timer(timeoutMs));
+    await firstValueFrom(wait, { defaultValue: undefined });
+  }
+
+  /** Gives up all groups: finishes what is in flight, then tells the voters. */
+  async surrenderAll(): Promise<void> {
+    const tenures = [...this.#tenures.values()];
+    await Promise.all(tenures.map((tenure) => this.#surrender(tenure)));
+  }
+
+  async #surrender(tenure: Tenure): Promise<void> {
+    tenure.isClosing = true;
+    while (tenure.inFlight > 0 && !this.#stop.signal.aborted) {
+      await this.waitForChange(this.#options.durationMs);
+    }
+    tenure.isSurrendered = true;
+    if (tenure.step === 1) {
+      return;
+    }
+    this.#voter.acceptSurrender(tenure.id);
+    const { address } = this.#options;
+    const others = tenure.group.members.filter((member) => member.address !== address);
+    await Promise.all(
+      others.map((member) => this.#tellSurrender(member.address, tenure.id)),
+    );
+  }
+
+  async #tellSurrender(peer: Address, group: Group): Promise<void> {
+    const { call, incarnation, durationMs } = this.#options;
+    const timeoutMs = durationMs / 2;
+    const tries = 3;
+    for (
+      let attempt = 0;
+      attempt < tries && !this.#stop.signal.aborted;
+      attempt++
+    ) {
+      const called = await call(peer, LeaseMethod.Surrender, {
+        group,
+        incarnation,
+      }, { timeoutMs });
+      if (called.isOk) {
+        return;
+      }
+    }
+  }
+
+  /** Stops bidding and voting. Leases that are held run out by themselves. */
+  async close(): Promise<void> {
+    this.#stop.abort();
+    this.#hurry.next();
+    this.#subscription.unsubscribe();
+    await Promise.all(this.#peerTasks.values());
+    await this.#sealing.close();
+    this.#changed.complete();
+  }
+}
--- /dev/null
+++ b/packages/lease/src/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * Who may serve which shard, and until when: votes, succession, surrender, seals.
+ */
+export { type CallPeer, Keeper, type KeeperOptions, type Permit, ServeState } from "./keeper.ts";
+export { LeaseMethod } from "./messages.ts";
+export { ALL_RULES, type Rules } from "./rules.ts";
+export { Tenure } from "./tenure.ts";
+export { Voter, type VoterOptions } from "./voter.ts";
--- /dev/null
+++ b/packages/lease/src/sealing.ts
@@ -0,0 +1,202 @@
+/**
+ * Seals the earlier owners of shards that came to this daemon's groups. Once a majority of an earlier
+ * group's voters has sealed a move, no holder of that group can serve the moved shards again.
+ */
+import type { Address, Group, Offset } from "@bulrushwood/types";
+import { type LeaseGroup, type Ledger, type Predecessor, RecordKind } from "@bulrushwood/ledger";
+import { LeaseMethod, sealReplySchema } from "./messages.ts";
+import type { KeeperOptions } from "./keeper.ts";
+import type { Tenure } from "./tenure.ts";
+
+/** How long to collect activations before they are reported, as a share of the lease. */
+const REPORT_AFTER_SHARE = 0.1;
+
+/** What sealing needs beside the keeper's own needs. */
+export interface SealingOptions extends KeeperOptions {
+  signal: AbortSignal;
+  /** Seals a move as one of the voters. */
+  sealHere: (group: Group, move: Offset) => boolean;
+  onSealed: (move: Offset) => void;
+}
+
+/** The moves that this daemon has sealed, or is sealing. */
+export class Sealing {
+  readonly #options: SealingOptions;
+  readonly #sealed = new Set<string>();
+  readonly #tasks = new Map<string, Promise<void>>();
+  readonly #held = new Set<Group>();
+  #unreported = new Set<Group>();
+  #reporting: Promise<void> | undefined;
+
+  constructor(options: SealingOptions) {
+    this.#options = options;
+  }
+
+  /** Whether all earlier owners of a shard are sealed. */
+  isSealed(predecessors: readonly Predecessor[]): boolean {
+    return predecessors.every((predecessor) => this.#sealed.has(keyOf(predecessor)));
+  }
+
+  /** Begins to seal for a group that this daemon has come to hold. */
+  start(tenure: Tenure): void {
+    this.#held.add(tenure.id);
+    for (const pending of this.#options.ledger.pending.values()) {
+      if (pending.to === tenure.id) {
+        this.take(pending.move, tenure.id);
+      }
+    }
+  }
+
+  /** Begins to seal a move to a group, when this daemon holds the group. */
+  take(move: Offset, to: Group): void {
+    const pending = this.#options.ledger.pending.get(move);
+    if (pending === undefined || !this.#held.has(to)) {
+      return;
+    }
+    const table = this.#options.ledger.pools.get(pending.pool)!;
+    for (const shard of pending.shards) {
+      for (const predecessor of table.predecessorsOf(shard)) {
+        this.#begin(predecessor, to);
+      }
+    }
+  }
+
+  #begin(predecessor: Predecessor, to: Group): void {
+    const key = keyOf(predecessor);
+    if (!this.#tasks.has(key)) {
+      this.#tasks.set(key, this.#run(predecessor, to));
+    }
+  }
+
+  async #run(predecessor: Predecessor, to: Group): Promise<void> {
+    const group = this.#options.ledger.groups.get(predecessor.group);
+    if (
+      group !== undefined && !(await this.#collect(group, predecessor.move))
+    ) {
+      return;
+    }
+    this.#sealed.add(keyOf(predecessor));
+    this.#report(to);
+    this.#options.onSealed(predecessor.move);
+  }
+
+  /** Collects answers until a majority has sealed; false when the daemon closes first. */
+  async #collect(group: LeaseGroup, move: Offset): Promise<boolean> {
+    const { signal } = this.#options;
+    const answered = new Set<Address>();
+    const over = new AbortController();
+    return await new Promise<boolean>((resolve) => {
+      signal.addEventListener("abort", () => resolve(false), { once: true });
+      const noteAnswer = (member: Address) => {
+        answered.add(member);
+        if (this.#isEnough(group, answered)) {
+          over.abort();
+          resolve(true);
+        }
+      };
+      for (const { address } of group.members) {
+        this.#askUntilSealed(address, group.group, move, over.signal).then(
+          (sealed) => {
+            if (sealed) {
+              noteAnswer(address);
+            }
+          },
+        );
+      }
+    });
+  }
+
+  /** A majority, and with it every possible holder whose server does not check grants. */
+  #isEnough(group: LeaseGroup, answered: Set<Address>): boolean {
+    const quorum = Math.floor(group.members.length / 2) + 1;
+    if (answered.size < quorum) {
+      return false;
+    }
+    const candidates = group.members.slice(0, 2);
+    return candidates.every((member, index) =>
+      group.checksGrants[index] || answered.has(member.address) ||
+      this.#options.ledger.isProvenGone(member.address, member.incarnation)
+    );
+  }
+
+  async #askUntilSealed(
+    member: Address,
+    group: Group,
+    move: Offset,
+    over: AbortSignal,
+  ): Promise<boolean> {
+    const { sleep, signal, durationMs } = this.#options;
+    while (!signal.aborted && !over.aborted) {
+      if (await this.#ask(member, group, move)) {
+        return true;
+      }
+      await sleep(durationMs / 50, signal);
+    }
+    return false;
+  }
+
+  async #ask(member: Address, group: Group, move: Offset): Promise<boolean> {
+    const { address, call, sealHere, durationMs } = this.#options;
+    if (member === address) {
+      return sealHere(group, move);
+    }
+    const timeoutMs = durationMs;
+    const called = await call(member, LeaseMethod.Seal, { group, move }, {
+      timeoutMs,
+    });
+    const reply = sealReplySchema.safeParse(
+      called.isOk ? called.value : undefined,
+    );
+    return reply.success && reply.data.granted;
+  }
+
+  /** Tells the log which moves later holders need not seal again; several in one record. */
+  #report(group: Group): void {
+    this.#unreported.add(group);
+    this.#reporting ??= this.#reportSoon();
+  }
+
+  async #reportSoon(): Promise<void> {
+    const { sleep, durationMs, signal } = this.#options;
+    await sleep(durationMs * REPORT_AFTER_SHARE, signal);
+    this.#reporting = undefined;
+    const groups = this.#unreported;
+    this.#unreported = new Set();
+    if (signal.aborted) {
+      return;
+    }
+    for (const group of groups) {
+      this.#reportGroup(group);
+    }
+  }
+
+  #reportGroup(group: Group): void {
+    const { append, newId, ledger } = this.#options;
+    const moves: Offset[] = [];
+    for (const pending of ledger.pending.values()) {
+      if (pending.to === group && this.#isWhole(ledger, pending.move)) {
+        moves.push(pending.move);
+      }
+    }
+    if (moves.length > 0) {
+      append({ id: newId(), kind: RecordKind.MovesActivated, group, moves });
+    }
+  }
+
+  #isWhole(ledger: Ledger, move: Offset): boolean {
+    const pending = ledger.pending.get(move)!;
+    const table = ledger.pools.get(pending.pool)!;
+    const standing = pending.shards.filter((shard) => table.moveOf(shard) === move);
+    return standing.every((shard) => this.isSealed(table.predecessorsOf(shard)));
+  }
+
+  /** Waits for the tasks to end after the signal was aborted. */
+  async close(): Promise<void> {
+    await Promise.all(this.#tasks.values());
+    await this.#reporting;
+  }
+}
+
+function keyOf(predecessor: Predecessor): string {
+  return `${predecessor.group}@${predecessor.move}`;
+}
--- /dev/null
+++ b/packages/ledger/src/document.ts
@@ -0,0 +1,68 @@
+/**
+ * The ledger's state as plain data, for snapshots.
+ */
+import type { Offset } from "@bulrushwood/types";
+import type { Ledger } from "./ledger.ts";
+import { type PoolDocument, PoolTable } from "./pool_table.ts";
+import type {
+  ChurnCount,
+  ConfigurationVersion,
+  Instance,
+  LeaseGroup,
+  PendingMove,
+  PlannerClaim,
+} from "./state.ts";
+
+/** A whole ledger state. */
+export interface LedgerDocument {
+  folded: Offset;
+  instances: Instance[];
+  groups: LeaseGroup[];
+  pools: PoolDocument[];
+  pending: PendingMove[];
+  configuration: ConfigurationVersion | null;
+  claim: PlannerClaim | null;
+  churn: ChurnCount[];
+}
+
+/** Copies a ledger's state. */
+export function writeDocument(ledger: Ledger): LedgerDocument {
+  return structuredClone({
+    folded: ledger.folded,
+    instances: [...ledger.instances.values()],
+    groups: [...ledger.groups.values()],
+    pools: [...ledger.pools.values()].map((table) => table.toDocument()),
+    pending: [...ledger.pending.values()],
+    configuration: ledger.configuration ?? null,
+    claim: ledger.claim ?? null,
+    churn: ledger.churn,
+  });
+}
+
+/** Replaces a ledger's state by a document's. */
+export function readDocument(ledger: Ledger, document: LedgerDocument): void {
+  const copy = structuredClone(document);
+  ledger.folded = copy.folded;
+  ledger.configuration = copy.configuration ?? undefined;
+  ledger.claim = copy.claim ?? undefined;
+  ledger.churn.splice(0, ledger.churn.length, ...copy.churn);
+  refill(ledger.instances, copy.instances, (instance) => instance.address);
+  refill(ledger.groups, copy.groups, (group) => group.group);
+  refill(ledger.pending, copy.pending, (pending) => pending.move);
+  refill(
+    ledger.pools,
+    copy.pools.map(PoolTable.fromDocument),
+    (table) => table.pool,
+  );
+}
+
+function refill<Key, Value>(
+  map: Map<Key, Value>,
+  values: Value[],
+  keyOf: (value: Value) => Key,
+): void {
+  map.clear();
+  for (const value of values) {
+    map.set(keyOf(value), value);
+  }
+}
--- /dev/null
+++ b/packages/ledger/src/follower.ts
@@ -0,0 +1,210 @@
+/**
+ * Follows the log: starts from the latest whole snapshot, then folds the tail for as long as it runs.
+ * Records may also come from a peer while the log does not answer; both ways feed the same fold.
+ */
+import { BehaviorSubject, type Observable } from "rxjs";
+import { Result } from "true-myth";
+import { createStop, type Offset, type Sleep } from "@bulrushwood/types";
+import {
+  type Batch,
+  type LogClient,
+  type LogError,
+  LogErrorKind,
+  type LogRecord,
+} from "@bulrushwood/log_client";
+import { LedgerError, LedgerErrorKind } from "./errors.ts";
+import type { Folded, Ledger } from "./ledger.ts";
+import { SnapshotAssembly } from "./snapshot.ts";
+
+const RETRY_MIN_MS = 50;
+const RETRY_MAX_MS = 1_000;
+/** Records kept in memory for peers that are cut off from the log. */
+const RECENT_RECORDS_MAX = 5_000;
+
+/** What a follower needs. Times are in milliseconds. */
+export interface FollowerOptions {
+  log: LogClient;
+  ledger: Ledger;
+  sleep: Sleep;
+  pollWaitMs: number;
+  /** Called for each record that has no effect because it is damaged or unknown. */
+  onDamaged?: (folded: Folded) => void;
+  /** Told why the start has to wait, at each try. */
+  onWaiting?: (reason: string) => void;
+}
+
+/** Keeps a ledger up to date with the log. */
+export class Follower {
+  readonly #options: FollowerOptions;
+  readonly #stop = createStop();
+  readonly #reachable = new BehaviorSubject<boolean>(false);
+  readonly #recent: LogRecord[] = [];
+  #assembly = new SnapshotAssembly();
+  #task: Promise<Result<void, LedgerError>> | undefined;
+
+  constructor(options: FollowerOptions) {
+    this.#options = options;
+  }
+
+  /** Whether the last read of the log was answered. */
+  get reachable(): Observable<boolean> {
+    return this.#reachable;
+  }
+
+  /** Whether the last read of the log was answered, at this moment. */
+  get isReachable(): boolean {
+    return this.#reachable.value;
+  }
+
+  /** Reads the log to its end as of now; retries until it answers or the follower is closed. */
+  async start(): Promise<Result<Offset, LedgerError>> {
+    while (!this.#stop.signal.aborted) {
+      const started = await this.#catchUp();
+      if (started.isOk) {
+        this.#task = this.#follow();
+        return Result.ok(started.value);
+      }
+      this.#reachable.next(false);
+      this.#options.onWaiting?.(started.error.message);
+      await this.#options.sleep(RETRY_MAX_MS / 4, this.#stop.signal);
+    }
+    return Result.err(
+      new LedgerError(LedgerErrorKind.Unsettled, "The follower was closed"),
+    );
+  }
+
+  /** Resolves with an error when the records that this process needs have expired. */
+  ended(): Promise<Result<void, LedgerError>> {
+    return this.#task ?? Promise.resolve(Result.ok(undefined));
+  }
+
+  async #catchUp(): Promise<Result<Offset, LogError | LedgerError>> {
+    const { log } = this.#options;
+    let from = 1;
+    let end: Offset | undefined;
+    while (!this.#stop.signal.aborted) {
+      const read = await log.read(from, { signal: this.#stop.signal });
+      if (read.isErr && read.error.kind === LogErrorKind.Expired) {
+        from = read.error.first ?? from;
+        continue;
+      }
+      if (read.isErr) {
+        return Result.err(read.error);
+      }
+      const batch = read.value;
+      end ??= batch.end - 1;
+      this.#take(batch);
+      from = (batch.records.at(-1)?.offset ?? from - 1) + 1;
+      if (from > end) {
+        return this.#checkWhole(batch, end);
+      }
+    }
+    return Result.err(
+      new LedgerError(LedgerErrorKind.Unsettled, "The follower was closed"),
+    );
+  }
+
+  /** Refuses a start in which expired records are not covered by a snapshot. */
+  #checkWhole(batch: Batch, end: Offset): Result<Offset, LedgerError> {
+    const { ledger } = this.#options;
+    if (ledger.folded >= end || end === 0) {
+      this.#reachable.next(true);
+      return Result.ok(end);
+    }
+    const message = `The log starts at ${batch.first} and holds no whole snapshot`;
+    return Result.err(new LedgerError(LedgerErrorKind.Expired, message));
+  }
+
+  async #follow(): Promise<Result<void, LedgerError>> {
+    const { log, ledger, sleep, pollWaitMs } = this.#options;
+    let retryMs = RETRY_MIN_MS;
+    while (!this.#stop.signal.aborted) {
+      const from = ledger.folded + 1;
+      const read = await log.read(from, {
+        waitMs: pollWaitMs,
+        signal: this.#stop.signal,
+      });
+      if (read.isOk) {
+        this.#reachable.next(true);
+        this.#take(read.value);
+        retryMs = RETRY_MIN_MS;
+        continue;
+      }
+      if (
+        read.error.kind === LogErrorKind.Expired &&
+        ledger.folded + 1 < (read.error.first ?? 0)
+      ) {
+        return Result.err(
+          new LedgerError(LedgerErrorKind.Expired, read.error.message),
+        );
+      }
+      this.#reachable.next(false);
+      await sleep(retryMs, this.#stop.signal);
+      retryMs = Math.min(retryMs * 2, RETRY_MAX_MS);
+    }
+    return Result.ok(undefined);
+  }
+
+  #take(batch: Batch): void {
+    for (const record of batch.records) {
+      this.#takeRecord(record);
+    }
+  }
+
+  /** Folds the next record; before the first fold, looks for a snapshot instead of offset 1. */
+  #takeRecord(record: LogRecord): void {
+    const { ledger } = this.#options;
+    if (record.offset === ledger.folded + 1) {
+      this.#fold(record);
+      return;
+    }
+    if (record.offset <= ledger.folded) {
+      return;
+    }
+    const document = this.#assembly.take(record);
+    if (document === undefined) {
+      return;
+    }
+    ledger.restore(document);
+    for (const later of this.#assembly.recordsAfter(document.folded)) {
+      this.#fold(later);
+    }
+    this.#assembly = new SnapshotAssembly();
+  }
+
+  #fold(record: LogRecord): void {
+    const folded = this.#options.ledger.fold(record.offset, record.body);
+    this.#recent.push(record);
+    if (this.#recent.length > RECENT_RECORDS_MAX * 2) {
+      this.#recent.splice(0, RECENT_RECORDS_MAX);
+    }
+    if (folded.entry === undefined) {
+      this.#options.onDamaged?.(folded);
+    }
+  }
+
+  /** Records from an offset on, for a peer; empty when they are no longer in memory. */
+  recentFrom(from: Offset, limit: number): LogRecord[] {
+    const first = this.#recent[0]?.offset;
+    if (first === undefined || from < first) {
+      return [];
+    }
+    const start = from - first;
+    return this.#recent.slice(start, start + limit);
+  }
+
+  /** Folds records that a peer relayed; ignores those that are folded already. */
+  takeRelayed(records: LogRecord[]): void {
+    for (const record of records) {
+      if (record.offset === this.#options.ledger.folded + 1) {
+        this.#fold(record);
+      }
+    }
+  }
+
+  /** Stops following. */
+  async close(): Promise<void> {
+    this.#stop.abort();
+    await this.#task;
+  }
+}
--- /dev/null
+++ b/packages/ledger/src/submission.ts
@@ -0,0 +1,90 @@
+/**
+ * Appends a record and settles what became of it: an append without an answer is settled by reading on
+ * to the record's own id, and a record that never came is appended again, since doubles are harmless.
+ */
+import { filter, firstValueFrom, map, merge, timer } from "rxjs";
+import { Result } from "true-myth";
+import type { Offset, Sleep } from "@bulrushwood/types";
+import { type LogClient, LogErrorKind } from "@bulrushwood/log_client";
+import { LedgerError, LedgerErrorKind } from "./errors.ts";
+import type { Folded, Ledger } from "./ledger.ts";
+import { type Entry, formatEntry } from "./records.ts";
+import { Effect } from "./state.ts";
+
+const RETRY_MS = 100;
+/** How long to read on for the record's id before it is appended again. */
+const READ_ON_MS = 1_000;
+
+/** What a submission needs. */
+export interface SubmitterOptions {
+  log: LogClient;
+  ledger: Ledger;
+  sleep: Sleep;
+}
+
+/** Appends records and reports which of them took effect. */
+export class Submitter {
+  readonly #options: SubmitterOptions;
+
+  constructor(options: SubmitterOptions) {
+    this.#options = options;
+  }
+
+  /** Appends a record; gives its offset once it is seen in the log, in effect. */
+  async submit(
+    entry: Entry,
+    options: { timeoutMs: number },
+  ): Promise<Result<Offset, LedgerError>> {
+    const deadline = performance.now() + options.timeoutMs;
+    const settled = this.#awaitFolded(entry.id, options.timeoutMs);
+    const ambiguous = await this.#appendUntilSeen(entry, deadline, settled);
+    const folded = await settled;
+    if (folded !== undefined) {
+      return this.#judge(folded);
+    }
+    if (ambiguous) {
+      const message = "The log has not shown yet whether the record takes effect";
+      return Result.err(new LedgerError(LedgerErrorKind.Unsettled, message));
+    }
+    const message = "The log did not take the record";
+    return Result.err(new LedgerError(LedgerErrorKind.NotApplied, message));
+  }
+
+  /** Appends until the record is folded or time is up; tells whether any append may take effect. */
+  async #appendUntilSeen(
+    entry: Entry,
+    deadline: number,
+    settled: Promise<Folded | undefined>,
+  ): Promise<boolean> {
+    const { log, sleep } = this.#options;
+    const body = formatEntry(entry);
+    let ambiguous = false;
+    while (performance.now() < deadline) {
+      const appended = await log.append(body);
+      ambiguous ||= appended.isOk ||
+        appended.error.kind === LogErrorKind.Ambiguous;
+      const waitMs = appended.isOk ? deadline - performance.now() : RETRY_MS;
+      const readOnMs = ambiguous && appended.isErr ? READ_ON_MS : waitMs;
+      const seen = await Promise.race([settled, sleep(Math.max(0, readOnMs))]);
+      if (seen !== undefined) {
+        break;
+      }
+    }
+    return ambiguous;
+  }
+
+  #awaitFolded(id: string, timeoutMs: number): Promise<Folded | undefined> {
+    const folded = this.#options.ledger.changes.pipe(
+      filter((change) => change.entry?.id === id),
+    );
+    const timeout = timer(timeoutMs).pipe(map(() => undefined));
+    return firstValueFrom(merge(folded, timeout), { defaultValue: undefined });
+  }
+
+  #judge(folded: Folded): Result<Offset, LedgerError> {
+    if (folded.effect === Effect.Applied) {
+      return Result.ok(folded.offset);
+    }
+    return Result.err(new LedgerError(LedgerErrorKind.Conflict, folded.reason));
+  }
+}
--- /dev/null
+++ b/packages/log_client/src/log_client.ts
@@ -0,0 +1,204 @@
+/**
+ * The wire to the platform's append-only log: append a record, read from an offset with a long poll.
+ * Every call has a time limit, and a failed append tells whether it may still take effect.
+ */
+import { Buffer } from "node:buffer";
+import { Agent, type IncomingMessage, request } from "node:http";
+import { Result } from "true-myth";
+import { z } from "zod";
+import type { Offset } from "@bulrushwood/types";
+import { LogError, LogErrorKind } from "./errors.ts";
+
+const RECORDS_PER_READ = 500;
+const ANSWER_BYTES_MAX = 32 * 1024 * 1024;
+/** Time beyond the long poll's own wait before a read counts as unanswered. */
+const READ_GRACE_MS = 1_000;
+
+const appendAnswer = z.object({ offset: z.number().int().nonnegative() });
+const expiredAnswer = z.object({ first: z.number().int().nonnegative() });
+const readAnswer = z.object({
+  first: z.number().int().nonnegative(),
+  end: z.number().int().nonnegative(),
+  records: z.array(
+    z.object({ offset: z.number().int().nonnegative(), body: z.string() }),
+  ),
+});
+
+/** One record as the log keeps it. */
+export interface LogRecord {
+  offset: Offset;
+  body: string;
+}
+
+/** What one read returned. */
+export interface Batch {
+  /** First offset that the log still keeps. */
+  first: Offset;
+  /** Offset that the next append will get. */
+  end: Offset;
+  records: LogRecord[];
+}
+
+/** How to reach the log. Times are in milliseconds. */
+export interface LogClientOptions {
+  url: string;
+  requestTimeoutMs?: number;
+}
+
+interface Answer {
+  status: number;
+  body: string;
+}
+
+/** Tells apart a call that never left from one that may have arrived. */
+enum CallFailure {
+  NotSent = "not-sent",
+  NoAnswer = "no-answer",
+}
+
+async function readAnswerBody(response: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of response) {
+    size += chunk.length;
+    if (size > ANSWER_BYTES_MAX) {
+      throw new Error("The log's answer is too long");
+    }
+    chunks.push(chunk);
+  }
+  if (!response.complete) {
+    throw new Error("The log's answer was cut short");
+  }
+  return Buffer.concat(chunks).toString("utf8");
+}
+
+/** Client of the platform's log. */
+export class LogClient {
+  readonly #url: string;
+  readonly #requestTimeoutMs: number;
+  readonly #agent = new Agent({ keepAlive: true, maxSockets: 4 });
+
+  constructor(options: LogClientOptions) {
+    this.#url = options.url;
+    this.#requestTimeoutMs = options.requestTimeoutMs ?? 5_000;
+  }
+
+  /** Appends a record. An `Ambiguous` error means that only reading on can tell. */
+  async append(body: string): Promise<Result<Offset, LogError>> {
+    const called = await this.#call("POST", "/records", {
+      body,
+      timeoutMs: this.#requestTimeoutMs,
+    });
+    if (called.isErr) {
+      const sent = called.error === CallFailure.NoAnswer;
+      const kind = sent ? LogErrorKind.Ambiguous : LogErrorKind.NotApplied;
+      return Result.err(
+        new LogError(kind, "The log did not answer the append"),
+      );
+    }
+    return this.#readAppendAnswer(called.value);
+  }
+
+  #readAppendAnswer(answer: Answer): Result<Offset, LogError> {
+    if (answer.status >= 500) {
+      return Result.err(
+        new LogError(
+          LogErrorKind.Ambiguous,
+          `The log answered ${answer.status}`,
+        ),
+      );
+    }
+    const parsed = appendAnswer.safeParse(parseJson(answer.body));
+    if (answer.status === 201 && parsed.success) {
+      return Result.ok(parsed.data.offset);
+    }
+    const message = `The log refused the append with ${answer.status}`;
+    return Result.err(new LogError(LogErrorKind.NotApplied, message));
+  }
+
+  /** Reads records from an offset on; waits up to `waitMs` for the first one to come. */
+  async read(
+    from: Offset,
+    options: { waitMs?: number; signal?: AbortSignal } = {},
+  ): Promise<Result<Batch, LogError>> {
+    const waitMs = options.waitMs ?? 0;
+    const path = `/records?from=${from}&wait_ms=${waitMs}&limit=${RECORDS_PER_READ}`;
+    const timeoutMs = waitMs + Math.max(READ_GRACE_MS, this.#requestTimeoutMs);
+    const called = await this.#call("GET", path, {
+      timeoutMs,
+      signal: options.signal,
+    });
+    if (called.isErr) {
+      return Result.err(
+        new LogError(
+          LogErrorKind.Unreadable,
+          "The log did not answer the read",
+        ),
+      );
+    }
+    return this.#readBatch(called.value);
+  }
+
+  #readBatch(answer: Answer): Result<Batch, LogError> {
+    const document = parseJson(answer.body);
+    if (answer.status === 410) {
+      const expired = expiredAnswer.safeParse(document);
+      const first = expired.success ? expired.data.first : undefined;
+      const message = "The log no longer keeps the wanted offset";
+      return Result.err(new LogError(LogErrorKind.Expired, message, { first }));
+    }
+    const parsed = readAnswer.safeParse(document);
+    if (answer.status === 200 && parsed.success) {
+      return Result.ok(parsed.data);
+    }
+    const message = `The log answered a read with ${answer.status}`;
+    return Result.err(new LogError(LogErrorKind.Unreadable, message));
+  }
+
+  /** Closes the connections to the log. */
+  close(): void {
+    this.#agent.destroy();
+  }
+
+  #call(
+    method: string,
+    path: string,
+    options: { body?: string; timeoutMs: number; signal?: AbortSignal },
+  ): Promise<Result<Answer, CallFailure>> {
+    return new Promise((resolve) => {
+      const call = request(`${this.#url}${path}`, {
+        method,
+        agent: this.#agent,
+        headers: { "content-type": "application/json" },
+      });
+      const abort = () => call.destroy(new Error("The call took too long or was given up"));
+      const timer = setTimeout(abort, options.timeoutMs);
+      options.signal?.addEventListener("abort", abort, { once: true });
+      call.on("close", () => {
+        clearTimeout(timer);
+        options.signal?.removeEventListener("abort", abort);
+      });
+      call.on("error", (error) => resolve(Result.err(failureOf(error))));
+      call.on("response", (response) => {
+        readAnswerBody(response).then(
+          (body) => resolve(Result.ok({ status: response.statusCode ?? 0, body })),
+          () => resolve(Result.err(CallFailure.NoAnswer)),
+        );
+      });
+      call.end(options.body);
+    });
+  }
+}
+
+function failureOf(error: Error): CallFailure {
+  const code = (error as NodeJS.ErrnoException).code;
+  return code === "ECONNREFUSED" ? CallFailure.NotSent : CallFailure.NoAnswer;
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/membership/src/detector.ts
@@ -0,0 +1,187 @@
+/**
+ * Finds daemons that their peers no longer hear. Each daemon watches the next few in the order of their
+ * addresses; it reports one as lost when it and the others that watch it have not heard it for a while.
+ * A wrong report harms nobody: the daemon it names starts again as a new incarnation.
+ */
+import { Result } from "true-myth";
+import { z } from "zod";
+import {
+  type Address,
+  type Clock,
+  createStop,
+  type Incarnation,
+  type Sleep,
+} from "@bulrushwood/types";
+import { type Entry, type Instance, type Ledger, Presence, RecordKind } from "@bulrushwood/ledger";
+
+/** How many daemons watch each daemon. */
+const WATCHERS = 3;
+/** Name of the call that only shows that the peer answers. */
+export const HEARTBEAT_METHOD = "membership.heartbeat";
+/** Name of the call that asks a watcher how long it has not heard a daemon. */
+export const SILENCE_METHOD = "membership.silence";
+
+const silenceRequest = z.object({ address: z.string() });
+const silenceReply = z.object({ silentMs: z.number() });
+const heartbeatReply = z.object({ folded: z.number() });
+
+/** What a detector needs. Times are in milliseconds. */
+export interface DetectorOptions {
+  ledger: Ledger;
+  address: Address;
+  now: Clock;
+  sleep: Sleep;
+  call: (
+    peer: Address,
+    method: string,
+    payload: unknown,
+    options: { timeoutMs: number },
+  ) => Promise<Result<unknown, Error>>;
+  append: (entry: Entry) => void;
+  newId: () => string;
+  heartbeatMs: number;
+  lostAfterMs: number;
+  /** Told how far a peer has folded the log. */
+  onPeerFolded: (peer: Address, folded: number) => void;
+}
+
+/** Watches some peers. */
+export class Detector {
+  readonly #options: DetectorOptions;
+  readonly #heardAt = new Map<Address, number>();
+  readonly #reported = new Set<Incarnation>();
+  readonly #stop = createStop();
+  readonly #startedAt: number;
+  #task: Promise<void> | undefined;
+
+  constructor(options: DetectorOptions) {
+    this.#options = options;
+    this.#startedAt = options.now();
+  }
+
+  /** Begins to watch. */
+  start(): void {
+    this.#task = this.#run();
+  }
+
+  async #run(): Promise<void> {
+    const { sleep, heartbeatMs } = this.#options;
+    while (!this.#stop.signal.aborted) {
+      await Promise.all(
+        this.watched().map((instance) => this.#watch(instance)),
+      );
+      await sleep(heartbeatMs, this.#stop.signal);
+    }
+  }
+
+  #active(): Instance[] {
+    const { ledger } = this.#options;
+    const active = [...ledger.instances.values()].filter((instance) =>
+      instance.presence === Presence.Present ||
+      instance.presence === Presence.Leaving
+    );
+    return active.sort((left, right) => left.address < right.address ? -1 : 1);
+  }
+
+  /** The daemons that this one watches: the next few in the ring of addresses. */
+  watched(): Instance[] {
+    return this.#around(this.#options.address, 1);
+  }
+
+  #around(address: Address, direction: 1 | -1): Instance[] {
+    const active = this.#active();
+    const place = active.findIndex((instance) => instance.address === address);
+    if (place < 0) {
+      return [];
+    }
+    const count = Math.min(WATCHERS, active.length - 1);
+    const steps = Array.from(
+      { length: count },
+      (_, index) => (index + 1) * direction,
+    );
+    return steps.map((step) => active.at((place + step) % active.length)!);
+  }
+
+  async #watch(instance: Instance): Promise<void> {
+    const { call, heartbeatMs, lostAfterMs, now, onPeerFolded } = this.#options;
+    const { address } = instance;
+    const called = await call(address, HEARTBEAT_METHOD, {}, {
+      timeoutMs: heartbeatMs,
+    });
+    const reply = heartbeatReply.safeParse(
+      called.isOk ? called.value : undefined,
+    );
+    if (reply.success) {
+      this.#heardAt.set(address, now());
+      onPeerFolded(address, reply.data.folded);
+      return;
+    }
+    if (
+      this.silenceOf(address) > lostAfterMs && await this.#othersAgree(address)
+    ) {
+      this.#report(instance);
+    }
+  }
+
+  /** How long a peer has not been heard, in milliseconds. */
+  silenceOf(address: Address): number {
+    return this.#options.now() -
+      (this.#heardAt.get(address) ?? this.#startedAt);
+  }
+
+  /** Asks the other watchers of a daemon; one that hears it is enough to doubt. */
+  async #othersAgree(address: Address): Promise<boolean> {
+    const { call, heartbeatMs, lostAfterMs } = this.#options;
+    const watchers = this.#around(address, -1).filter((watcher) =>
+      watcher.address !== this.#options.address
+    );
+    const replies = await Promise.all(
+      watchers.map((watcher) =>
+        call(watcher.address, SILENCE_METHOD, { address }, {
+          timeoutMs: heartbeatMs,
+        })
+      ),
+    );
+    const silences = replies.map((reply) =>
+      silenceReply.safeParse(reply.isOk ? reply.value : null)
+    );
+    const answered = silences.filter((silence) => silence.success);
+    const agreeing = answered.filter((silence) => silence.data.silentMs > lostAfterMs / 2);
+    return agreeing.length === answered.length &&
+      (answered.length > 0 || watchers.length === 0);
+  }
+
+  #report(instance: Instance): void {
+    if (this.#reported.has(instance.incarnation)) {
+      return;
+    }
+    this.#reported.add(instance.incarnation);
+    const { address, incarnation } = instance;
+    this.#options.append({
+      id: this.#options.newId(),
+      kind: RecordKind.InstanceLost,
+      address,
+      incarnation,
+      by: this.#options.address,
+      declared: false,
+    });
+  }
+
+  /** Answers a call of another watcher; undefined when the method is another's. */
+  answer(method: string, payload: unknown): Promise<unknown> | undefined {
+    if (method === HEARTBEAT_METHOD) {
+      return Promise.resolve({ folded: this.#options.ledger.folded });
+    }
+    if (method === SILENCE_METHOD) {
+      const { address } = silenceRequest.parse(payload);
+      return Promise.resolve({ silentMs: this.silenceOf(address) });
+    }
+    return undefined;
+  }
+
+  /** Stops watching. */
+  async close(): Promise<void> {
+    this.#stop.abort();
+    await this.#task;
+  }
+}
--- /dev/null
+++ b/packages/planner/src/cast.ts
@@ -0,0 +1,147 @@
+/**
+ * Which daemons can play which part in the lease groups of a pool, and which groups are sound.
+ */
+import type { Address, Group } from "@bulrushwood/types";
+import {
+  type Instance,
+  type LeaseGroup,
+  type Ledger,
+  type Member,
+  Presence,
+} from "@bulrushwood/ledger";
+
+/** Groups that one holder has, each with another successor, so that its loss spreads over several. */
+const GROUPS_PER_HOLDER = 4;
+const MEMBERS_MAX = 3;
+
+/** The daemons of one pool and what they can do for each other. */
+export class Cast {
+  readonly pool: string;
+  /** Daemons beside a backend server of the pool that may get keys, in the order of addresses. */
+  readonly holders: Instance[];
+  /** All daemons that may vote. */
+  readonly voters: Instance[];
+  readonly #byAddress = new Map<Address, Instance>();
+  readonly #groups: LeaseGroup[];
+
+  constructor(ledger: Ledger, pool: string) {
+    this.pool = pool;
+    this.#groups = [...ledger.groups.values()].filter((group) => group.pool === pool);
+    const present = [...ledger.instances.values()].filter((instance) =>
+      instance.presence === Presence.Present
+    );
+    this.voters = present.sort((left, right) => left.address < right.address ? -1 : 1);
+    this.holders = this.voters.filter((instance) => instance.server?.pool === pool);
+    for (const instance of this.voters) {
+      this.#byAddress.set(instance.address, instance);
+    }
+  }
+
+  /** Whether a member still runs as the incarnation that the group names. */
+  isCurrent(member: Member): boolean {
+    return this.#byAddress.get(member.address)?.incarnation ===
+      member.incarnation;
+  }
+
+  /** The daemon at an address, if it may hold keys of the pool. */
+  holderAt(address: Address): Instance | undefined {
+    return this.holders.find((holder) => holder.address === address);
+  }
+
+  /** The groups that name a daemon as holder. */
+  groupsOf(holder: Address): Group[] {
+    const own = this.#groups.filter((group) => group.members[0].address === holder);
+    return own.map((group) => group.group);
+  }
+
+  /** Number of groups that each holder should have. */
+  get groupsPerHolder(): number {
+    return Math.max(1, Math.min(GROUPS_PER_HOLDER, this.holders.length - 1));
+  }
+
+  /** Number of members that a group should have. */
+  get groupSize(): number {
+    return this.holders.length < 2 ? 1 : Math.min(MEMBERS_MAX, this.voters.length);
+  }
+
+  /** Whether a group's holder holds it, all its members run, and they are spread as far as can be. */
+  isSound(group: LeaseGroup): boolean {
+    const [holder, successor] = group.members;
+    if (group.step !== 0 || group.members.length !== this.groupSize) {
+      return false;
+    }
+    if (!group.members.every((member) => this.isCurrent(member))) {
+      return false;
+    }
+    const canSucceed = successor === undefined ||
+      this.holderAt(successor.address) !== undefined;
+    const canHold = this.holderAt(holder.address) !== undefined;
+    return canHold && canSucceed &&
+      this.#spreadOf(group) >= this.#bestSpread(holder.address);
+  }
+
+  #spreadOf(group: LeaseGroup): number {
+    const instances = group.members.map((member) => this.#byAddress.get(member.address)!);
+    return new Set(instances.map((instance) => instance.dataCentre)).size;
+  }
+
+  /** The most data centres that a group of this holder could span. */
+  #bestSpread(holder: Address): number {
+    const own = this.#byAddress.get(holder)!.dataCentre;
+    const all = new Set(this.voters.map((voter) => voter.dataCentre));
+    const hasDistantSuccessor = this.holders.some((other) => other.dataCentre !== own);
+    const reachable = hasDistantSuccessor ? all.size : Math.min(2, all.size);
+    return Math.min(this.groupSize, reachable);
+  }
+
+  /** Chooses the members of a new group for a holder; avoids the successors it already has. */
+  chooseMembers(holder: Instance, usedSuccessors: Set<Address>): Member[] {
+    const members = [holder];
+    if (this.groupSize > 1) {
+      members.push(this.#chooseSuccessor(holder, usedSuccessors));
+    }
+    if (this.groupSize > 2) {
+      members.push(this.#chooseWitness(members[0], members[1]));
+    }
+    return members.map(({ address, incarnation }) => ({
+      address,
+      incarnation,
+    }));
+  }
+
+  /** The next holder in the ring, best in another data centre of the region. */
+  #chooseSuccessor(holder: Instance, used: Set<Address>): Instance {
+    const others = after(this.holders, holder);
+    return best(others, (other) =>
+      (used.has(other.address) ? 0 : 4) +
+      (other.dataCentre === holder.dataCentre ? 0 : 2) +
+      (other.region === holder.region ? 1 : 0));
+  }
+
+  /** A voter in a third data centre, best in the region; else one in the other region. */
+  #chooseWitness(holder: Instance, successor: Instance): Instance {
+    const taken = new Set([holder.dataCentre, successor.dataCentre]);
+    const others = after(this.voters, successor).filter((voter) => voter !== holder);
+    return best(
+      others,
+      (other) =>
+        (taken.has(other.dataCentre) ? 0 : 2) +
+        (other.region === holder.region ? 1 : 0),
+    );
+  }
+}
+
+/** The other instances in ring order, starting after one of them. */
+function after(instances: Instance[], start: Instance): Instance[] {
+  const place = instances.findIndex((instance) => instance.address >= start.address);
+  const turned = [...instances.slice(place), ...instances.slice(0, place)];
+  return turned.filter((instance) => instance.address !== start.address);
+}
+
+/** The first instance with the highest score. */
+function best(
+  instances: Instance[],
+  score: (instance: Instance) => number,
+): Instance {
+  return instances.reduce((chosen, next) => score(next) > score(chosen) ? next : chosen);
+}
--- /dev/null
+++ b/packages/planner/src/planner.ts
@@ -0,0 +1,177 @@
+/**
+ * Proposes changes of placement. Any daemon may plan; a claim in the log says whose proposals count, and
+ * what a stale planner proposes has no effect.
+ */
+import { Result } from "true-myth";
+import {
+  type Address,
+  type Clock,
+  createStop,
+  type Incarnation,
+  type Offset,
+  type Sleep,
+} from "@bulrushwood/types";
+import {
+  type Entry,
+  type Instance,
+  type Ledger,
+  type LedgerError,
+  Presence,
+  RecordKind,
+  toRanges,
+} from "@bulrushwood/ledger";
+import { type Plan, planPool } from "./placement.ts";
+
+const PLAN_EVERY_MS = 150;
+const SUBMIT_TIMEOUT_MS = 3_000;
+/** Records that one plan appends at once. */
+const RECORDS_AT_ONCE = 24;
+
+/** What a planner needs. Times are in milliseconds. */
+export interface PlannerOptions {
+  ledger: Ledger;
+  address: Address;
+  incarnation: Incarnation;
+  now: Clock;
+  sleep: Sleep;
+  submit: (
+    entry: Entry,
+    options: { timeoutMs: number },
+  ) => Promise<Result<Offset, LedgerError>>;
+  newId: () => string;
+  /** Whether this daemon has read the log to its end lately. */
+  isUpToDate: () => boolean;
+  /** Time without a change of membership before a plan is made. */
+  settleMs: number;
+}
+
+/** Plans while this daemon has the claim, and claims when nobody has it. */
+export class Planner {
+  readonly #options: PlannerOptions;
+  readonly #stop = createStop();
+  readonly #subscription;
+  #membershipChangedAt: number;
+  #task: Promise<void> | undefined;
+
+  constructor(options: PlannerOptions) {
+    this.#options = options;
+    this.#membershipChangedAt = options.now();
+    this.#subscription = options.ledger.changes.subscribe(({ entry }) => {
+      if (
+        entry?.kind === RecordKind.InstanceJoined ||
+        entry?.kind === RecordKind.ServerChanged
+      ) {
+        this.#membershipChangedAt = options.now();
+      }
+    });
+  }
+
+  /** Begins to plan. */
+  start(): void {
+    this.#task = this.#run();
+  }
+
+  /** Whether this daemon's proposals count. */
+  get hasClaim(): boolean {
+    const { ledger, incarnation } = this.#options;
+    return ledger.claim?.incarnation === incarnation;
+  }
+
+  async #run(): Promise<void> {
+    const { sleep, isUpToDate } = this.#options;
+    while (!this.#stop.signal.aborted) {
+      await sleep(PLAN_EVERY_MS, this.#stop.signal);
+      if (!isUpToDate() || this.#stop.signal.aborted) {
+        continue;
+      }
+      if (this.hasClaim) {
+        await this.#plan();
+      } else if (this.#shouldClaim()) {
+        await this.#claim();
+      }
+    }
+  }
+
+  /** The first present daemon claims when the one that has the claim is gone. */
+  #shouldClaim(): boolean {
+    const { ledger, address } = this.#options;
+    const claim = ledger.claim;
+    const planner = claim === undefined ? undefined : ledger.activeInstance(claim.address);
+    if (
+      planner?.incarnation === claim?.incarnation &&
+      planner?.presence === Presence.Present
+    ) {
+      return false;
+    }
+    return this.#present()[0]?.address === address;
+  }
+
+  #present(): Instance[] {
+    const instances = [...this.#options.ledger.instances.values()];
+    const present = instances.filter((instance) => instance.presence === Presence.Present);
+    return present.sort((left, right) => left.address < right.address ? -1 : 1);
+  }
+
+  async #claim(): Promise<void> {
+    const { ledger, address, incarnation, newId } = this.#options;
+    await this.#submit({
+      id: newId(),
+      kind: RecordKind.PlannerClaimed,
+      expects: ledger.claim?.claim ?? 0,
+      address,
+      incarnation,
+    });
+  }
+
+  async #plan(): Promise<void> {
+    const { ledger, now, settleMs } = this.#options;
+    if (now() - this.#membershipChangedAt < settleMs) {
+      return;
+    }
+    const claim = ledger.claim!.claim;
+    for (const table of ledger.pools.values()) {
+      const plan = planPool(ledger, table);
+      const entries = this.#toEntries(plan, claim);
+      const batch = entries.slice(0, RECORDS_AT_ONCE);
+      await Promise.all(batch.map((entry) => this.#submit(entry)));
+    }
+  }
+
+  #toEntries(plan: Plan, claim: number): Entry[] {
+    const { newId } = this.#options;
+    const { pool } = plan;
+    const created = plan.create.map((members): Entry => (
+      { id: newId(), kind: RecordKind.GroupCreated, claim, pool, members }
+    ));
+    const moved = plan.moves.map(({ shards, from, to, cause }): Entry => {
+      const kind = RecordKind.ShardsMoved as const;
+      return {
+        id: newId(),
+        kind,
+        claim,
+        pool,
+        shards: toRanges(shards),
+        from,
+        to,
+        cause,
+      };
+    });
+    const retired = plan.retire.map((group): Entry => (
+      { id: newId(), kind: RecordKind.GroupRetired, claim, group }
+    ));
+    return [...created, ...moved, ...retired];
+  }
+
+  async #submit(entry: Entry): Promise<void> {
+    if (!this.#stop.signal.aborted) {
+      await this.#options.submit(entry, { timeoutMs: SUBMIT_TIMEOUT_MS });
+    }
+  }
+
+  /** Stops planning. */
+  async close(): Promise<void> {
+    this.#stop.abort();
+    this.#subscription.unsubscribe();
+    await this.#task;
+  }
+}
--- /dev/null
+++ b/packages/protocol/src/codec.ts
@@ -0,0 +1,160 @@
+/**
+ * Frames to bytes and back, with `msgpackr`. Frames that arrive are checked before anybody reads them.
+ */
+import { Buffer } from "node:buffer";
+import { Packr } from "msgpackr";
+import { Result } from "true-myth";
+import { LinkError, LinkErrorKind } from "./errors.ts";
+import { type Frame, FrameKind } from "./frames.ts";
+
+/** Largest message that a daemon takes from a peer, in bytes. */
+export const MESSAGE_BYTES_MAX = 8 * 1024 * 1024;
+
+type Check = (value: unknown) => boolean;
+type Fields = Record<string, Check>;
+
+const isNumber: Check = (value) => typeof value === "number" && Number.isFinite(value);
+const isString: Check = (value) => typeof value === "string";
+const isBoolean: Check = (value) => typeof value === "boolean";
+const isBytes: Check = (value) => Buffer.isBuffer(value);
+const isAnything: Check = () => true;
+const isHeaders: Check = (value) => Array.isArray(value) && value.every(isHeader);
+
+function optional(check: Check): Check {
+  return (value) => value === undefined || value === null || check(value);
+}
+
+function isHeader(value: unknown): boolean {
+  return hasFields(value, { name: isString, value: isString });
+}
+
+function firstBadField(value: object, fields: Fields): string | undefined {
+  const record = value as Record<string, unknown>;
+  for (const name in fields) {
+    if (!fields[name](record[name])) {
+      return name;
+    }
+  }
+  return undefined;
+}
+
+function hasFields(value: unknown, fields: Fields): boolean {
+  return typeof value === "object" && value !== null &&
+    firstBadField(value, fields) === undefined;
+}
+
+const requestHead: Fields = {
+  id: isString,
+  pool: isString,
+  shard: isNumber,
+  group: isNumber,
+  move: isNumber,
+  workClass: isString,
+  tenant: isString,
+  key: isString,
+  method: isString,
+  path: isString,
+  headers: isHeaders,
+  remainingMs: isNumber,
+  idempotencyKey: isString,
+  firstAttempt: isBoolean,
+};
+
+const responseHead: Fields = {
+  status: isNumber,
+  headers: isHeaders,
+  outcome: optional(isString),
+  reason: optional(isString),
+  detail: optional(isString),
+};
+
+const fieldsOfKind: Record<FrameKind, Fields> = {
+  [FrameKind.Hello]: { version: isNumber, address: isString },
+  [FrameKind.Ping]: {},
+  [FrameKind.Call]: { call: isNumber, method: isString, payload: isAnything },
+  [FrameKind.Reply]: {
+    call: isNumber,
+    payload: isAnything,
+    error: optional(isString),
+  },
+  [FrameKind.Request]: {
+    stream: isNumber,
+    head: (value) => hasFields(value, requestHead),
+    body: optional(isBytes),
+    end: isBoolean,
+  },
+  [FrameKind.Response]: {
+    stream: isNumber,
+    head: (value) => hasFields(value, responseHead),
+    body: optional(isBytes),
+    end: isBoolean,
+  },
+  [FrameKind.Body]: {
+    stream: isNumber,
+    ofRequest: isBoolean,
+    body: isBytes,
+    end: isBoolean,
+  },
+  [FrameKind.Credit]: {
+    stream: isNumber,
+    ofRequest: isBoolean,
+    bytes: isNumber,
+  },
+  [FrameKind.Cancel]: { stream: isNumber, byOpener: isBoolean },
+};
+
+/** Names what is wrong with a decoded frame; undefined when nothing is. */
+function frameFault(value: unknown): string | undefined {
+  if (typeof value !== "object" || value === null) {
+    return "a frame is not an object";
+  }
+  const fields = fieldsOfKind[(value as Frame).kind];
+  if (fields === undefined) {
+    return "a frame's kind is unknown";
+  }
+  const bad = firstBadField(value, fields);
+  return bad === undefined
+    ? undefined
+    : `field ${bad} of a ${FrameKind[(value as Frame).kind]} frame`;
+}
+
+/** Encodes and decodes the messages of one link; both sides keep their own. */
+export class Codec {
+  readonly #packr = new Packr({ useRecords: true, sequential: true } as object);
+  readonly #unpackr = new Packr(
+    { useRecords: true, sequential: true } as object,
+  );
+
+  /** Writes frames as one message. */
+  encode(frames: Frame[]): Buffer {
+    return this.#packr.pack(frames);
+  }
+
+  /** Reads one message. */
+  decode(message: Buffer): Result<Frame[], LinkError> {
+    let frames: unknown;
+    try {
+      frames = this.#unpackr.unpack(message);
+    } catch (error) {
+      return malformed(
+        `a message cannot be decoded: ${(error as Error).message}`,
+      );
+    }
+    if (!Array.isArray(frames)) {
+      return malformed("a message is not an array of frames");
+    }
+    for (const frame of frames) {
+      const fault = frameFault(frame);
+      if (fault !== undefined) {
+        return malformed(fault);
+      }
+    }
+    return Result.ok(frames as Frame[]);
+  }
+}
+
+function malformed(what: string): Result<never, LinkError> {
+  return Result.err(
+    new LinkError(LinkErrorKind.Malformed, `The peer sent ${what}`),
+  );
+}
--- /dev/null
+++ b/packages/protocol/src/link.ts
@@ -0,0 +1,361 @@
+/**
+ * One multiplexed link between two daemons, over one `ws` connection. Either side may call the other
+ * or open requests. Frames of one turn of the event loop leave as one message.
+ */
+import type { Buffer } from "node:buffer";
+import type { WebSocket } from "ws";
+import { Result } from "true-myth";
+import type { Address } from "@bulrushwood/types";
+import { Codec } from "./codec.ts";
+import { LinkError, LinkErrorKind } from "./errors.ts";
+import { IncomingExchange, OutgoingExchange } from "./exchange.ts";
+import {
+  type BodyFrame,
+  type Call,
+  type CancelFrame,
+  type CreditFrame,
+  type Frame,
+  FrameKind,
+  PROTOCOL_VERSION,
+  type Reply,
+  type RequestFrame,
+  type RequestHead,
+  type ResponseFrame,
+} from "./frames.ts";
+
+/** Silence after which a link counts as broken, in milliseconds. */
+const SILENCE_MAX_MS = 1_500;
+const PING_EVERY_MS = 500;
+
+/** What a link does with what the peer asks. */
+export interface LinkHandlers {
+  /** Answers a call; a rejection becomes the call's error. */
+  onCall: (method: string, payload: unknown, peer: Address) => Promise<unknown>;
+  /** Serves a request that the peer forwarded. */
+  onRequest: (exchange: IncomingExchange, peer: Address) => void;
+  /** Told when the peer broke the protocol. */
+  onMalformed: (error: LinkError, peer: Address) => void;
+}
+
+/** How to make a link. */
+export interface LinkOptions {
+  socket: WebSocket;
+  /** Address of this daemon. */
+  self: Address;
+  /** Address of the peer, where it is known before its hello. */
+  peer?: Address;
+  handlers: LinkHandlers;
+}
+
+interface OpenCall {
+  settle: (result: Result<unknown, LinkError>) => void;
+}
+
+/** A link to one peer. */
+export class Link {
+  readonly #socket: WebSocket;
+  readonly #handlers: LinkHandlers;
+  readonly #codec = new Codec();
+  readonly #calls = new Map<number, OpenCall>();
+  readonly #outgoing = new Map<number, OutgoingExchange>();
+  readonly #incoming = new Map<number, IncomingExchange>();
+  readonly #timer: NodeJS.Timeout;
+  #queue: Frame[] = [];
+  #flushScheduled = false;
+  #nextId = 1;
+  #heardAt = performance.now();
+  #error: LinkError | undefined;
+  #peer: Address;
+  #settleReady!: (result: Result<Link, LinkError>) => void;
+  /** Resolves once the peer has said hello, or the link has failed. */
+  readonly ready: Promise<Result<Link, LinkError>>;
+  /** Resolves when the link is over. */
+  readonly closed: Promise<void>;
+  #settleClosed!: () => void;
+  /** Bytes sent and received since the link began. */
+  bytesSent = 0;
+  bytesReceived = 0;
+
+  constructor(options: LinkOptions) {
+    this.#socket = options.socket;
+    this.#handlers = options.handlers;
+    this.#peer = options.peer ?? "";
+    this.ready = new Promise((resolve) => this.#settleReady = resolve);
+    this.closed = new Promise((resolve) => this.#settleClosed = resolve);
+    this.#socket.on("message", (data) => this.#receive(data as Buffer));
+    this.#socket.on(
+      "close",
+      () => this.#fail(brokenLink("The link was closed")),
+    );
+    this.#socket.on("error", (error) => this.#fail(brokenLink(error.message)));
+    this.#timer = setInterval(() => this.#checkSilence(), PING_EVERY_MS);
+    this.send({
+      kind: FrameKind.Hello,
+      version: PROTOCOL_VERSION,
+      address: options.self,
+    });
+  }
+
+  /** Address of the peer; empty before its hello. */
+  get peer(): Address {
+    return this.#peer;
+  }
+
+  /** Whether the link can still carry frames. */
+  get isOpen(): boolean {
+    return this.#error === undefined;
+  }
+
+  /** Number of requests open on this link, from both sides. */
+  get openRequests(): number {
+    return this.#outgoing.size + this.#incoming.size;
+  }
+
+  /** Queues a frame; all frames queued in one turn leave together. */
+  send(frame: Frame): void {
+    if (this.#error !== undefined) {
+      return;
+    }
+    this.#queue.push(frame);
+    if (!this.#flushScheduled) {
+      this.#flushScheduled = true;
+      setImmediate(() => this.#flush());
+    }
+  }
+
+  #flush(): void {
+    this.#flushScheduled = false;
+    if (this.#error !== undefined || this.#queue.length === 0) {
+      return;
+    }
+    const message = this.#codec.encode(this.#queue);
+    this.#queue = [];
+    this.bytesSent += message.length;
+    this.#socket.send(message, { binary: true, compress: false });
+  }
+
+  /** Calls a method of the peer. */
+  call(
+    method: string,
+    payload: unknown,
+    options: { timeoutMs: number },
+  ): Promise<Result<unknown, LinkError>> {
+    if (this.#error !== undefined) {
+      const message = `The link to ${this.#peer} is closed`;
+      return Promise.resolve(
+        Result.err(new LinkError(LinkErrorKind.Unreachable, message)),
+      );
+    }
+    const call = this.#nextId++;
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => {
+        settle(
+          Result.err(
+            brokenLink(
+              `The peer ${this.#peer} did not answer ${method} in time`,
+            ),
+          ),
+        );
+      }, options.timeoutMs);
+      const settle = (result: Result<unknown, LinkError>) => {
+        clearTimeout(timer);
+        this.#calls.delete(call);
+        resolve(result);
+      };
+      this.#calls.set(call, { settle });
+      this.send({ kind: FrameKind.Call, call, method, payload });
+    });
+  }
+
+  /** Opens a request. `end` says that `body` is all of its body. */
+  open(
+    head: RequestHead,
+    options: { body?: Buffer; end: boolean },
+  ): OutgoingExchange {
+    const stream = this.#nextId++;
+    const exchange = new OutgoingExchange({
+      stream,
+      send: (frame) => this.send(frame),
+      release: () => this.#outgoing.delete(stream),
+    });
+    if (this.#error !== undefined) {
+      exchange.fail(
+        new LinkError(
+          LinkErrorKind.Unreachable,
+          `The link to ${this.#peer} is closed`,
+        ),
+      );
+      return exchange;
+    }
+    this.#outgoing.set(stream, exchange);
+    this.send({
+      kind: FrameKind.Request,
+      stream,
+      head,
+      body: options.body,
+      end: options.end,
+    });
+    return exchange;
+  }
+
+  #receive(data: Buffer): void {
+    this.#heardAt = performance.now();
+    this.bytesReceived += data.length;
+    const decoded = this.#codec.decode(data);
+    if (decoded.isErr) {
+      this.#handlers.onMalformed(decoded.error, this.#peer);
+      this.#fail(decoded.error);
+      return;
+    }
+    for (const frame of decoded.value) {
+      this.#take(frame);
+    }
+  }
+
+  #take(frame: Frame): void {
+    if (this.#peer === "" && frame.kind !== FrameKind.Hello) {
+      this.#fail(
+        new LinkError(
+          LinkErrorKind.Malformed,
+          "The peer did not say hello first",
+        ),
+      );
+      return;
+    }
+    switch (frame.kind) {
+      case FrameKind.Hello:
+        return this.#takeHello(frame.version, frame.address);
+      case FrameKind.Ping:
+        return;
+      case FrameKind.Call:
+        return this.#takeCall(frame);
+      case FrameKind.Reply:
+        return this.#takeReply(frame);
+      case FrameKind.Request:
+        return this.#takeRequest(frame);
+      case FrameKind.Response:
+        return this.#takeResponse(frame);
+      case FrameKind.Body:
+        return this.#takeBody(frame);
+      case FrameKind.Credit:
+        return this.#takeCredit(frame);
+      case FrameKind.Cancel:
+        return this.#takeCancel(frame);
+    }
+  }
+
+  #takeHello(version: number, address: Address): void {
+    const otherPeer = this.#peer !== "" && this.#peer !== address;
+    if (version !== PROTOCOL_VERSION || otherPeer) {
+      const message = `The peer at ${this.#peer} says it is ${address} with protocol ${version}`;
+      this.#fail(new LinkError(LinkErrorKind.Malformed, message));
+      return;
+    }
+    this.#peer = address;
+    this.#settleReady(Result.ok(this));
+  }
+
+  #takeCall(frame: Call): void {
+    const { call, method, payload } = frame;
+    this.#handlers.onCall(method, payload, this.#peer).then(
+      (answer) => this.send({ kind: FrameKind.Reply, call, payload: answer }),
+      (error) => {
+        this.send({
+          kind: FrameKind.Reply,
+          call,
+          payload: null,
+          error: (error as Error).message,
+        });
+      },
+    );
+  }
+
+  #takeReply(frame: Reply): void {
+    const settle = this.#calls.get(frame.call)?.settle;
+    if (typeof frame.error === "string") {
+      settle?.(Result.err(new LinkError(LinkErrorKind.Refused, frame.error)));
+      return;
+    }
+    settle?.(Result.ok(frame.payload));
+  }
+
+  #takeRequest(frame: RequestFrame): void {
+    const { stream, head } = frame;
+    const exchange = new IncomingExchange({
+      stream,
+      send: (reply) => this.send(reply),
+      release: () => this.#incoming.delete(stream),
+    }, head);
+    exchange.requestBody.push(frame.body, frame.end);
+    this.#incoming.set(stream, exchange);
+    this.#handlers.onRequest(exchange, this.#peer);
+  }
+
+  #takeResponse(frame: ResponseFrame): void {
+    const head = frame.head;
+    this.#outgoing.get(frame.stream)?.takeHead(head, frame.body, frame.end);
+  }
+
+  #takeBody(frame: BodyFrame): void {
+    if (frame.ofRequest) {
+      this.#incoming.get(frame.stream)?.requestBody.push(frame.body, frame.end);
+    } else {
+      this.#outgoing.get(frame.stream)?.takeBody(frame.body, frame.end);
+    }
+  }
+
+  #takeCredit(frame: CreditFrame): void {
+    if (frame.ofRequest) {
+      this.#outgoing.get(frame.stream)?.requestBody.addCredit(frame.bytes);
+    } else {
+      this.#incoming.get(frame.stream)?.responseBody.addCredit(frame.bytes);
+    }
+  }
+
+  #takeCancel(frame: CancelFrame): void {
+    const message = "The peer broke the request off";
+    const error = new LinkError(LinkErrorKind.Broken, message);
+    if (frame.byOpener) {
+      this.#incoming.get(frame.stream)?.fail(error);
+    } else {
+      this.#outgoing.get(frame.stream)?.fail(error);
+    }
+  }
+
+  #checkSilence(): void {
+    if (performance.now() - this.#heardAt > SILENCE_MAX_MS) {
+      this.#fail(brokenLink(`The peer ${this.#peer} was silent for too long`));
+      return;
+    }
+    this.send({ kind: FrameKind.Ping });
+  }
+
+  #fail(error: LinkError): void {
+    if (this.#error !== undefined) {
+      return;
+    }
+    this.#error = error;
+    clearInterval(this.#timer);
+    this.#socket.terminate();
+    for (const call of [...this.#calls.values()]) {
+      call.settle(Result.err(error));
+    }
+    for (
+      const exchange of [...this.#outgoing.values(), ...this.#incoming.values()]
+    ) {
+      exchange.fail(error);
+    }
+    this.#settleReady(Result.err(error));
+    this.#settleClosed();
+  }
+
+  /** Closes the link; what is open on it fails. */
+  close(): void {
+    this.#flush();
+    this.#fail(brokenLink("The link was closed by this side"));
+  }
+}
+
+function brokenLink(message: string): LinkError {
+  return new LinkError(LinkErrorKind.Broken, message);
+}
--- /dev/null
+++ b/packages/protocol/src/links.ts
@@ -0,0 +1,182 @@
+/**
+ * All links of one daemon: listens for peers, dials them when they are first needed, and keeps one link
+ * for each.
+ */
+import { createServer, type Server } from "node:http";
+import { WebSocket, WebSocketServer } from "ws";
+import { Result } from "true-myth";
+import type { Address } from "@bulrushwood/types";
+import { MESSAGE_BYTES_MAX } from "./codec.ts";
+import { LinkError, LinkErrorKind } from "./errors.ts";
+import { Link, type LinkHandlers } from "./link.ts";
+
+const DIAL_TIMEOUT_MS = 800;
+/** After a failed dial, how long the peer counts as unreachable without another try. */
+const REDIAL_AFTER_MS = 100;
+
+/** How to make the links of a daemon. */
+export interface LinksOptions {
+  /** Address that peers dial; names this daemon. */
+  self: Address;
+  /** IP number to listen on, and to dial from. */
+  host: string;
+  port: number;
+  handlers: LinkHandlers;
+}
+
+interface FailedDial {
+  at: number;
+  error: LinkError;
+}
+
+/** The links of one daemon, by peer. */
+export class Links {
+  readonly #options: LinksOptions;
+  readonly #links = new Map<Address, Link>();
+  readonly #all = new Set<Link>();
+  readonly #dials = new Map<Address, Promise<Result<Link, LinkError>>>();
+  readonly #failed = new Map<Address, FailedDial>();
+  readonly #http: Server;
+  readonly #server: WebSocketServer;
+  /** Bytes of links that are over. */
+  #closedBytes = 0;
+
+  private constructor(options: LinksOptions) {
+    this.#options = options;
+    this.#http = createServer((_request, response) => response.writeHead(426).end());
+    this.#server = new WebSocketServer({
+      server: this.#http,
+      maxPayload: MESSAGE_BYTES_MAX,
+      perMessageDeflate: false,
+    });
+    this.#server.on("connection", (socket) => this.#accept(socket));
+    this.#server.on("error", () => {});
+  }
+
+  /** Starts listening for peers. */
+  static async listen(options: LinksOptions): Promise<Links> {
+    const links = new Links(options);
+    await new Promise<void>((resolve, reject) => {
+      links.#http.once("error", reject);
+      links.#http.listen(options.port, options.host, resolve);
+    });
+    return links;
+  }
+
+  /** Bytes sent and received on all links so far. */
+  get bytes(): number {
+    let bytes = this.#closedBytes;
+    for (const link of this.#all) {
+      bytes += link.bytesSent + link.bytesReceived;
+    }
+    return bytes;
+  }
+
+  /** Number of links that are open. */
+  get count(): number {
+    return this.#all.size;
+  }
+
+  #accept(socket: WebSocket): void {
+    const { self, handlers } = this.#options;
+    const link = this.#track(new Link({ socket, self, handlers }));
+    link.ready.then((ready) => {
+      if (ready.isErr) {
+        return;
+      }
+      if (!this.#links.get(link.peer)?.isOpen) {
+        this.#links.set(link.peer, link);
+      }
+    });
+  }
+
+  #track(link: Link): Link {
+    this.#all.add(link);
+    link.closed.then(() => {
+      this.#all.delete(link);
+      this.#closedBytes += link.bytesSent + link.bytesReceived;
+      if (this.#links.get(link.peer) === link) {
+        this.#links.delete(link.peer);
+      }
+    });
+    return link;
+  }
+
+  /** The open link to a peer, if there is one. */
+  peek(peer: Address): Link | undefined {
+    const link = this.#links.get(peer);
+    return link?.isOpen ? link : undefined;
+  }
+
+  /** The link to a peer; dials it where there is none. */
+  async get(peer: Address): Promise<Result<Link, LinkError>> {
+    const link = this.peek(peer);
+    if (link !== undefined) {
+      return Result.ok(link);
+    }
+    const failed = this.#failed.get(peer);
+    if (
+      failed !== undefined && performance.now() - failed.at < REDIAL_AFTER_MS
+    ) {
+      return Result.err(failed.error);
+    }
+    const underWay = this.#dials.get(peer) ?? this.#dial(peer);
+    this.#dials.set(peer, underWay);
+    const dialled = await underWay;
+    this.#dials.delete(peer);
+    return dialled;
+  }
+
+  async #dial(peer: Address): Promise<Result<Link, LinkError>> {
+    const dialled = await this.#openLink(peer);
+    if (dialled.isErr) {
+      this.#failed.set(peer, { at: performance.now(), error: dialled.error });
+      return dialled;
+    }
+    this.#failed.delete(peer);
+    const other = this.peek(peer);
+    if (other === undefined) {
+      this.#links.set(peer, dialled.value);
+    }
+    return Result.ok(other ?? dialled.value);
+  }
+
+  /** Opens a link; its listeners are set before the peer's first message can arrive. */
+  #openLink(peer: Address): Promise<Result<Link, LinkError>> {
+    const { self, host, handlers } = this.#options;
+    const socket = new WebSocket(`ws://${peer}/`, {
+      perMessageDeflate: false,
+      maxPayload: MESSAGE_BYTES_MAX,
+      handshakeTimeout: DIAL_TIMEOUT_MS,
+      localAddress: host,
+    });
+    return new Promise((resolve) => {
+      socket.once("error", (error) => resolve(Result.err(unreachable(peer, error.message))));
+      socket.once("open", () => {
+        const link = this.#track(new Link({ socket, self, peer, handlers }));
+        link.ready.then((ready) => {
+          resolve(ready.mapErr((error) => unreachable(peer, error.message)));
+        });
+      });
+    });
+  }
+
+  /** Closes all links and stops listening. */
+  async close(): Promise<void> {
+    for (const link of this.#all) {
+      link.close();
+    }
+    await new Promise<void>((resolve) => this.#server.close(() => resolve()));
+    await new Promise<void>((resolve) => {
+      this.#http.close(() => resolve());
+      this.#http.closeAllConnections();
+    });
+  }
+}
+
+function unreachable(peer: Address, why: string): LinkError {
+  return new LinkError(
+    LinkErrorKind.Unreachable,
+    `The peer ${peer} cannot be reached: ${why}`,
+  );
+}
--- /dev/null
+++ b/packages/routing/src/answer.ts
@@ -0,0 +1,64 @@
+/**
+ * The answer to a request on its way back to the caller, and the answers that the system gives itself.
+ */
+import type { Buffer } from "node:buffer";
+import { Outcome } from "@bulrushwood/types";
+import { type Header, Reason, type ResponseHead } from "@bulrushwood/protocol";
+
+const MS_PER_SECOND = 1_000;
+
+/** An answer: its head, and its body whole or in parts. */
+export interface Answer {
+  head: ResponseHead;
+  /** Iterating parts throws when the rest of the body cannot be had. */
+  body: Buffer | AsyncIterable<Buffer> | undefined;
+}
+
+/** HTTP status for each reason why the backend server did not answer. */
+const STATUS_OF_REASON: Record<Reason, number> = {
+  [Reason.NotHolder]: 503,
+  [Reason.Draining]: 503,
+  [Reason.Overloaded]: 503,
+  [Reason.DeadlinePassed]: 504,
+  [Reason.ServerFailed]: 502,
+  [Reason.ServerRefused]: 503,
+  [Reason.Cancelled]: 499,
+  [Reason.NoHolder]: 503,
+  [Reason.LinkBroken]: 502,
+  [Reason.Repeated]: 409,
+};
+
+/** Makes the answer for a request that the backend server did not answer. */
+export function outcomeAnswer(
+  outcome: Outcome,
+  reason: Reason,
+  options: { detail: string; retryAfterMs?: number },
+): Answer {
+  const headers: Header[] = [];
+  if (options.retryAfterMs !== undefined) {
+    const seconds = Math.max(
+      1,
+      Math.ceil(options.retryAfterMs / MS_PER_SECOND),
+    );
+    headers.push({ name: "retry-after", value: String(seconds) });
+  }
+  const status = STATUS_OF_REASON[reason];
+  return {
+    head: { status, headers, outcome, reason, detail: options.detail },
+    body: undefined,
+  };
+}
+
+/** Makes the answer for a request that was not run. */
+export function notRun(
+  reason: Reason,
+  detail: string,
+  retryAfterMs?: number,
+): Answer {
+  return outcomeAnswer(Outcome.NotRun, reason, { detail, retryAfterMs });
+}
+
+/** Makes the answer for a request that may have run. */
+export function unknown(reason: Reason, detail: string): Answer {
+  return outcomeAnswer(Outcome.Unknown, reason, { detail });
+}
--- /dev/null
+++ b/packages/stand_ins/src/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * Stand-ins for the systems around bulrushwood: the platform's log and backend servers.
+ */
+export {
+  type BackendControl,
+  BackendServer,
+  type BackendServerOptions,
+  type Work,
+  WorkEnd,
+} from "./backend_server.ts";
+export { AppendMode, type LogControl, LogService, type LogServiceOptions } from "./log_service.ts";
+export { Network, type NetworkHost } from "./network.ts";
--- /dev/null
+++ b/scripts/build.ts
@@ -0,0 +1,65 @@
+/**
+ * Bundles the programs into `dist`: the product, and apart from it the stand-ins and the bench. With
+ * `--binary` it also makes the one binary, `dist/bulrushwood`.
+ */
+import { execFileSync } from "node:child_process";
+import { chmodSync, copyFileSync, existsSync, mkdirSync, writeFileSync } from "node:fs";
+import { createRequire } from "node:module";
+import process from "node:process";
+import { build } from "esbuild";
+
+const SENTINEL = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
+const BINARY = "dist/bulrushwood";
+
+interface Program {
+  entry: string;
+  outfile: string;
+}
+
+const PROGRAMS: Program[] = [
+  { entry: "packages/cli/src/main.ts", outfile: "dist/bulrushwood.cjs" },
+  { entry: "packages/stand_ins/src/main.ts", outfile: "dist/stand_in.cjs" },
+  { entry: "packages/sessions/src/demo.ts", outfile: "dist/demo.cjs" },
+  { entry: "packages/bench/src/main.ts", outfile: "dist/bench.cjs" },
+];
+
+async function bundle(program: Program): Promise<void> {
+  await build({
+    entryPoints: [program.entry],
+    outfile: program.outfile,
+    bundle: true,
+    platform: "node",
+    target: "node20",
+    format: "cjs",
+    mainFields: ["module", "main"],
+    external: ["bufferutil", "utf-8-validate", "msgpackr-extract"],
+    logLevel: "warning",
+  });
+}
+
+/** Puts the bundle into a copy of the Node.js that runs this script. */
+function makeBinary(): void {
+  const settings = {
+    main: "dist/bulrushwood.cjs",
+    output: "dist/bulrushwood.blob",
+    disableExperimentalSEAWarning: true,
+  };
+  writeFileSync("dist/sea.json", JSON.stringify(settings));
+  execFileSync(process.execPath, ["--experimental-sea-config", "dist/sea.json"]);
+  copyFileSync(process.execPath, BINARY);
+  chmodSync(BINARY, 0o755);
+  const postject = createRequire(import.meta.url).resolve("postject/dist/cli.js");
+  const args = [BINARY, "NODE_SEA_BLOB", settings.output, "--sentinel-fuse", SENTINEL];
+  execFileSync(process.execPath, [postject, ...args]);
+}
+
+async function main(): Promise<void> {
+  mkdirSync("dist", { recursive: true });
+  const present = PROGRAMS.filter((program) => existsSync(program.entry));
+  await Promise.all(present.map(bundle));
+  if (process.argv.includes("--binary")) {
+    makeBinary();
+  }
+}
+
+await main();
