--- a/packages/settings/src/document.ts
+++ b/packages/settings/src/document.ts
@@ -82,10 +82,6 @@
   switch (issue.code) {
     case "invalid_type":
       return `a value of type ${issue.expected}`;
-    case "unrecognized_keys":
-      return `no field named ${
-        issue.keys.map((key) => `"${key}"`).join(", ")
-      }; remove it or correct its spelling`;
     case "invalid_value":
       return `one of ${issue.values.map((value) => JSON.stringify(value)).join(", ")}`;
     case "too_small":
@@ -97,12 +93,14 @@
   }
 }
 
-function readIssue(issue: z.core.$ZodIssue): Issue {
-  const worded = issue.code === "custom" || issue.code === "invalid_format";
-  return {
-    path: issue.path,
-    message: worded ? issue.message : expectation(issue),
-  };
+/** Reads a schema issue; each unknown field becomes a fault of its own, at its own place. */
+function readIssues(issue: z.core.$ZodIssue): Issue[] {
+  if (issue.code === "unrecognized_keys") {
+    const message = "no field of this name; remove it or correct its spelling";
+    return issue.keys.map((key) => ({ path: [...issue.path, key], message }));
+  }
+  const isWorded = issue.code === "custom" || issue.code === "invalid_format";
+  return [{ path: issue.path, message: isWorded ? issue.message : expectation(issue) }];
 }
 
 /** Checks text against a schema. `source` names the file in errors. All faults are listed. */
@@ -121,7 +119,7 @@
   if (parsed.success) {
     return Result.ok(parsed.data);
   }
-  const issues = parsed.error.issues.map(readIssue);
+  const issues = parsed.error.issues.flatMap(readIssues);
   const faults = issues.map((issue) => schemaFault(text, root, issue));
   return Result.err(new SettingsError(source, faults));
 }
--- a/packages/stand_ins/src/log_service.ts
+++ b/packages/stand_ins/src/log_service.ts
@@ -137,6 +137,7 @@
       return sendJson(response, 400, { error: z.prettifyError(parsed.error) });
     }
     this.#applyControl(parsed.data);
+    response.once("finish", () => this.#closeIfDown());
     sendJson(response, 200, { end: this.#end });
   }
 
@@ -152,6 +153,9 @@
     if (settings.keepNewest !== undefined) {
       this.#records = settings.keepNewest === 0 ? [] : this.#records.slice(-settings.keepNewest);
     }
+  }
+
+  #closeIfDown(): void {
     if (this.#down) {
       this.#wakeWaiters();
       this.#server.closeAllConnections();
--- a/packages/stand_ins/src/mod.ts
+++ b/packages/stand_ins/src/mod.ts
@@ -10,3 +10,4 @@
 } from "./backend_server.ts";
 export { AppendMode, type LogControl, LogService, type LogServiceOptions } from "./log_service.ts";
 export { Network, type NetworkHost } from "./network.ts";
+export { findFreePort } from "./ports.ts";
