--- a/packages/lease/src/keeper.ts
+++ b/packages/lease/src/keeper.ts
@@ -3,7 +3,7 @@
  * each peer; answers the bids of others; seals the earlier owners of shards that came to its groups; and
  * tells, for each shard, whether this daemon may serve it now.
  */
-import { firstValueFrom, merge, type Observable, Subject, take, timer } from "rxjs";
+import { type Observable, Subject, take } from "rxjs";
 import { Result } from "true-myth";
 import {
   type Address,
@@ -239,10 +239,14 @@
 
   /** Waits for the next renewal; ends early when there is news that peers should have at once. */
   async #pause(): Promise<void> {
-    const { sleep, durationMs } = this.#options;
-    const hurry = new AbortController();
-    const subscription = this.#hurry.pipe(take(1)).subscribe(() => hurry.abort());
-    await sleep(durationMs / RENEWALS_PER_LEASE, hurry.signal);
+    await this.#sleepUntil(this.#hurry, this.#options.durationMs / RENEWALS_PER_LEASE);
+  }
+
+  /** Waits for a time, or less when the observable emits. */
+  async #sleepUntil(wake: Observable<void>, ms: number): Promise<void> {
+    const over = new AbortController();
+    const subscription = wake.pipe(take(1)).subscribe(() => over.abort());
+    await this.#options.sleep(ms, over.signal);
     subscription.unsubscribe();
   }
 
@@ -499,8 +503,7 @@
 
   /** Waits until something that `stateOf` depends on can have changed, or time is up. */
   async waitForChange(timeoutMs: number): Promise<void> {
-    const wait = merge(this.#changed, timer(timeoutMs));
-    await firstValueFrom(wait, { defaultValue: undefined });
+    await this.#sleepUntil(this.#changed, timeoutMs);
   }
 
   /** Gives up all groups: finishes what is in flight, then tells the voters. */
--- a/packages/types/src/mod.ts
+++ b/packages/types/src/mod.ts
@@ -51,3 +51,4 @@
   HotKey = "hot-key",
 }
 export { createStop, now, sleep } from "./time.ts";
+export { createRandom, type Random } from "./random.ts";
--- /dev/null
+++ b/packages/types/src/random.ts
@@ -0,0 +1,14 @@
+/**
+ * Random numbers that are the same for the same seed.
+ */
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+
+/** Gives numbers from 0 to 1. */
+export type Random = () => number;
+
+/** Makes random numbers from a seed. */
+export function createRandom(seed: number): Random {
+  const generator = xoroshiro128plus(seed);
+  return () => uniformFloat64(generator);
+}
