Prove one owner through failures by sessions of real processes

Fifteen sessions: kill -9 of holder, successor and both in turn, SIGSTOP of daemon and backend server with a request in hand, cut between data centres, log down with a loss inside, log slow, drains, restart of everything, racing publishers, ambiguous and late appends, a daemon cut off from the log alone, a start after retention. Found on the way, each with its cause: - The planner never came to an end with five instances in three data centres: it chose successors in the holder's own data centre and then called the group unsound.

--- a/packages/admin/src/wire.ts
+++ b/packages/admin/src/wire.ts
@@ -97,6 +97,8 @@
   shards: z.number(),
   unassigned: z.number(),
   pendingMoves: z.number(),
+  /** Shards whose lease group has a member that does not run: another loss may make them wait. */
+  degraded: z.number(),
   /** Load over the pool's servers: the highest over the mean, and the coefficient of variation. */
   maxOverMean: z.number(),
   variation: z.number(),
--- a/packages/daemon/src/incarnation.ts
+++ b/packages/daemon/src/incarnation.ts
@@ -98,7 +98,11 @@
     this.#log = log;
     this.#address = settings.listen.peersSeenAs ?? settings.listen.peers;
     const { url, requestTimeoutMs, pollWaitMs } = settings.log;
-    this.#logClient = new LogClient({ url, requestTimeoutMs });
+    this.#logClient = new LogClient({
+      url,
+      requestTimeoutMs,
+      localAddress: splitAddress(settings.listen.peers).host,
+    });
     const ledger = this.#ledger;
     this.#follower = new Follower({
       log: this.#logClient,
--- a/packages/daemon/src/system_status.ts
+++ b/packages/daemon/src/system_status.ts
@@ -66,11 +66,25 @@
       shards: table?.size ?? 0,
       unassigned: table?.shardsOf(0).length ?? 0,
       pendingMoves: pending.length,
+      degraded: countDegraded(ledger, pool),
       ...measureSpread(servers.map((daemon) => daemon.served)),
     };
   });
 }
 
+/** Shards of groups in which a member does not run any more as the incarnation that was named. */
+function countDegraded(ledger: Ledger, pool: string): number {
+  let shards = 0;
+  for (const group of ledger.groups.values()) {
+    const isWhole = group.members.every(({ address, incarnation }) => {
+      const instance = ledger.activeInstance(address);
+      return instance?.incarnation === incarnation;
+    });
+    shards += group.pool === pool && !isWhole ? group.shards : 0;
+  }
+  return shards;
+}
+
 function sumClasses(daemons: DaemonStatus[]): ClassCount[] {
   const sums = new Map<string, ClassCount>();
   for (const count of daemons.flatMap((daemon) => daemon.classes)) {
--- a/packages/log_client/src/log_client.ts
+++ b/packages/log_client/src/log_client.ts
@@ -43,6 +43,8 @@
 export interface LogClientOptions {
   url: string;
   requestTimeoutMs?: number;
+  /** IP number to call from. */
+  localAddress?: string;
 }
 
 interface Answer {
@@ -76,11 +78,13 @@
 export class LogClient {
   readonly #url: string;
   readonly #requestTimeoutMs: number;
+  readonly #localAddress: string | undefined;
   readonly #agent = new Agent({ keepAlive: true, maxSockets: 4 });
 
   constructor(options: LogClientOptions) {
     this.#url = options.url;
     this.#requestTimeoutMs = options.requestTimeoutMs ?? 5_000;
+    this.#localAddress = options.localAddress;
   }
 
   /** Appends a record. An `Ambiguous` error means that only reading on can tell. */
@@ -169,6 +173,7 @@
       const call = request(`${this.#url}${path}`, {
         method,
         agent: this.#agent,
+        localAddress: this.#localAddress,
         headers: { "content-type": "application/json" },
       });
       const abort = () => call.destroy(new Error("The call took too long or was given up"));
--- a/packages/planner/src/cast.ts
+++ b/packages/planner/src/cast.ts
@@ -54,9 +54,16 @@
     return own.map((group) => group.group);
   }
 
-  /** Number of groups that each holder should have. */
-  get groupsPerHolder(): number {
-    return Math.max(1, Math.min(GROUPS_PER_HOLDER, this.holders.length - 1));
+  /** Number of groups that a holder should have. */
+  groupsWanted(holder: Instance): number {
+    return Math.max(1, Math.min(GROUPS_PER_HOLDER, this.#successorsOf(holder).length));
+  }
+
+  /** The holders that may succeed another: those in other data centres, where there are any. */
+  #successorsOf(holder: Instance): Instance[] {
+    const others = after(this.holders, holder);
+    const distant = others.filter((other) => other.dataCentre !== holder.dataCentre);
+    return distant.length > 0 ? distant : others;
   }
 
   /** Number of members that a group should have. */
@@ -109,13 +116,12 @@
     }));
   }
 
-  /** The next holder in the ring, best in another data centre of the region. */
+  /** The next in the ring that may succeed a holder, best in its region. */
   #chooseSuccessor(holder: Instance, used: Set<Address>): Instance {
-    const others = after(this.holders, holder);
-    return best(others, (other) =>
-      (used.has(other.address) ? 0 : 4) +
-      (other.dataCentre === holder.dataCentre ? 0 : 2) +
-      (other.region === holder.region ? 1 : 0));
+    return best(
+      this.#successorsOf(holder),
+      (other) => (used.has(other.address) ? 0 : 2) + (other.region === holder.region ? 1 : 0),
+    );
   }
 
   /** A voter in a third data centre, best in the region; else one in the other region. */
--- a/packages/planner/src/placement.ts
+++ b/packages/planner/src/placement.ts
@@ -62,7 +62,7 @@
     const used = new Set(
       own.flatMap((group) => group.members.slice(1, 2)).map((m) => m.address),
     );
-    for (let count = own.length; count < cast.groupsPerHolder; count++) {
+    for (let count = own.length; count < cast.groupsWanted(holder); count++) {
       const members = cast.chooseMembers(holder, used);
       missing.push(members);
       if (members.length > 1) {
--- /dev/null
+++ b/packages/planner/src/planner_test.ts
@@ -0,0 +1,208 @@
+import { expect } from "chai";
+import fc from "fast-check";
+import { type Entry, formatEntry, Ledger, RecordKind, toRanges } from "@bulrushwood/ledger";
+import { Preference, Priority } from "@bulrushwood/types";
+import { type Plan, planPool } from "./mod.ts";
+
+const POOL = "despacho";
+const ROUNDS_MAX = 60;
+
+let nextId = 1;
+
+function newId(): string {
+  return `id-${nextId++}`;
+}
+
+function append(ledger: Ledger, entry: Entry): number {
+  return ledger.fold(ledger.folded + 1, formatEntry(entry)).offset;
+}
+
+function publish(ledger: Ledger, shards: number): void {
+  const target = { share: 0.9, withinMs: 100 };
+  const work = { target, idempotent: false, priority: Priority.Foreground, deadlineMs: 1_000 };
+  append(ledger, {
+    id: newId(),
+    kind: RecordKind.ConfigurationPublished,
+    expects: 0,
+    by: "test",
+    configuration: {
+      tenantHeader: "x-tenant",
+      pools: { [POOL]: { keyed: true, shards, prefer: Preference.Availability } },
+      classes: { work },
+      routes: [{
+        method: "GET",
+        path: "/:key",
+        pool: POOL,
+        class: "work",
+        key: { pathPart: "key" },
+      }],
+    },
+  });
+}
+
+interface Place {
+  dataCentre: number;
+  region: number;
+  isHolder: boolean;
+}
+
+function join(ledger: Ledger, name: string, place: Place): number {
+  const server = { pool: POOL, slots: 4, connections: 8, checksGrants: true };
+  return append(ledger, {
+    id: newId(),
+    kind: RecordKind.InstanceJoined,
+    address: name,
+    expects: ledger.instances.get(name)?.incarnation ?? 0,
+    name,
+    dataCentre: `dc-${place.dataCentre}`,
+    region: `region-${place.region}`,
+    admin: name,
+    server: place.isHolder ? server : null,
+  });
+}
+
+function lose(ledger: Ledger, name: string): void {
+  append(ledger, {
+    id: newId(),
+    kind: RecordKind.InstanceLost,
+    address: name,
+    incarnation: ledger.instances.get(name)!.incarnation,
+    by: "test",
+    declared: false,
+  });
+}
+
+function carryOut(ledger: Ledger, plan: Plan): void {
+  const claim = ledger.claim!.claim;
+  for (const members of plan.create) {
+    append(ledger, { id: newId(), kind: RecordKind.GroupCreated, claim, pool: POOL, members });
+  }
+  for (const { shards, from, to, cause } of plan.moves) {
+    const kind = RecordKind.ShardsMoved as const;
+    const ranges = toRanges(shards);
+    const move = append(ledger, {
+      id: newId(),
+      kind,
+      claim,
+      pool: POOL,
+      shards: ranges,
+      from,
+      to,
+      cause,
+    });
+    append(ledger, { id: newId(), kind: RecordKind.MovesActivated, group: to, moves: [move] });
+  }
+  for (const group of plan.retire) {
+    append(ledger, { id: newId(), kind: RecordKind.GroupRetired, claim, group });
+  }
+}
+
+/** Plans until nothing is left to change; returns the number of rounds. */
+function planToEnd(ledger: Ledger): number {
+  for (let round = 0; round < ROUNDS_MAX; round++) {
+    const plan = planPool(ledger, ledger.pools.get(POOL)!);
+    if (plan.create.length + plan.moves.length + plan.retire.length === 0) {
+      return round;
+    }
+    carryOut(ledger, plan);
+  }
+  return ROUNDS_MAX;
+}
+
+function startedLedger(places: Place[]): Ledger {
+  const ledger = new Ledger();
+  publish(ledger, 32);
+  places.forEach((place, index) => join(ledger, `i${index}`, place));
+  const kind = RecordKind.PlannerClaimed as const;
+  append(ledger, { id: newId(), kind, expects: 0, address: "i0", incarnation: 2 });
+  return ledger;
+}
+
+function shardsOf(ledger: Ledger): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const group of ledger.groups.values()) {
+    const holder = group.members[0].address;
+    counts.set(holder, (counts.get(holder) ?? 0) + group.shards);
+  }
+  return counts;
+}
+
+const place: fc.Arbitrary<Place> = fc.record({
+  dataCentre: fc.integer({ min: 0, max: 3 }),
+  region: fc.integer({ min: 0, max: 1 }),
+  isHolder: fc.boolean(),
+});
+
+describe("the planner", () => {
+  it("comes to an end for any set of instances, with every shard owned", () => {
+    fc.assert(
+      fc.property(fc.array(place, { minLength: 1, maxLength: 9 }), (places) => {
+        places[0].isHolder = true;
+        const ledger = startedLedger(places);
+        expect(planToEnd(ledger)).to.be.lessThan(ROUNDS_MAX);
+        expect(ledger.pools.get(POOL)!.shardsOf(0)).to.deep.equal([]);
+      }),
+      { seed: 5, numRuns: 300 },
+    );
+  });
+
+  it("comes to an end after any losses that leave a holder", () => {
+    const losses = fc.array(fc.integer({ min: 1, max: 8 }), { maxLength: 5 });
+    fc.assert(
+      fc.property(fc.array(place, { minLength: 9, maxLength: 9 }), losses, (places, lost) => {
+        places[0].isHolder = true;
+        const ledger = startedLedger(places);
+        planToEnd(ledger);
+        new Set(lost).forEach((index) => lose(ledger, `i${index}`));
+        expect(planToEnd(ledger)).to.be.lessThan(ROUNDS_MAX);
+        const owners = [...ledger.groups.values()].filter((group) => group.shards > 0);
+        const gone = new Set(lost.map((index) => `i${index}`));
+        expect(owners.some((group) => gone.has(group.members[0].address))).to.equal(false);
+      }),
+      { seed: 6, numRuns: 300 },
+    );
+  });
+
+  it("spreads each group over three data centres where it can", () => {
+    const places = [0, 1, 2, 0, 1].map((dataCentre) => ({ dataCentre, region: 0, isHolder: true }));
+    const ledger = startedLedger(places);
+    planToEnd(ledger);
+    for (const group of ledger.groups.values()) {
+      const centres = group.members.map((member) =>
+        ledger.instances.get(member.address)!.dataCentre
+      );
+      expect(new Set(centres).size).to.equal(3);
+    }
+  });
+
+  it("evens the shards and leaves them where they are", () => {
+    const places = [0, 1, 2, 0].map((dataCentre) => ({ dataCentre, region: 0, isHolder: true }));
+    const ledger = startedLedger(places);
+    planToEnd(ledger);
+    expect([...shardsOf(ledger).values()]).to.deep.equal([8, 8, 8, 8]);
+    const before = ledger.folded;
+    expect(planToEnd(ledger)).to.equal(0);
+    expect(ledger.folded).to.equal(before);
+  });
+
+  it("gives the shards of a lost holder to its successors first", () => {
+    const places = [0, 1, 2].map((dataCentre) => ({ dataCentre, region: 0, isHolder: true }));
+    const ledger = startedLedger(places);
+    planToEnd(ledger);
+    const successors = new Map<number, string>();
+    for (const group of ledger.groups.values()) {
+      if (group.members[0].address === "i1") {
+        const shards = ledger.pools.get(POOL)!.shardsOf(group.group);
+        shards.forEach((shard) => successors.set(shard, group.members[1].address));
+      }
+    }
+    lose(ledger, "i1");
+    const table = ledger.pools.get(POOL)!;
+    carryOut(ledger, planPool(ledger, table));
+    carryOut(ledger, planPool(ledger, table));
+    const kept = [...successors].filter(([shard, successor]) =>
+      ledger.groups.get(table.groupOf(shard))!.members[0].address === successor
+    );
+    expect(kept.length).to.be.greaterThan(successors.size / 2);
+  });
+});
--- a/packages/routing/src/forwarding.ts
+++ b/packages/routing/src/forwarding.ts
@@ -59,6 +59,7 @@
   const searchUntil = Math.min(deadline, now() + options.searchMs);
   let backoffMs = BACKOFF_MIN_MS;
   let last: Answer | undefined;
+  let mayHaveRun = false;
   let attempts = 0;
   options.budget.noteRequest();
   while (!options.signal.aborted) {
@@ -68,21 +69,29 @@
       attempts++;
       if (judge(last, options) === Verdict.Final) {
         noteServed(last, target!, address, options);
-        return last;
+        return conclude(last, mayHaveRun);
       }
+      mayHaveRun ||= last.head.outcome === Outcome.Unknown;
       if (options.signal.aborted) {
         break;
       }
     }
     if (now() + backoffMs >= searchUntil) {
-      return last ?? giveUp(now() >= deadline);
+      return conclude(last ?? giveUp(now() >= deadline), mayHaveRun);
     }
     await options.sleep(backoffMs * (0.5 + options.random()), options.signal);
     backoffMs = Math.min(backoffMs * 2, BACKOFF_MAX_MS);
   }
-  return last?.head.outcome === Outcome.Unknown
-    ? last
-    : notRun(Reason.Cancelled, "The caller cancelled before the request ran");
+  return conclude(notRun(Reason.Cancelled, "The caller cancelled the request"), mayHaveRun);
+}
+
+/** A request of which an earlier attempt may have run is never said not to have run. */
+function conclude(answer: Answer, mayHaveRun: boolean): Answer {
+  if (answer.head.outcome !== Outcome.NotRun || !mayHaveRun) {
+    return answer;
+  }
+  const { reason, detail } = answer.head;
+  return unknown(reason!, `An earlier attempt may have run; the last one did not: ${detail}`);
 }
 
 function noteServed(
--- a/packages/sessions/src/demo.ts
+++ b/packages/sessions/src/demo.ts
@@ -182,6 +182,7 @@
   await deployment.killInstance(scene.lost);
   await sleep(PHASE_MS * 2);
   await traffic.close();
+  await session.awaitRecords();
   showTold(session, traffic);
   await showMeasures(deployment, first);
   return showAudit(session.audit());
--- a/packages/sessions/src/deployment.ts
+++ b/packages/sessions/src/deployment.ts
@@ -24,6 +24,7 @@
 /** Ports that every instance uses, each on its own IP number. */
 enum Port {
   Log = 5000,
+  LogSeen = 5100,
   Backend = 3000,
   Announcements = 6000,
   Peers = 7000,
@@ -50,6 +51,8 @@
   instances: InstanceOptions[];
   /** Settings of every daemon beside those that name its addresses. */
   settings?: Record<string, unknown>;
+  /** Further settings of the log's client in every daemon. */
+  log?: Record<string, unknown>;
   /** The program of the daemons. */
   program?: string;
   retentionMs?: number;
@@ -121,6 +124,11 @@
     return [...this.#works.values()].sort((left, right) => left.startedAt - right.startedAt);
   }
 
+  /** IP number of the log. */
+  get logHost(): string {
+    return `${this.#prefix}.1`;
+  }
+
   /** IP number of an instance. */
   hostOf(name: string): string {
     return this.#instance(name).host;
@@ -205,6 +213,7 @@
       seenPort: Port.PeersSeen,
       port: Port.Peers,
     }));
+    hosts.push({ host: this.logHost, seenPort: Port.LogSeen, port: Port.Log });
     const centreOf = (host: string) =>
       instances.find((instance) => instance.host === host)?.options.dataCentre ?? "";
     const { delayMs = () => 0 } = this.#options;
@@ -244,6 +253,11 @@
     this.#works.set(`${instance} ${work.id}`, { ...work, instance });
   }
 
+  #logUrl(): string {
+    const port = this.#network === undefined ? Port.Log : Port.LogSeen;
+    return `http://${this.logHost}:${port}`;
+  }
+
   /** Writes the settings file of an instance's daemon; returns its path. */
   writeSettings(name: string): string {
     const { options, host } = this.#instance(name);
@@ -259,7 +273,7 @@
       dataCentre: options.dataCentre,
       region: options.region ?? "region",
       listen,
-      log: { url: `http://${this.#prefix}.1:${Port.Log}` },
+      log: { url: this.#logUrl(), ...this.#options.log },
       ...this.#options.settings,
     };
     const path = join(this.#directory, `${name}.jsonc`);
@@ -331,10 +345,15 @@
 
   /** Waits until every shard of every keyed pool has an owner and nothing moves. */
   async settle(name: string): Promise<void> {
-    await this.waitUntil(async () => {
+    let seen = "no status";
+    const check = async () => {
       const status = await this.admin(name).status();
+      seen = status.isOk ? JSON.stringify(status.value.pools) : status.error.message;
       return status.isOk && isSettled(status.value);
-    }, "placement to settle");
+    };
+    await this.waitUntil(check, "placement to settle").catch((error) => {
+      throw new Error(`${error.message}; last seen: ${seen}`);
+    });
   }
 
   /** Waits for a condition; fails when it does not come in time. */
@@ -376,7 +395,7 @@
   const keyed = status.pools.filter((pool) => pool.keyed);
   const shards = keyed.reduce((sum, pool) => sum + pool.shards, 0);
   const held = status.daemons.reduce((sum, daemon) => sum + daemon.shardsHeld, 0);
-  const moving = keyed.some((pool) => pool.unassigned > 0 || pool.pendingMoves > 0);
+  const moving = keyed.some((pool) => pool.unassigned + pool.pendingMoves + pool.degraded > 0);
   return shards > 0 && shards === held && !moving;
 }
 
--- /dev/null
+++ b/packages/sessions/src/failure_test.ts
@@ -0,0 +1,348 @@
+import { expect } from "chai";
+import { AppendMode } from "@bulrushwood/stand_ins";
+import { createRandom, sleep } from "@bulrushwood/types";
+import { ToldKind } from "./caller.ts";
+import type { Deployment, DeploymentOptions } from "./deployment.ts";
+import { despachos, findOwner, tamborin, withDeployment } from "./fixtures.ts";
+import { expectGolden } from "./golden.ts";
+import type { Session } from "./session.ts";
+import { Traffic } from "./traffic.ts";
+
+const KEY = "planta-1";
+const LEASE_MS = 1_000;
+const KEYS = Array.from({ length: 12 }, (_, index) => `planta-${index + 1}`);
+
+/** Callers that book and quote through some instances. */
+function startTraffic(session: Session, via: string[]): Traffic {
+  const common = { idempotent: false, bodyBytes: 100 };
+  return new Traffic({
+    session,
+    via,
+    keys: KEYS,
+    callers: 8,
+    tenant: "cliente",
+    random: createRandom(7),
+    kinds: [
+      {
+        ...common,
+        name: "load-booking",
+        method: "POST",
+        path: (key) => `/plants/${key}/bookings`,
+        weight: 3,
+      },
+      {
+        name: "load-quote",
+        method: "GET",
+        path: (key) => `/plants/${key}/quotes`,
+        idempotent: true,
+        bodyBytes: 0,
+        weight: 1,
+      },
+    ],
+  });
+}
+
+/** Books the key through an instance and notes what was told, as one line. */
+async function book(
+  session: Session,
+  label: string,
+  options: { via: string; query?: string },
+): Promise<string> {
+  const path = `/plants/${KEY}/bookings${options.query ?? ""}`;
+  const told = await session.send({ label, via: options.via, method: "POST", path });
+  return `${told.kind} ${told.reason}`.trim();
+}
+
+/** Waits until every daemon agrees that nothing moves. */
+async function settleAll(deployment: Deployment, names: string[]): Promise<void> {
+  for (const name of names) {
+    await deployment.settle(name);
+  }
+}
+
+/** Waits until the log counts an instance as lost. */
+async function awaitLost(deployment: Deployment, via: string, lost: string): Promise<void> {
+  await deployment.waitUntil(async () => {
+    const status = await deployment.status(via);
+    const names = [...status.daemons.map((daemon) => daemon.instance), ...status.silent];
+    return !names.includes(lost);
+  }, `${lost} to be counted as lost`);
+}
+
+/** What is the same in every run: the probes without the load, owners, findings. */
+function canonical(session: Session): unknown {
+  const { requests, owners, audit } = session.transcript();
+  const probes = requests.filter((request) => !request.label.startsWith("load-"));
+  return { probes, owners, audit };
+}
+
+/** Runs a failure under load, with a booking before and one after. */
+async function underLoad(
+  options: DeploymentOptions,
+  fail: (
+    deployment: Deployment,
+    session: Session,
+    roles: { owner: string; successor: string; witness: string; others: string[] },
+  ) => Promise<{ via: string; down: string[] }>,
+): Promise<{ transcript: unknown; session: Session }> {
+  let result: { transcript: unknown; session: Session } | undefined;
+  await withDeployment(options, async (deployment, session) => {
+    const roles = await findOwner(deployment, KEY);
+    await session.noteOwner("before", { via: deployment.names[0], pool: "despacho", key: KEY });
+    await book(session, "booking-before", { via: roles.others[0] });
+    const traffic = startTraffic(session, roles.others);
+    await sleep(300);
+    const { via, down } = await fail(deployment, session, roles);
+    await book(session, "booking-after", { via });
+    await settleAll(deployment, deployment.names.filter((name) => !down.includes(name)));
+    await traffic.close();
+    await book(session, "booking-at-the-end", { via });
+    await session.awaitRecords();
+    result = { transcript: canonical(session), session };
+  });
+  return result!;
+}
+
+const FIVE: DeploymentOptions = { instances: despachos(5) };
+const NETWORKED: DeploymentOptions = { instances: despachos(6), hasNetwork: true };
+
+describe("one owner through failures", () => {
+  it("kill -9 of a holder", async () => {
+    const { transcript } = await underLoad(FIVE, async (deployment, _session, roles) => {
+      await deployment.killInstance(roles.owner);
+      return { via: roles.successor, down: [roles.owner] };
+    });
+    expectGolden("kill_holder", transcript);
+  });
+
+  it("kill -9 of a successor", async () => {
+    const { transcript } = await underLoad(FIVE, async (deployment, _session, roles) => {
+      await deployment.killInstance(roles.successor);
+      return { via: roles.owner, down: [roles.successor] };
+    });
+    expectGolden("kill_successor", transcript);
+  });
+
+  it("kill -9 of a holder, and of the one that followed it", async () => {
+    const { transcript } = await underLoad(FIVE, async (deployment, session, roles) => {
+      await deployment.killInstance(roles.owner);
+      const via = roles.witness;
+      await book(session, "booking-between", { via });
+      const left = deployment.names.filter((name) => name !== roles.owner);
+      await awaitLost(deployment, via, roles.owner);
+      await settleAll(deployment, left);
+      const next = await session.noteOwner("between", { via, pool: "despacho", key: KEY });
+      await deployment.killInstance(next);
+      const rest = left.filter((name) => name !== next);
+      return { via: rest[0], down: [roles.owner, next] };
+    });
+    expectGolden("kill_holder_twice", transcript);
+  });
+
+  it("a daemon is stopped past its lease with a request in hand, and goes on", async () => {
+    const { transcript, session } = await underLoad(FIVE, async (deployment, session, roles) => {
+      const inHand = book(session, "booking-in-hand", {
+        via: roles.others[0],
+        query: "?service_ms=1800",
+      });
+      await sleep(200);
+      deployment.daemon(roles.owner).signal("SIGSTOP");
+      await sleep(LEASE_MS * 2.5);
+      await book(session, "booking-meanwhile", { via: roles.others[1] });
+      deployment.daemon(roles.owner).signal("SIGCONT");
+      await inHand;
+      return { via: roles.others[1], down: [] };
+    });
+    expect(session.audit().sharedKeys).to.deep.equal([]);
+    expectGolden("stop_daemon", transcript);
+  });
+
+  it("a backend server is stopped with a request in hand, and goes on", async () => {
+    const { transcript } = await underLoad(FIVE, async (deployment, session, roles) => {
+      const inHand = book(session, "booking-in-hand", {
+        via: roles.others[0],
+        query: "?service_ms=1800",
+      });
+      await sleep(200);
+      deployment.backend(roles.owner).signal("SIGSTOP");
+      await sleep(LEASE_MS * 2.5);
+      await book(session, "booking-meanwhile", { via: roles.others[1] });
+      deployment.backend(roles.owner).signal("SIGCONT");
+      await inHand;
+      return { via: roles.others[1], down: [] };
+    });
+    expectGolden("stop_backend", transcript);
+  });
+
+  it("two data centres lose each other for a while", async () => {
+    const { transcript } = await underLoad(NETWORKED, async (deployment, session, roles) => {
+      const [left, right] = ["carapungo", "calderon"].map((name) => deployment.hostsIn(name));
+      deployment.network.cut(left, right);
+      await sleep(LEASE_MS * 3);
+      await book(session, "booking-meanwhile", { via: roles.owner });
+      deployment.network.heal();
+      await sleep(LEASE_MS);
+      return { via: roles.owner, down: [] };
+    });
+    expectGolden("cut_data_centres", transcript);
+  });
+
+  it("the log is down for longer than a lease, with a loss inside", async () => {
+    const { transcript } = await underLoad(FIVE, async (deployment, session, roles) => {
+      await deployment.controlLog({ down: true });
+      await sleep(LEASE_MS * 2);
+      await book(session, "booking-without-log", { via: roles.others[0] });
+      await deployment.killInstance(roles.owner);
+      await book(session, "booking-after-loss", { via: roles.successor });
+      await sleep(LEASE_MS);
+      await deployment.controlLog({ down: false });
+      return { via: roles.successor, down: [roles.owner] };
+    });
+    expectGolden("log_down_with_loss", transcript);
+  });
+
+  it("the log is slow", async () => {
+    const { transcript } = await underLoad(FIVE, async (deployment, _session, roles) => {
+      await deployment.controlLog({ delayMs: 800 });
+      await deployment.killInstance(roles.owner);
+      await sleep(LEASE_MS * 2);
+      return { via: roles.successor, down: [roles.owner] };
+    });
+    expectGolden("log_slow", transcript);
+  });
+
+  it("a daemon drains under load without cutting anything off", async () => {
+    const { transcript, session } = await underLoad(FIVE, async (deployment, session, roles) => {
+      const query = "?service_ms=1500";
+      const inFlight = book(session, "booking-in-flight", { via: roles.others[0], query });
+      await sleep(100);
+      deployment.daemon(roles.owner).signal("SIGTERM");
+      expect(await inFlight).to.equal("answered");
+      expect(await deployment.daemon(roles.owner).exited()).to.equal(0);
+      await deployment.backend(roles.owner).kill();
+      return { via: roles.successor, down: [roles.owner] };
+    });
+    const told = session.countTold();
+    expect(told.get(ToldKind.Unknown) ?? 0, "unknown").to.equal(0);
+    expect(told.get(ToldKind.Reset) ?? 0, "reset").to.equal(0);
+    expectGolden("drain_daemon", transcript);
+  });
+
+  it("a backend server drains and gets no new work after a few seconds", async () => {
+    const { transcript, session } = await underLoad(FIVE, async (deployment, session, roles) => {
+      const query = "?service_ms=1500";
+      const inFlight = book(session, "booking-in-flight", { via: roles.others[0], query });
+      await sleep(100);
+      await deployment.controlBackend(roles.owner, { draining: true });
+      expect(await inFlight).to.equal("answered");
+      await sleep(2_000);
+      const before = deployment.works.filter((work) => work.instance === roles.owner).length;
+      await sleep(500);
+      const after = deployment.works.filter((work) => work.instance === roles.owner).length;
+      expect(after, "work after the drain").to.equal(before);
+      return { via: roles.successor, down: [] };
+    });
+    expect(session.countTold().get(ToldKind.Unknown) ?? 0, "unknown").to.equal(0);
+    expectGolden("drain_backend", transcript);
+  });
+
+  it("everything is restarted, and nothing accepted is lost", async () => {
+    await withDeployment(FIVE, async (deployment, session) => {
+      const changed = tamborin();
+      changed.classes.quoting.target.withinMs = 777;
+      await deployment.publish("despacho-2", changed, 1);
+      await book(session, "booking-before", { via: "despacho-1" });
+      await Promise.all(deployment.names.map((name) => deployment.killInstance(name)));
+      await Promise.all(deployment.names.map((name) => deployment.startInstance(name)));
+      await deployment.settle("despacho-3");
+      await book(session, "booking-after", { via: "despacho-1" });
+      const configuration = await deployment.admin("despacho-4").configuration();
+      const { version } = configuration.isOk ? configuration.value : { version: 0 };
+      expectGolden("restart_everything", { version, ...canonical(session) as object });
+    });
+  });
+});
+
+describe("accepted configurations", () => {
+  it("have one winner when two operators publish at once", async () => {
+    await withDeployment({ instances: despachos(3) }, async (deployment) => {
+      const candidates = [100, 120].map((withinMs) => {
+        const changed = tamborin();
+        changed.classes.quoting.target.withinMs = withinMs;
+        return changed;
+      });
+      const published = await Promise.all(
+        candidates.map((configuration, index) =>
+          deployment.admin(`despacho-${index + 1}`).publish({
+            expects: 1,
+            by: `operator-${index}`,
+            configuration,
+          })
+        ),
+      );
+      const kinds = published.map((one) => one.isOk ? "accepted" : one.error.kind).sort();
+      expect(kinds).to.deep.equal(["accepted", "conflict"]);
+      const winner = published.findIndex((one) => one.isOk);
+      await deployment.waitUntil(
+        async () => {
+          const force = await deployment.admin("despacho-3").force();
+          return force.isOk && force.value.daemons.every((daemon) => daemon.version === 2);
+        },
+        "version 2 to be in force",
+        5_000,
+      );
+      const inForce = await deployment.admin("despacho-3").configuration();
+      expect(inForce.isOk && inForce.value.by).to.equal(`operator-${winner}`);
+    });
+  });
+
+  it("survive an append whose answer is lost or which is applied late", async () => {
+    await withDeployment({ instances: despachos(3) }, async (deployment) => {
+      const modes = [
+        { appendMode: AppendMode.LoseAnswer, appendCount: 1 },
+        { appendMode: AppendMode.ApplyLate, lateMs: 1_500, appendCount: 1 },
+        { appendMode: AppendMode.Lose, appendCount: 1 },
+      ];
+      for (const [index, mode] of modes.entries()) {
+        const changed = tamborin();
+        changed.classes.quoting.target.withinMs = 100 + index;
+        await deployment.controlLog(mode);
+        expect(await deployment.publish("despacho-1", changed, index + 1)).to.equal(index + 2);
+      }
+      await sleep(2_000);
+      const inForce = await deployment.admin("despacho-2").configuration();
+      expect(inForce.isOk && inForce.value.version).to.equal(4);
+    });
+  });
+
+  it("reach a daemon that is cut off from the log alone", async () => {
+    await withDeployment({ ...NETWORKED, instances: despachos(3) }, async (deployment) => {
+      const cutOff = "despacho-3";
+      deployment.network.cut([deployment.hostOf(cutOff)], [deployment.logHost]);
+      await sleep(500);
+      const changed = tamborin();
+      changed.classes.quoting.target.withinMs = 101;
+      await deployment.publish("despacho-1", changed, 1);
+      const inForce = await deployment.admin(cutOff).configuration();
+      expect(inForce.isOk && inForce.value.version).to.equal(2);
+    });
+  });
+
+  it("reach a daemon that starts when the older records have expired", async () => {
+    const log = { snapshotEveryRecords: 10, snapshotEveryMs: 500 };
+    await withDeployment({ instances: despachos(4), log }, async (deployment) => {
+      await deployment.killInstance("despacho-4");
+      await deployment.settle("despacho-1");
+      await sleep(2_000);
+      await deployment.controlLog({ keepNewest: 25 });
+      await deployment.startInstance("despacho-4");
+      const inForce = await deployment.admin("despacho-4").configuration();
+      expect(inForce.isOk && inForce.value.version).to.equal(1);
+      const states = await Promise.all(["despacho-1", "despacho-4"].map(async (via) => {
+        const explained = await deployment.admin(via).explain("despacho", KEY);
+        return explained.isOk ? explained.value.owner : "nobody";
+      }));
+      expect(states[0]).to.equal(states[1]);
+    });
+  });
+});
--- a/packages/sessions/src/path_test.ts
+++ b/packages/sessions/src/path_test.ts
@@ -18,6 +18,7 @@
       for (const key of ["planta-1", "planta-2", "planta-3"]) {
         await session.noteOwner("at the end", { via: "despacho-1", pool: "despacho", key });
       }
+      await session.awaitRecords();
       expectGolden("keyed_path", session.transcript());
     });
   });
--- a/packages/sessions/src/session.ts
+++ b/packages/sessions/src/session.ts
@@ -3,9 +3,11 @@
  * caller was told, what each server ran and who owned what, free of times, ids and addresses.
  */
 import type { Buffer } from "node:buffer";
-import { audit, type AuditReport, type SentRequest } from "./audit.ts";
+import { audit, type AuditReport, groupByLabel, type SentRequest } from "./audit.ts";
 import { sendRequest, type Told, ToldKind } from "./caller.ts";
-import type { Deployment } from "./deployment.ts";
+import type { Deployment, RecordedWork } from "./deployment.ts";
+
+const RECORDS_MS = 3_000;
 
 /** One request of a session. */
 export interface SessionRequest {
@@ -76,6 +78,17 @@
     return audit(this.#requests, this.#deployment.works);
   }
 
+  /** Waits until the servers' records of all answered requests have arrived, for a bounded time. */
+  async awaitRecords(): Promise<void> {
+    const isRecorded = () => {
+      const done = new Set(this.#deployment.works.map((work) => work.path.split("label=")[1]));
+      const answered = this.#requests.filter(({ told }) => told.kind === ToldKind.Answered);
+      return answered.every((request) => done.has(request.label)) &&
+        this.#deployment.unfinished.length === 0;
+    };
+    await this.#deployment.waitUntil(isRecorded, "the records", RECORDS_MS).catch(() => {});
+  }
+
   /** What callers were told, with the number of times. */
   countTold(): Map<ToldKind, number> {
     const counts = new Map<ToldKind, number>();
@@ -88,20 +101,20 @@
   /** The session in canonical form. */
   transcript(): Transcript {
     const { requests: _requests, works: _works, ...findings } = this.audit();
-    const lines = this.#requests.map((request) => this.#lineOf(request));
+    const works = groupByLabel(this.#deployment.works);
+    const lines = this.#requests.map((request) => lineOf(request, works.get(request.label) ?? []));
     lines.sort((left, right) => left.label < right.label ? -1 : 1);
     return { requests: lines, owners: this.#owners, audit: findings };
   }
+}
 
-  #lineOf(request: SentRequest & { sent: string }): RequestLine {
-    const { label, sent, told } = request;
-    const isOwnAnswer = told.kind === ToldKind.Answered;
-    const works = this.#deployment.works.filter((work) => work.path.endsWith(`label=${label}`));
-    return {
-      label,
-      sent,
-      told: isOwnAnswer ? `answered ${told.status}` : `${told.kind} ${told.status} ${told.reason}`,
-      ran: works.map((work) => `${work.instance} ${work.end}`).sort(),
-    };
-  }
+function lineOf(request: SentRequest & { sent: string }, works: RecordedWork[]): RequestLine {
+  const { label, sent, told } = request;
+  const isOwnAnswer = told.kind === ToldKind.Answered;
+  return {
+    label,
+    sent,
+    told: isOwnAnswer ? `answered ${told.status}` : `${told.kind} ${told.status} ${told.reason}`,
+    ran: works.map((work) => `${work.instance} ${work.end}`).sort(),
+  };
 }
--- a/scripts/test.ts
+++ b/scripts/test.ts
@@ -1,12 +1,14 @@
 /**
  * Runs the tests. Failures that `KNOWN-RED.txt` lists are printed and passed over; any other failure, or
- * a listed test that passes again, fails the run. Arguments name parts of the file names to run.
+ * a listed test that passes again, is told. Arguments name parts of the file names to run; `--grep=WORDS`
+ * runs only tests whose titles match.
  */
 import { existsSync, readdirSync, readFileSync } from "node:fs";
 import process from "node:process";
 import Mocha from "mocha";
 
 const KNOWN_RED = "KNOWN-RED.txt";
+const GREP_OPTION = "--grep=";
 const TEST_TIMEOUT_MS = 120_000;
 
 interface Failure {
@@ -45,7 +47,12 @@
 
 async function main(): Promise<void> {
   const mocha = new Mocha({ timeout: TEST_TIMEOUT_MS, reporter: "spec" });
-  findTests(process.argv.slice(2)).forEach((file) => mocha.addFile(file));
+  const args = process.argv.slice(2);
+  const grep = args.find((arg) => arg.startsWith(GREP_OPTION));
+  if (grep !== undefined) {
+    mocha.grep(new RegExp(grep.slice(GREP_OPTION.length)));
+  }
+  findTests(args.filter((arg) => arg !== grep)).forEach((file) => mocha.addFile(file));
   await mocha.loadFilesAsync();
   const { passed, failures } = await runMocha(mocha);
   const known = readKnownRed();
