--- /dev/null
+++ b/packages/cli/src/cli_test.ts
@@ -0,0 +1,196 @@
+import { execFile } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { request } from "node:http";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { expect } from "chai";
+import { Deployment, Session } from "@bulrushwood/sessions";
+import { ExitCode } from "./output.ts";
+
+const BINARY = "dist/bulrushwood";
+
+interface Ended {
+  code: number;
+  stdout: string;
+  stderr: string;
+}
+
+/** Runs the one binary to its end. */
+function run(...args: string[]): Promise<Ended> {
+  return new Promise((resolve) => {
+    execFile(BINARY, args, { timeout: 30_000 }, (error, stdout, stderr) => {
+      const code = error === null ? 0 : Number(error.code ?? -1);
+      resolve({ code, stdout, stderr });
+    });
+  });
+}
+
+function fetchText(url: string, body?: string): Promise<{ status: number; text: string }> {
+  return new Promise((resolve, reject) => {
+    const call = request(url, { method: body === undefined ? "GET" : "POST", agent: false });
+    call.on("error", reject);
+    call.on("response", async (response) => {
+      let text = "";
+      for await (const part of response) {
+        text += part;
+      }
+      resolve({ status: response.statusCode ?? 0, text });
+    });
+    call.end(body);
+  });
+}
+
+describe("the command line", () => {
+  const directory = mkdtempSync(join(tmpdir(), "bulrushwood-cli-"));
+
+  after(() => rmSync(directory, { recursive: true, force: true }));
+
+  it("has help for every command", async () => {
+    const commands = ["serve", "check", "publish", "status", "watch", "explain", "drain"];
+    for (const command of [...commands, "declare-lost"]) {
+      const { code, stdout } = await run(command, "--help");
+      expect(code, command).to.equal(ExitCode.Ok);
+      expect(stdout).to.contain(`$ bulrushwood ${command}`);
+    }
+  });
+
+  it("checks files offline and lists every fault with its place", async () => {
+    const sound = await run("check", "examples/tamborin.jsonc");
+    expect([sound.code, sound.stderr]).to.deep.equal([ExitCode.Ok, ""]);
+    const path = join(directory, "bad.jsonc");
+    writeFileSync(
+      path,
+      '{\n  "pools": { "a": { "keyed": "yes" } },\n  "classes": {},\n  "routes": []\n}',
+    );
+    const bad = await run("check", path);
+    expect(bad.code).to.equal(ExitCode.Malformed);
+    expect(bad.stderr).to.contain(`${path}:2:30: pools.a.keyed: found "yes", expected`);
+    expect(bad.stderr).to.contain(`${path}:4:13: routes: found [], expected`);
+    const json = await run("check", path, "--json");
+    expect(JSON.parse(json.stderr).faults).to.have.length(2);
+    const missing = await run("check", join(directory, "no-such-file"));
+    expect(missing.code).to.equal(ExitCode.Malformed);
+    expect(missing.stderr).to.contain("found ENOENT, expected a file that can be read");
+    const kind = await run("check", path, "--kind", "recipe");
+    expect(kind.stderr).to.contain('--kind is "recipe"; it must be one of');
+  });
+
+  it("refuses to serve with faulty settings", async () => {
+    const path = join(directory, "daemon.jsonc");
+    writeFileSync(path, '{ "instance": "x" }');
+    const ended = await run("serve", path);
+    expect(ended.code).to.equal(ExitCode.Malformed);
+    expect(ended.stderr).to.contain("listen: found nothing, expected a value of type object");
+  });
+
+  it("says so when no daemon answers", async () => {
+    const ended = await run("status", "--admin", "127.0.0.1:1");
+    expect(ended.code).to.equal(ExitCode.Unavailable);
+    expect(ended.stderr).to.contain("does not answer");
+  });
+});
+
+describe("the binary in a deployment", () => {
+  let deployment: Deployment;
+  let admin: string[];
+
+  before(async () => {
+    deployment = await Deployment.start({
+      instances: ["carapungo", "calderon", "pomasqui"].map((dataCentre, index) => ({
+        name: `despacho-${index + 1}`,
+        dataCentre,
+        pool: "despacho",
+      })),
+      program: BINARY,
+    });
+    admin = ["--admin", deployment.adminAddress("despacho-2")];
+  });
+
+  after(() => deployment.close());
+
+  it("publishes once and tells a racing operator of the conflict", async () => {
+    const first = await run("publish", "examples/tamborin.jsonc", "--expects", "0", ...admin);
+    expect([first.code, first.stdout]).to.deep.equal([ExitCode.Ok, "Version 1 is accepted\n"]);
+    const late = await run("publish", "examples/tamborin.jsonc", "--expects", "0", ...admin);
+    expect(late.code).to.equal(ExitCode.Conflict);
+    expect(late.stderr).to.contain("The configuration in force is version 1, not 0");
+    const shards = join(tmpdir(), `bulrushwood-shards-${Date.now()}.jsonc`);
+    const configuration = await deployment.admin("despacho-1").configuration();
+    const document = configuration.isOk ? configuration.value.configuration : {};
+    const text = JSON.stringify(document).replace('"shards":64', '"shards":128');
+    writeFileSync(shards, text);
+    const changed = await run("publish", shards, ...admin);
+    rmSync(shards);
+    expect(changed.code).to.equal(ExitCode.Malformed);
+    expect(changed.stderr).to.contain("pools.despacho keeps keyed true and shards 64");
+  });
+
+  it("watches until a version is in force in every daemon", async () => {
+    const watched = await run("watch", "1", "--timeout", "5", "--json", ...admin);
+    expect(watched.code).to.equal(ExitCode.Ok);
+    expect(JSON.parse(watched.stdout)).to.include({ version: 1, daemons: 3 });
+    const never = await run("watch", "9", "--timeout", "0.5", ...admin);
+    expect(never.code).to.equal(ExitCode.TimedOut);
+    expect(never.stderr).to.contain("despacho-1 has version 1");
+  });
+
+  it("explains where a key is and shows the state of the system", async () => {
+    await deployment.settle("despacho-1");
+    const explained = await run("explain", "despacho", "planta-1", "--json", ...admin);
+    const { owner, successor, witness } = JSON.parse(explained.stdout);
+    expect([owner, successor, witness].sort()).to.deep.equal(deployment.names);
+    const unknown = await run("explain", "despachos", "planta-1", ...admin);
+    expect(unknown.code).to.equal(ExitCode.Malformed);
+    expect(unknown.stderr).to.contain("the keyed pools are: despacho");
+    const status = await run("status", ...admin);
+    expect(status.stdout).to.match(/despacho-3 +pomasqui +present +despacho/);
+    const json = JSON.parse((await run("status", "--json", ...admin)).stdout);
+    expect(json.pools[0]).to.include({ pool: "despacho", shards: 64, unassigned: 0 });
+  });
+
+  it("has histograms for each tenant and class, and health", async () => {
+    const session = new Session(deployment);
+    const headers = { "x-tenant": "exportadora" };
+    const path = "/plants/planta-1/quotes";
+    await session.send({ label: "q", via: "despacho-1", method: "GET", path, headers });
+    const base = `http://${deployment.adminAddress("despacho-1")}`;
+    const { text } = await fetchText(`${base}/metrics`);
+    expect(text).to.contain(
+      'bulrushwood_request_duration_seconds_count{tenant="exportadora",class="quoting",outcome="answered"} 1',
+    );
+    expect((await fetchText(`${base}/healthz`)).status).to.equal(200);
+    expect((await fetchText(`${base}/readyz`)).status).to.equal(200);
+    const unknown = await fetchText(`${base}/v2/status`);
+    expect(unknown.status).to.equal(404);
+    const malformed = await fetchText(`${base}/v1/configuration`, '{"expects":"one"}');
+    expect(malformed.status).to.equal(400);
+    expect(malformed.text).to.contain("expects: ");
+  });
+
+  it("skips damaged records, and goes on", async () => {
+    await deployment.appendToLog("not a record");
+    await deployment.appendToLog('{"kind":"from-the-future","id":"1"}');
+    const published = await run("publish", "examples/tamborin.jsonc", ...admin);
+    expect(published.stdout).to.equal("Version 2 is accepted\n");
+    const base = `http://${deployment.adminAddress("despacho-1")}`;
+    const { text } = await fetchText(`${base}/metrics`);
+    expect(text).to.contain("bulrushwood_log_records_damaged_total 2");
+  });
+
+  it("drains an instance, which ends with 0", async () => {
+    const drained = await run("drain", "despacho-3", ...admin);
+    expect(drained.code).to.equal(ExitCode.Ok);
+    expect(await deployment.daemon("despacho-3").exited()).to.equal(0);
+    const unknown = await run("drain", "despacho-9", ...admin);
+    expect(unknown.stderr).to.contain('Instance "despacho-9" is not known');
+  });
+
+  it("declares an instance lost", async () => {
+    await deployment.killInstance("despacho-1");
+    const lost = await run("declare-lost", "despacho-1", "--by", "ana", ...admin);
+    expect(lost.code).to.equal(ExitCode.Ok);
+    const again = await run("declare-lost", "despacho-1", ...admin);
+    expect(again.code).to.equal(ExitCode.Conflict);
+    expect(again.stderr).to.contain("is already declared-lost");
+  });
+});
--- /dev/null
+++ b/packages/protocol/src/protocol_test.ts
@@ -0,0 +1,201 @@
+import { Buffer } from "node:buffer";
+import { createServer } from "node:net";
+import { expect } from "chai";
+import { Packr } from "msgpackr";
+import { findFreePort } from "@bulrushwood/stand_ins";
+import {
+  BodyReceiver,
+  BodySender,
+  Codec,
+  type Frame,
+  FrameKind,
+  type IncomingExchange,
+  LinkErrorKind,
+  Links,
+  type RequestHead,
+} from "./mod.ts";
+
+const HEAD: RequestHead = {
+  id: "1",
+  pool: "despacho",
+  shard: 3,
+  group: 7,
+  move: 9,
+  workClass: "booking",
+  tenant: "t",
+  key: "k",
+  method: "POST",
+  path: "/x",
+  headers: [{ name: "a", value: "b" }],
+  remainingMs: 100,
+  idempotencyKey: "",
+  firstAttempt: false,
+};
+
+describe("the codec", () => {
+  it("reads back what it writes, message after message", () => {
+    const [left, right] = [new Codec(), new Codec()];
+    const frames: Frame[] = [
+      { kind: FrameKind.Request, stream: 1, head: HEAD, body: Buffer.from("body"), end: true },
+      { kind: FrameKind.Credit, stream: 1, ofRequest: true, bytes: 10 },
+    ];
+    for (let round = 0; round < 3; round++) {
+      const decoded = right.decode(left.encode(frames));
+      expect(decoded.isOk && decoded.value).to.deep.equal(frames);
+    }
+  });
+
+  it("names the field that is wrong", () => {
+    const packr = new Packr();
+    const faultOf = (document: unknown) => {
+      const decoded = new Codec().decode(packr.pack(document));
+      return decoded.isErr ? decoded.error.message : "sound";
+    };
+    expect(faultOf("text")).to.contain("not an array of frames");
+    expect(faultOf([{ kind: 99 }])).to.contain("kind is unknown");
+    expect(faultOf([{ kind: FrameKind.Credit, stream: 1, ofRequest: true, bytes: "many" }]))
+      .to.contain("field bytes of a Credit frame");
+    const head = { ...HEAD, headers: [{ name: "a" }] };
+    expect(faultOf([{ kind: FrameKind.Request, stream: 1, head, end: true }]))
+      .to.contain("field head of a Request frame");
+  });
+
+  it("refuses random bytes", () => {
+    for (let round = 0; round < 500; round++) {
+      const bytes = Buffer.from(Array.from({ length: 1 + round % 60 }, () => Math.random() * 256));
+      const decoded = new Codec().decode(bytes);
+      expect(decoded.isErr || Array.isArray(decoded.value)).to.equal(true);
+    }
+  });
+});
+
+describe("bodies under credit", () => {
+  it("hold the sender up until the receiver reads", async () => {
+    const sent: number[] = [];
+    const sender = new BodySender((part) => sent.push(part.length), { creditBytes: 50_000 });
+    const written = sender.write(Buffer.alloc(120_000));
+    await new Promise((resolve) => setImmediate(resolve));
+    const before = sent.reduce((sum, size) => sum + size, 0);
+    expect(before).to.equal(50_000);
+    sender.addCredit(200_000);
+    expect(await written).to.equal(true);
+    expect(sent.reduce((sum, size) => sum + size, 0)).to.equal(120_000);
+  });
+
+  it("give the reader an error after the parts that came", async () => {
+    const receiver = new BodyReceiver(() => {}, { openingCreditBytes: 0 });
+    receiver.push(Buffer.from("part"), false);
+    receiver.fail(new Error("broken"));
+    const parts: string[] = [];
+    let message = "";
+    try {
+      for await (const part of receiver) {
+        parts.push(part.toString());
+      }
+    } catch (error) {
+      message = (error as Error).message;
+    }
+    expect([parts, message]).to.deep.equal([["part"], "broken"]);
+  });
+});
+
+describe("links", () => {
+  const open: Links[] = [];
+
+  afterEach(async () => {
+    await Promise.all(open.splice(0).map((links) => links.close()));
+  });
+
+  async function listen(
+    onRequest: (exchange: IncomingExchange) => void = () => {},
+    onMalformed: (message: string) => void = () => {},
+  ): Promise<{ links: Links; address: string; port: number }> {
+    const port = await findFreePort();
+    const address = `127.0.0.1:${port}`;
+    const links = await Links.listen({
+      self: address,
+      host: "127.0.0.1",
+      port,
+      handlers: {
+        onCall: (method, payload) =>
+          method === "echo"
+            ? Promise.resolve(payload)
+            : Promise.reject(new Error("unknown method")),
+        onRequest,
+        onMalformed: (error) => onMalformed(error.message),
+      },
+    });
+    open.push(links);
+    return { links, address, port };
+  }
+
+  it("come up at once however often and from whichever side they are dialled", async () => {
+    for (let round = 0; round < 30; round++) {
+      const [left, right] = [await listen(), await listen()];
+      const dialled = await Promise.all([
+        left.links.get(right.address),
+        right.links.get(left.address),
+        left.links.get(right.address),
+      ]);
+      expect(dialled.map((link) => link.isOk)).to.deep.equal([true, true, true]);
+      const link = dialled[0].isOk ? dialled[0].value : undefined!;
+      const called = await link.call("echo", { round }, { timeoutMs: 1_000 });
+      expect(called.isOk && called.value).to.deep.equal({ round });
+      await Promise.all(open.splice(0).map((links) => links.close()));
+    }
+  });
+
+  it("tell an unknown method, a peer that does not answer, and one that is not there", async () => {
+    const [left, right] = [await listen(), await listen()];
+    const linked = await left.links.get(right.address);
+    const link = linked.isOk ? linked.value : undefined!;
+    const refused = await link.call("nonsense", {}, { timeoutMs: 1_000 });
+    expect(refused.isErr && refused.error.kind).to.equal(LinkErrorKind.Refused);
+    const free = await findFreePort();
+    const nobody = await left.links.get(`127.0.0.1:${free}`);
+    expect(nobody.isErr && nobody.error.kind).to.equal(LinkErrorKind.Unreachable);
+    const silent = createServer(() => {});
+    await new Promise<void>((resolve) => silent.listen(free, "127.0.0.1", resolve));
+    await new Promise((resolve) => setTimeout(resolve, 150));
+    const unanswered = await left.links.get(`127.0.0.1:${free}`);
+    expect(unanswered.isErr && unanswered.error.kind).to.equal(LinkErrorKind.Unreachable);
+    silent.close();
+  });
+
+  it("let a slow reader hold up nobody else", async () => {
+    const served: string[] = [];
+    const right = await listen((exchange) => {
+      if (exchange.head.id === "slow") {
+        return;
+      }
+      served.push(exchange.head.id);
+      exchange.respond({ status: 200, headers: [] }, Buffer.from("done"), true);
+    });
+    const left = await listen();
+    const linked = await left.links.get(right.address);
+    const link = linked.isOk ? linked.value : undefined!;
+    const slow = link.open({ ...HEAD, id: "slow" }, { end: false });
+    let isWritten = false;
+    slow.requestBody.write(Buffer.alloc(5_000_000)).then(() => isWritten = true);
+    for (let index = 0; index < 20; index++) {
+      const exchange = link.open({ ...HEAD, id: `fast-${index}` }, { end: true });
+      const response = await exchange.response;
+      expect(response.body.takeWhole()?.toString()).to.equal("done");
+    }
+    expect(isWritten).to.equal(false);
+    expect(served).to.have.length(20);
+  });
+
+  it("fail what is open on them when they break", async () => {
+    const right = await listen();
+    const left = await listen();
+    const linked = await left.links.get(right.address);
+    const link = linked.isOk ? linked.value : undefined!;
+    const exchange = link.open(HEAD, { end: true });
+    const call = link.call("echo", {}, { timeoutMs: 5_000 });
+    await right.links.close();
+    const failure = await exchange.response.then(() => "answered", (error) => error.kind);
+    expect(failure).to.equal(LinkErrorKind.Broken);
+    await call;
+  });
+});
--- /dev/null
+++ b/packages/routing/src/routing_test.ts
@@ -0,0 +1,216 @@
+import { Buffer } from "node:buffer";
+import { expect } from "chai";
+import { Reason } from "@bulrushwood/protocol";
+import { parseConfiguration } from "@bulrushwood/settings";
+import { Outcome } from "@bulrushwood/types";
+import { readFileSync } from "node:fs";
+import {
+  type Answer,
+  createShardOf,
+  Familiarity,
+  forward,
+  type ForwardOptions,
+  IdempotencyMemory,
+  notRun,
+  RequestRecords,
+  RetryBudget,
+  RouteTable,
+  TwoChoices,
+  unknown,
+} from "./mod.ts";
+
+const ANSWERED: Answer = { head: { status: 200, headers: [] }, body: undefined };
+
+/** Forwards with scripted answers; time passes only in sleeps. */
+async function forwardScripted(
+  answers: Answer[],
+  options: Partial<ForwardOptions> = {},
+): Promise<{ answer: Answer; attempts: string[] }> {
+  let time = 0;
+  const attempts: string[] = [];
+  const answer = await forward({
+    now: () => time,
+    sleep: (ms) => {
+      time += ms;
+      return Promise.resolve();
+    },
+    random: () => 0.5,
+    findTarget: () => ({ group: 1, move: 1, candidates: ["a", "b"] }),
+    attempt: (address) => {
+      attempts.push(address);
+      time += 1;
+      return Promise.resolve(answers[attempts.length - 1] ?? ANSWERED);
+    },
+    canRepeat: () => true,
+    idempotent: false,
+    budget: new RetryBudget(),
+    deadline: 1_000,
+    searchMs: 500,
+    signal: new AbortController().signal,
+    ...options,
+  });
+  return { answer, attempts };
+}
+
+describe("forwarding", () => {
+  it("tries the successor when the holder refuses", async () => {
+    const { answer, attempts } = await forwardScripted([notRun(Reason.NotHolder, "")]);
+    expect(answer).to.equal(ANSWERED);
+    expect(attempts).to.deep.equal(["a", "b"]);
+  });
+
+  it("never repeats what may have run, unless it is idempotent", async () => {
+    const lost = unknown(Reason.LinkBroken, "");
+    const once = await forwardScripted([lost]);
+    expect(once.answer.head.outcome).to.equal(Outcome.Unknown);
+    expect(once.attempts).to.have.length(1);
+    const again = await forwardScripted([lost], { idempotent: true });
+    expect(again.answer).to.equal(ANSWERED);
+  });
+
+  it("never says not-run of a request of which an earlier attempt may have run", async () => {
+    const answers = [unknown(Reason.LinkBroken, ""), notRun(Reason.Overloaded, "")];
+    const { answer } = await forwardScripted(answers, { idempotent: true });
+    expect(answer.head.outcome).to.equal(Outcome.Unknown);
+    const gone = new AbortController();
+    const cancelled = await forwardScripted([], {
+      idempotent: true,
+      signal: gone.signal,
+      attempt: () => {
+        gone.abort();
+        return Promise.resolve(unknown(Reason.LinkBroken, ""));
+      },
+    });
+    expect(cancelled.answer.head.outcome).to.equal(Outcome.Unknown);
+  });
+
+  it("does not repeat a request whose body has been read", async () => {
+    const refused = notRun(Reason.NotHolder, "");
+    const { answer } = await forwardScripted([refused], { canRepeat: () => false });
+    expect(answer).to.equal(refused);
+  });
+
+  it("ends its search at its bound, with what is true", async () => {
+    const findTarget = () => undefined;
+    const { answer } = await forwardScripted([], { findTarget });
+    expect(`${answer.head.outcome} ${answer.head.reason}`).to.equal("not-run no-holder");
+    const late = await forwardScripted([], { findTarget, searchMs: 5_000, deadline: 100 });
+    expect(late.answer.head.outcome).to.equal(Outcome.NotRun);
+  });
+
+  it("repeats within the budget only", async () => {
+    const lost = Array.from({ length: 100 }, () => unknown(Reason.ServerFailed, ""));
+    const { attempts } = await forwardScripted(lost, { idempotent: true });
+    expect(attempts.length).to.be.lessThan(15);
+  });
+});
+
+describe("the records of a holder", () => {
+  const records = () => new RequestRecords({ now: () => time, keepMs: 100 });
+  let time = 0;
+
+  it("bar a request before anybody is told that it was not run", () => {
+    const held = records();
+    expect(held.bar("late")).to.equal(Outcome.NotRun);
+    expect(held.take("late")).to.equal(false);
+    held.take("waiting");
+    expect(held.bar("waiting")).to.equal(Outcome.NotRun);
+    expect(held.start("waiting")).to.equal(false);
+  });
+
+  it("say unknown of a request that was sent", () => {
+    const held = records();
+    held.take("sent");
+    expect(held.start("sent")).to.equal(true);
+    expect(held.bar("sent")).to.equal(Outcome.Unknown);
+    expect(held.take("sent")).to.equal(false);
+  });
+
+  it("are forgotten after a while", () => {
+    const held = records();
+    held.take("old");
+    time += 200;
+    held.take("new");
+    expect(held.size).to.equal(1);
+  });
+});
+
+describe("idempotency keys", () => {
+  let time = 10_000;
+  const memory = (entries = 10) => {
+    return new IdempotencyMemory({ now: () => time, keepMs: 1_000, entries });
+  };
+  const vouched = { vouchedSince: Number.NEGATIVE_INFINITY, firstAttempt: false };
+
+  it("give a repeat the first answer", () => {
+    const kept = memory();
+    expect(kept.find("k", vouched).familiarity).to.equal(Familiarity.New);
+    kept.begin("k");
+    expect(kept.find("k", vouched).familiarity).to.equal(Familiarity.Uncertain);
+    kept.keep("k", { head: ANSWERED.head, body: Buffer.from("x") });
+    expect(kept.find("k", vouched).answer?.head.status).to.equal(200);
+  });
+
+  it("are uncertain after a change of holder, unless the caller vouches", () => {
+    const kept = memory();
+    const moved = { vouchedSince: time - 10, firstAttempt: false };
+    expect(kept.find("k", moved).familiarity).to.equal(Familiarity.Uncertain);
+    expect(kept.find("k", { ...moved, firstAttempt: true }).familiarity).to.equal(Familiarity.New);
+    time += 2_000;
+    expect(kept.find("k", moved).familiarity).to.equal(Familiarity.New);
+  });
+
+  it("are uncertain after entries were dropped for want of room", () => {
+    const kept = memory(1);
+    kept.begin("a");
+    kept.begin("b");
+    expect(kept.find("a", vouched).familiarity).to.equal(Familiarity.Uncertain);
+  });
+});
+
+describe("routes and keys", () => {
+  const parsed = parseConfiguration(readFileSync("examples/tamborin.jsonc", "utf8"), "c");
+  const table = new RouteTable(parsed.isOk ? parsed.value : undefined!);
+
+  it("match method and path and capture parts", () => {
+    const match = table.match("GET", "/plants/planta%20uno/quotes");
+    expect(match?.route.class).to.equal("quoting");
+    expect(match?.captures.get("plant")).to.equal("planta uno");
+    expect(table.match("DELETE", "/plants/x/quotes")).to.equal(undefined);
+    expect(table.match("GET", "/plants//quotes")).to.equal(undefined);
+  });
+
+  it("spread keys evenly over shards", async () => {
+    const shardOf = await createShardOf();
+    const counts = new Array(16).fill(0);
+    for (let index = 0; index < 16_000; index++) {
+      counts[shardOf(`planta-${index}`, 16)]++;
+    }
+    expect(Math.min(...counts)).to.be.greaterThan(850);
+    expect(shardOf("planta-1", 16)).to.equal(shardOf("planta-1", 16));
+  });
+});
+
+describe("choosing without keys", () => {
+  it("sets a failing server aside and probes it back", () => {
+    let time = 0;
+    const choices = new TwoChoices({ now: () => time, random: Math.random });
+    for (let index = 0; index < 3; index++) {
+      choices.begin("bad")(false);
+    }
+    for (let index = 0; index < 50; index++) {
+      expect(choices.choose(["bad", "good", "fine"])).to.not.include("bad");
+    }
+    time += 1_500;
+    const chosen = Array.from({ length: 50 }, () => choices.choose(["bad", "good"])).flat();
+    expect(chosen).to.include("bad");
+  });
+
+  it("sets a silent server with requests in flight aside", () => {
+    let time = 0;
+    const choices = new TwoChoices({ now: () => time, random: Math.random });
+    choices.begin("frozen");
+    time += 600;
+    expect(choices.choose(["frozen", "good"])).to.deep.equal(["good"]);
+  });
+});
