--- /dev/null
+++ b/packages/bench/src/plot.ts
@@ -0,0 +1,93 @@
+/**
+ * Draws bars as a PNG picture: one bar for each row, with a line for the goal where there is one.
+ */
+import { writeFileSync } from "node:fs";
+import { PNG } from "pngjs";
+import { drawText, textWidth } from "./font.ts";
+
+const WIDTH = 900;
+const BAR_HEIGHT = 26;
+const ROW_HEIGHT = 40;
+const MARGIN = 30;
+const TITLE_HEIGHT = 60;
+const LABEL_WIDTH = 320;
+const FIGURE_WIDTH = 110;
+
+/** A colour by its parts of red, green and blue. */
+interface Colour {
+  red: number;
+  green: number;
+  blue: number;
+}
+
+const INK: Colour = { red: 40, green: 40, blue: 48 };
+const BAR: Colour = { red: 52, green: 120, blue: 180 };
+const GOAL: Colour = { red: 200, green: 70, blue: 50 };
+
+/** One bar. */
+export interface Bar {
+  label: string;
+  value: number;
+}
+
+function fill(
+  png: PNG,
+  area: { x: number; y: number; width: number; height: number },
+  colour: Colour,
+): void {
+  for (let y = area.y; y < area.y + area.height; y++) {
+    for (let x = area.x; x < area.x + area.width; x++) {
+      setPixel(png, x, y, colour);
+    }
+  }
+}
+
+function setPixel(png: PNG, x: number, y: number, colour: Colour): void {
+  if (x < 0 || y < 0 || x >= png.width || y >= png.height) {
+    return;
+  }
+  const place = (Math.floor(y) * png.width + Math.floor(x)) * 4;
+  png.data[place] = colour.red;
+  png.data[place + 1] = colour.green;
+  png.data[place + 2] = colour.blue;
+  png.data[place + 3] = 255;
+}
+
+function write(png: PNG, text: string, options: { x: number; y: number; scale: number }): void {
+  drawText(text, options, (x, y) => setPixel(png, x, y, INK));
+}
+
+/** Draws bars; `goal` is marked by a line. */
+export function drawBars(
+  path: string,
+  bars: Bar[],
+  options: { title: string; goal?: number },
+): void {
+  const height = TITLE_HEIGHT + bars.length * ROW_HEIGHT + MARGIN;
+  const png = new PNG({ width: WIDTH, height });
+  fill(png, { x: 0, y: 0, width: WIDTH, height }, { red: 255, green: 255, blue: 255 });
+  write(png, options.title, { x: MARGIN, y: 20, scale: 3 });
+  const greatest = Math.max(1e-9, options.goal ?? 0, ...bars.map((bar) => bar.value));
+  const room = WIDTH - LABEL_WIDTH - FIGURE_WIDTH - MARGIN;
+  bars.forEach((bar, index) => {
+    const y = TITLE_HEIGHT + index * ROW_HEIGHT;
+    const width = Math.max(1, Math.round(room * bar.value / greatest));
+    const labelX = Math.max(5, LABEL_WIDTH - 12 - textWidth(bar.label, 2));
+    write(png, bar.label, { x: labelX, y: y + 6, scale: 2 });
+    fill(png, { x: LABEL_WIDTH, y, width, height: BAR_HEIGHT }, BAR);
+    write(png, formatFigure(bar.value), { x: LABEL_WIDTH + width + 8, y: y + 6, scale: 2 });
+  });
+  if (options.goal !== undefined) {
+    const x = LABEL_WIDTH + Math.round(room * options.goal / greatest);
+    fill(png, { x, y: TITLE_HEIGHT - 8, width: 2, height: bars.length * ROW_HEIGHT }, GOAL);
+  }
+  writeFileSync(path, PNG.sync.write(png));
+}
+
+/** Writes a figure with three significant digits. */
+export function formatFigure(value: number): string {
+  if (Number.isInteger(value) || Math.abs(value) >= 1_000) {
+    return String(Math.round(value));
+  }
+  return value.toPrecision(3);
+}
