--- /dev/null
+++ b/packages/bench/src/control.ts
@@ -0,0 +1,128 @@
+/**
+ * What control costs: bytes, processor time and memory of each daemon without any requests, at several
+ * numbers of daemons, and of the log's readers.
+ */
+import { readFileSync } from "node:fs";
+import { request } from "node:http";
+import { Deployment } from "@bulrushwood/sessions";
+import { sleep } from "@bulrushwood/types";
+import { benchConfiguration, benchInstances } from "./deployments.ts";
+import type { Experiment, ExperimentOptions, Report, Row } from "./experiment.ts";
+
+const COUNTS = [8, 32, 60];
+const SHARDS = 4_096;
+const WATCH_MS = 10_000;
+const BYTES_PER_KB = 1_000;
+const BYTES_PER_MB = 1_000_000;
+
+function fetchText(url: string): Promise<string> {
+  return new Promise((resolve, reject) => {
+    const call = request(url, { agent: false });
+    call.on("error", reject);
+    call.on("response", async (response) => {
+      let text = "";
+      for await (const part of response) {
+        text += part;
+      }
+      resolve(text);
+    });
+    call.end();
+  });
+}
+
+/** Reads one figure of a daemon's metrics. */
+async function readMetric(deployment: Deployment, name: string, metric: string): Promise<number> {
+  const text = await fetchText(`http://${deployment.adminAddress(name)}/metrics`);
+  const line = text.split("\n").find((one) => one.startsWith(`${metric} `));
+  return Number(line?.split(" ")[1] ?? 0);
+}
+
+async function sumMetric(deployment: Deployment, metric: string): Promise<number> {
+  const values = await Promise.all(
+    deployment.names.map((name) => readMetric(deployment, name, metric)),
+  );
+  return values.reduce((sum, value) => sum + value, 0);
+}
+
+/** Memory free on the machine, in bytes. */
+function freeMemory(): number {
+  const line = readFileSync("/proc/meminfo", "utf8").split("\n").find((one) =>
+    one.startsWith("MemAvailable")
+  );
+  return Number(line?.match(/\d+/)?.[0] ?? 0) * 1_024;
+}
+
+async function measure(count: number, options: ExperimentOptions): Promise<Row> {
+  const instances = benchInstances(count, { serviceMs: 1 });
+  const deployment = await Deployment.start({ instances, recordsWorks: false, startsAtOnce: 8 });
+  try {
+    const first = deployment.names[0];
+    const startedAt = performance.now();
+    await deployment.publish(first, benchConfiguration(SHARDS), 0);
+    await deployment.settle(first, { timeoutMs: 120_000 });
+    const settledMs = performance.now() - startedAt;
+    await sleep(3_000);
+    return await watch(deployment, { ...options, count, settledMs });
+  } finally {
+    await deployment.close();
+  }
+}
+
+async function watch(
+  deployment: Deployment,
+  options: ExperimentOptions & { count: number; settledMs: number },
+): Promise<Row> {
+  const { count, settledMs } = options;
+  const daemons = deployment.names.map((name) => deployment.daemon(name));
+  const metric = "bulrushwood_link_bytes";
+  const bytesBefore = await sumMetric(deployment, metric);
+  const cpuBefore = daemons.map((daemon) => daemon.cpuMs);
+  const startedAt = performance.now();
+  await sleep(WATCH_MS * options.scale);
+  const tookMs = performance.now() - startedAt;
+  const cpu = daemons.map((daemon, index) => (daemon.cpuMs - cpuBefore[index]) / tookMs);
+  const bytes = await sumMetric(deployment, metric) - bytesBefore;
+  const memory = daemons.map((daemon) => daemon.memoryBytes);
+  const links = await sumMetric(deployment, "bulrushwood_links");
+  const mean = (values: number[]) => values.reduce((sum, value) => sum + value, 0) / values.length;
+  return {
+    name: `${count} daemons`,
+    figures: {
+      daemons: count,
+      "KB/s": bytes / count / (tookMs / 1_000) / BYTES_PER_KB,
+      "links each": links / count,
+      "% of a core": 100 * mean(cpu),
+      "worst % of a core": 100 * Math.max(...cpu),
+      "MB": mean(memory) / BYTES_PER_MB,
+      "placed after ms": settledMs,
+      "free GB": freeMemory() / 1e9,
+    },
+  };
+}
+
+async function run(options: ExperimentOptions): Promise<Report> {
+  const rows: Row[] = [];
+  for (const count of COUNTS) {
+    rows.push(await measure(count, options));
+  }
+  const largest = rows.at(-1)!.figures;
+  return {
+    name: "control",
+    explanation: `Idle daemons with ${SHARDS} shards; bytes sent and received on links between ` +
+      "daemons, processor time and resident memory of one daemon.",
+    rows,
+    goals: [
+      { what: "KB/s of a daemon", measured: largest["KB/s"], atMost: 30 },
+      { what: "% of a core of a daemon", measured: largest["% of a core"], atMost: 2.7 },
+      { what: "MB of a daemon", measured: largest.MB, atMost: 256 },
+    ],
+    plots: [{ title: "Processor time of an idle daemon", column: "% of a core" }],
+  };
+}
+
+/** What control costs. */
+export const control: Experiment = {
+  name: "control",
+  describes: "bytes, processor time and memory of idle daemons at 8, 32 and 60 daemons",
+  run,
+};
--- a/packages/bench/src/experiments.ts
+++ b/packages/bench/src/experiments.ts
@@ -2,7 +2,9 @@
  * All experiments.
  */
 import type { Experiment } from "./experiment.ts";
+import { control } from "./control.ts";
 import { forwarding } from "./forwarding.ts";
+import { unavailability } from "./unavailability.ts";
 
 /** All experiments, in the order in which they are listed. */
-export const experiments: Experiment[] = [forwarding];
+export const experiments: Experiment[] = [forwarding, unavailability, control];
--- a/packages/bench/src/forwarding.ts
+++ b/packages/bench/src/forwarding.ts
@@ -100,7 +100,10 @@
 }
 
 async function run(options: ExperimentOptions): Promise<Report> {
-  const deployment = await Deployment.start({ instances: benchInstances(3), recordsWorks: false });
+  const deployment = await Deployment.start({
+    instances: benchInstances(3, { slots: 64 }),
+    recordsWorks: false,
+  });
   try {
     await deployment.publish("despacho-1", benchConfiguration(64), 0);
     await deployment.settle("despacho-1");
--- a/packages/daemon/src/incarnation.ts
+++ b/packages/daemon/src/incarnation.ts
@@ -41,6 +41,8 @@
 const FIRST_ANNOUNCEMENT_MS = 1_000;
 const APPEND_TIMEOUT_MS = 5_000;
 const CHANGE_RETRY_MS = 500;
+/** How long a daemon that was succeeded keeps quiet before it asks for keys again. */
+const PROVE_ALIVE_MS = 1_500;
 
 /** Why an incarnation ended. */
 export enum Ending {
@@ -88,6 +90,7 @@
   #isReady = false;
   #isEnding = false;
   #isDescribing = false;
+  #isProvingAlive = false;
   #end!: (ending: Ending) => void;
   /** Resolves when this incarnation has to end. */
   readonly ended: Promise<Ending>;
@@ -337,6 +340,9 @@
       );
       this.#end(Ending.Restart);
     }
+    if (entry.kind === RecordKind.GroupSucceeded && this.#isSuspected()) {
+      this.#proveAlive();
+    }
     if (entry.kind === RecordKind.ShardsMoved) {
       const shards = entry.shards.reduce(
         (sum, range) => sum + range.last - range.first + 1,
@@ -346,6 +352,25 @@
     }
   }
 
+  #isSuspected(): boolean {
+    return this.#ledger.instances.get(this.#address)?.isSuspected ?? false;
+  }
+
+  /** Shows in the log that this daemon runs after all, once it hears its peers again. */
+  async #proveAlive(): Promise<void> {
+    if (this.#isProvingAlive) {
+      return;
+    }
+    this.#isProvingAlive = true;
+    while (this.#isSuspected() && !this.#isEnding) {
+      await sleep(PROVE_ALIVE_MS);
+      if (this.#isSuspected() && this.#detector.hearsPeers && !this.#isEnding) {
+        await this.#membership.describeServer(this.#describeNeighbour());
+      }
+    }
+    this.#isProvingAlive = false;
+  }
+
   #takeFollowerEnd(isExpired: boolean): void {
     if (isExpired) {
       this.#log(
--- a/packages/daemon/src/system_status.ts
+++ b/packages/daemon/src/system_status.ts
@@ -76,10 +76,9 @@
 function countDegraded(ledger: Ledger, pool: string): number {
   let shards = 0;
   for (const group of ledger.groups.values()) {
-    const isWhole = group.members.every(({ address, incarnation }) => {
-      const instance = ledger.activeInstance(address);
-      return instance?.incarnation === incarnation;
-    });
+    const isWhole = group.members.every(({ address, incarnation }) =>
+      ledger.isTrusted(address, incarnation)
+    );
     shards += group.pool === pool && !isWhole ? group.shards : 0;
   }
   return shards;
--- a/packages/lease/src/keeper.ts
+++ b/packages/lease/src/keeper.ts
@@ -22,6 +22,7 @@
   type LeaseGroup,
   type Ledger,
   RecordKind,
+  type ShardsMoved,
 } from "@bulrushwood/ledger";
 import {
   type Bid,
@@ -110,6 +111,8 @@
   readonly #sealing: Sealing;
   readonly #changed = new Subject<void>();
   readonly #hurry = new Subject<void>();
+  /** Counts news, so that news which come during a renewal are not waited out. */
+  #news = 0;
   readonly #stop = createStop();
   readonly #subscription;
   /** When moves to groups of this daemon were folded, on its own clock in milliseconds. */
@@ -168,15 +171,7 @@
         this.#voter.forgetRetired();
         break;
       case RecordKind.ShardsMoved:
-        this.#tenures.get(entry.from)?.noteMovedOut(
-          offset,
-          fromRanges(entry.shards),
-        );
-        this.#sealing.take(offset, entry.to);
-        if (this.#tenures.has(entry.to)) {
-          this.#movedAt.set(offset, this.#options.now());
-        }
-        this.#hurry.next();
+        this.#takeMove(offset, entry);
         break;
       default:
         break;
@@ -184,6 +179,25 @@
     this.#changed.next();
   }
 
+  /** A move out of a group held here is news for its voters as soon as it is released. */
+  #takeMove(offset: Offset, entry: ShardsMoved): void {
+    const tenure = this.#tenures.get(entry.from);
+    if (tenure !== undefined) {
+      tenure.noteMovedOut(offset, fromRanges(entry.shards));
+      this.#noteNews();
+    }
+    if (this.#tenures.has(entry.to)) {
+      this.#movedAt.set(offset, this.#options.now());
+    }
+    this.#sealing.take(offset, entry.to);
+  }
+
+  /** Lets the tasks of all peers renew at once. */
+  #noteNews(): void {
+    this.#news++;
+    this.#hurry.next();
+  }
+
   #adoptGroups(): void {
     for (const group of this.#options.ledger.groups.values()) {
       this.#adoptGroup(group);
@@ -201,7 +215,7 @@
     const succeedAfter = this.#options.now() + this.#options.durationMs * 2;
     this.#tenures.set(group.group, new Tenure(group, index, { succeedAfter }));
     this.#startPeers(group);
-    this.#hurry.next();
+    this.#noteNews();
   }
 
   #startPeers(group: LeaseGroup): void {
@@ -220,8 +234,9 @@
   /** Renews with one peer for as long as the daemon runs. */
   async #runPeer(peer: Address): Promise<void> {
     while (!this.#stop.signal.aborted) {
+      const newsBefore = this.#news;
       await this.#renewWith(peer);
-      await this.#pause();
+      await this.#pause(newsBefore);
     }
   }
 
@@ -233,12 +248,15 @@
           this.#voteForSelf(tenure);
         }
       }
-      await this.#pause();
+      await this.#pause(this.#news);
     }
   }
 
   /** Waits for the next renewal; ends early when there is news that peers should have at once. */
-  async #pause(): Promise<void> {
+  async #pause(newsBefore: number): Promise<void> {
+    if (this.#news !== newsBefore) {
+      return;
+    }
     await this.#sleepUntil(this.#hurry, this.#options.durationMs / RENEWALS_PER_LEASE);
   }
 
@@ -428,7 +446,7 @@
     const holder = this.#options.ledger.groups.get(group)?.members[0];
     if (holder?.incarnation === incarnation) {
       this.#voter.acceptSurrender(group);
-      this.#hurry.next();
+      this.#noteNews();
     }
     return Promise.resolve(null);
   }
@@ -494,7 +512,7 @@
 
   #end(tenure: Tenure, shard: number): void {
     if (tenure.end(shard)) {
-      this.#hurry.next();
+      this.#noteNews();
     }
     if (tenure.isClosing && tenure.inFlight === 0) {
       this.#changed.next();
@@ -551,7 +569,7 @@
   /** Stops bidding and voting. Leases that are held run out by themselves. */
   async close(): Promise<void> {
     this.#stop.abort();
-    this.#hurry.next();
+    this.#noteNews();
     this.#subscription.unsubscribe();
     await Promise.all(this.#peerTasks.values());
     await this.#sealing.close();
--- a/packages/lease/src/sealing.ts
+++ b/packages/lease/src/sealing.ts
@@ -3,7 +3,13 @@
  * group's voters has sealed a move, no holder of that group can serve the moved shards again.
  */
 import type { Address, Group, Offset } from "@bulrushwood/types";
-import { type LeaseGroup, type Ledger, type Predecessor, RecordKind } from "@bulrushwood/ledger";
+import {
+  type LeaseGroup,
+  type Ledger,
+  type Predecessor,
+  Presence,
+  RecordKind,
+} from "@bulrushwood/ledger";
 import { LeaseMethod, sealReplySchema } from "./messages.ts";
 import type { KeeperOptions } from "./keeper.ts";
 import type { Tenure } from "./tenure.ts";
@@ -25,6 +31,8 @@
   readonly #sealed = new Set<string>();
   readonly #tasks = new Map<string, Promise<void>>();
   readonly #held = new Set<Group>();
+  /** Since when the log is known to tell that a voter is gone, on this process's clock. */
+  readonly #goneSince = new Map<Address, number>();
   #unreported = new Set<Group>();
   #reporting: Promise<void> | undefined;
 
@@ -127,7 +135,7 @@
   ): Promise<boolean> {
     const { sleep, signal, durationMs } = this.#options;
     while (!signal.aborted && !over.aborted) {
-      if (await this.#ask(member, group, move)) {
+      if (await this.#ask(member, group, move) || this.#isLongGone(member)) {
         return true;
       }
       await sleep(durationMs / 50, signal);
@@ -135,6 +143,19 @@
     return false;
   }
 
+  /** A voter that does not run any more supports nobody once its last support has run out. */
+  #isLongGone(member: Address): boolean {
+    const { ledger, now, durationMs, driftMarginMs } = this.#options;
+    const presence = ledger.instances.get(member)?.presence;
+    if (presence !== Presence.Left && presence !== Presence.DeclaredLost) {
+      this.#goneSince.delete(member);
+      return false;
+    }
+    const since = this.#goneSince.get(member) ?? now();
+    this.#goneSince.set(member, since);
+    return now() - since > durationMs + driftMarginMs;
+  }
+
   async #ask(member: Address, group: Group, move: Offset): Promise<boolean> {
     const { address, call, sealHere, durationMs } = this.#options;
     if (member === address) {
--- a/packages/lease/src/tenure.ts
+++ b/packages/lease/src/tenure.ts
@@ -21,6 +21,7 @@
   readonly #inFlight = new Map<number, number>();
   #outgoing: OutgoingMove[] = [];
   #heldSince = Number.POSITIVE_INFINITY;
+  #supportedUntil = 0;
   /** Set once the daemon gives the group up; no request is admitted any more. */
   isClosing = false;
   /** Set once the voters were told that the group is given up. */
@@ -53,15 +54,13 @@
   noteSupport(member: Address, until: number): void {
     const earlier = this.#support.get(member) ?? 0;
     this.#support.set(member, Math.max(earlier, until));
+    const untils = [...this.#support.values()].sort((left, right) => right - left);
+    this.#supportedUntil = untils[this.quorum - 1] ?? 0;
   }
 
   /** Until when this daemon holds the group, on its own clock in milliseconds. */
   get heldUntil(): number {
-    if (this.isSurrendered) {
-      return 0;
-    }
-    const untils = [...this.#support.values()].sort((left, right) => right - left);
-    return untils[this.quorum - 1] ?? 0;
+    return this.isSurrendered ? 0 : this.#supportedUntil;
   }
 
   /** When this daemon first held the group, on its own clock in milliseconds. */
--- a/packages/lease_checker/src/run.ts
+++ b/packages/lease_checker/src/run.ts
@@ -144,19 +144,39 @@
         return process.enter(() => this.#createGroup(process.ledger, event));
       case EventKind.Surrender:
         return process.enter(() => process.surrender());
+      case EventKind.DeclareLost:
+        return this.#declareLost(process);
       case EventKind.Order:
         return this.#orderFromOwner(event);
     }
   }
 
-  /** A server that checks no grants takes the end of its daemon's connections as cancellation. */
   #restart(process: SimProcess, afterMs: number): void {
+    this.#endUncheckedWork(process);
+    process.restart(afterMs);
+  }
+
+  /** A server that checks no grants takes the end of its daemon's connections as cancellation. */
+  #endUncheckedWork(process: SimProcess): void {
     for (const work of this.#works) {
       if (work.process === process && !process.checksGrants) {
         work.isOver = true;
       }
     }
-    process.restart(afterMs);
+  }
+
+  #declareLost(process: SimProcess): void {
+    const { address, incarnation } = process;
+    this.#endUncheckedWork(process);
+    process.end();
+    this.#log.append(formatEntry({
+      id: this.#newId(),
+      kind: RecordKind.InstanceLost,
+      address,
+      incarnation,
+      by: "operator",
+      declared: true,
+    }));
   }
 
   #move(ledger: Ledger, event: ScheduledEvent): void {
--- a/packages/lease_checker/src/schedule.ts
+++ b/packages/lease_checker/src/schedule.ts
@@ -29,6 +29,8 @@
   Group = "group",
   /** A process gives up all its groups. */
   Surrender = "surrender",
+  /** A process ends for good, and an operator declares it lost. */
+  DeclareLost = "declare-lost",
   /** The owner of a shard sends work to its backend server. */
   Order = "order",
 }
@@ -68,6 +70,7 @@
     { weight: 4, arbitrary: fc.constant(EventKind.Move) },
     { weight: 2, arbitrary: fc.constant(EventKind.Group) },
     { weight: 1, arbitrary: fc.constant(EventKind.Surrender) },
+    { weight: 1, arbitrary: fc.constant(EventKind.DeclareLost) },
     { weight: 10, arbitrary: fc.constant(EventKind.Order) },
   ),
   at: fc.integer({ min: 0, max: RUN_MS * 0.8 }),
--- a/packages/lease_checker/src/sim_process.ts
+++ b/packages/lease_checker/src/sim_process.ts
@@ -37,6 +37,8 @@
   #ledger = new Ledger();
   #keeper: Keeper | undefined;
   #joinId = "";
+  #isEnded = false;
+  #incarnation = 0;
 
   constructor(options: SimProcessOptions) {
     this.#options = options;
@@ -75,6 +77,9 @@
 
   /** Runs something in this life of the process, once it is not paused. */
   enter(run: () => void): void {
+    if (this.#isEnded) {
+      return;
+    }
     this.#enterLife(this.#generation, run);
   }
 
@@ -114,8 +119,23 @@
     this.#pausedUntil = Math.max(this.#pausedUntil, this.#options.scheduler.now + ms);
   }
 
+  /** Ends for good. */
+  end(): void {
+    this.#generation++;
+    this.#keeper = undefined;
+    this.#isEnded = true;
+  }
+
+  /** Incarnation of the process; 0 while it has none. */
+  get incarnation(): number {
+    return this.#incarnation;
+  }
+
   /** Ends, and starts again as a new incarnation after a while. */
   restart(afterMs: number): void {
+    if (this.#isEnded) {
+      return;
+    }
     this.#generation++;
     this.#pausedUntil = 0;
     this.#keeper = undefined;
@@ -147,6 +167,7 @@
 
   #createKeeper(incarnation: number): void {
     const { network, log, rules, newId, address } = this.#options;
+    this.#incarnation = incarnation;
     this.#keeper = new Keeper({
       ledger: this.#ledger,
       address,
--- a/packages/ledger/src/ledger.ts
+++ b/packages/ledger/src/ledger.ts
@@ -103,6 +103,12 @@
     return active ? instance : undefined;
   }
 
+  /** Whether a daemon still runs, as far as the log tells, as the incarnation that is named. */
+  isTrusted(address: Address, incarnation: Incarnation): boolean {
+    const instance = this.activeInstance(address);
+    return instance?.incarnation === incarnation && !instance.isSuspected;
+  }
+
   /** Whether the log proves that a process of the given incarnation no longer runs. */
   isProvenGone(address: Address, incarnation: Incarnation): boolean {
     const latest = this.instances.get(address);
@@ -169,6 +175,7 @@
       region,
       admin,
       presence: Presence.Present,
+      isSuspected: false,
       server,
     });
     return APPLIED;
@@ -196,6 +203,7 @@
       return "A backend server of another pool or with another check needs a new incarnation";
     }
     instance.server = later;
+    instance.isSuspected = false;
     return APPLIED;
   }
 
@@ -281,10 +289,19 @@
       return `Incarnation ${entry.incarnation} is not the successor of group ${entry.group}`;
     }
     group.step = 1;
+    this.#suspect(group.members[0]);
     this.#countChurn(group.pool, MoveCause.Loss, group.shards);
     return APPLIED;
   }
 
+  /** A daemon that had to be succeeded gets no keys until it is heard in the log again. */
+  #suspect(member: IncarnationChange): void {
+    const instance = this.instances.get(member.address);
+    if (instance?.incarnation === member.incarnation) {
+      instance.isSuspected = true;
+    }
+  }
+
   #applyShardsMoved(offset: Offset, entry: ShardsMoved): string {
     const stale = this.#checkClaim(entry.claim);
     if (stale !== APPLIED) {
--- a/packages/ledger/src/state.ts
+++ b/packages/ledger/src/state.ts
@@ -28,6 +28,8 @@
   /** Address of its administration API. */
   admin: Address;
   presence: Presence;
+  /** Set when another daemon had to follow it; cleared by its next word about its server. */
+  isSuspected: boolean;
   server: ServerDescription | null;
 }
 
--- a/packages/membership/src/detector.ts
+++ b/packages/membership/src/detector.ts
@@ -123,6 +123,14 @@
     }
   }
 
+  /** Whether any watched peer was heard lately; true when there is none to watch. */
+  get hearsPeers(): boolean {
+    const watched = this.watched();
+    const heardMs = this.#options.heartbeatMs * 3;
+    return watched.length === 0 ||
+      watched.some((instance) => this.silenceOf(instance.address) < heardMs);
+  }
+
   /** How long a peer has not been heard, in milliseconds. */
   silenceOf(address: Address): number {
     return this.#options.now() -
--- a/packages/planner/src/cast.ts
+++ b/packages/planner/src/cast.ts
@@ -28,7 +28,7 @@
     this.pool = pool;
     this.#groups = [...ledger.groups.values()].filter((group) => group.pool === pool);
     const present = [...ledger.instances.values()].filter((instance) =>
-      instance.presence === Presence.Present
+      instance.presence === Presence.Present && !instance.isSuspected
     );
     this.voters = present.sort((left, right) => left.address < right.address ? -1 : 1);
     this.holders = this.voters.filter((instance) => instance.server?.pool === pool);
--- a/packages/planner/src/placement.ts
+++ b/packages/planner/src/placement.ts
@@ -33,14 +33,23 @@
   retire: Group[];
 }
 
-/** Compares the pool's state with what it should be. */
-export function planPool(ledger: Ledger, table: PoolTable): Plan {
+/**
+ * Compares the pool's state with what it should be. Shards are moved only once the holders of all groups
+ * have had time to gather support, which `isEstablished` tells, so that moved shards do not wait for it.
+ */
+export function planPool(
+  ledger: Ledger,
+  table: PoolTable,
+  options: { isEstablished?: (group: Group) => boolean } = {},
+): Plan {
   const cast = new Cast(ledger, table.pool);
   const groups = [...ledger.groups.values()].filter((group) => group.pool === table.pool);
   const sound = groups.filter((group) => cast.isSound(group)).sort(bySuccessor);
   const create = missingGroups(cast, sound);
   const plan: Plan = { pool: table.pool, create, moves: [], retire: [] };
-  if (create.length === 0 && sound.length > 0) {
+  const { isEstablished = () => true } = options;
+  const areEstablished = sound.every((group) => isEstablished(group.group));
+  if (create.length === 0 && sound.length > 0 && areEstablished) {
     plan.moves = planMoves(ledger, table, cast, sound);
     plan.retire = retirable(table, groups, sound);
   }
@@ -186,20 +195,23 @@
   );
 }
 
+/** Why shards have to leave a group: the first of its members that does not take part as it should. */
 function causeOf(ledger: Ledger, from: Group): MoveCause {
   const group = ledger.groups.get(from);
   if (group === undefined) {
     return MoveCause.Initial;
   }
-  const holder = group.members[0];
-  const instance = ledger.instances.get(holder.address);
-  const isCurrent = instance?.incarnation === holder.incarnation;
-  const hasLeft = instance?.presence === Presence.Leaving ||
-    instance?.presence === Presence.Left;
-  if (isCurrent && hasLeft) {
-    return MoveCause.Leave;
+  const gone = group.members.find((member) =>
+    !ledger.isTrusted(member.address, member.incarnation) ||
+    ledger.instances.get(member.address)?.presence === Presence.Leaving
+  );
+  if (gone === undefined) {
+    return MoveCause.Balance;
   }
-  return isCurrent && instance?.presence === Presence.Present ? MoveCause.Balance : MoveCause.Loss;
+  const instance = ledger.instances.get(gone.address);
+  const isCurrent = instance?.incarnation === gone.incarnation;
+  const hasLeft = instance?.presence === Presence.Leaving || instance?.presence === Presence.Left;
+  return isCurrent && hasLeft ? MoveCause.Leave : MoveCause.Loss;
 }
 
 /** Moves shards from the holder with the most to the one with the fewest, while that evens them. */
--- a/packages/planner/src/planner.ts
+++ b/packages/planner/src/planner.ts
@@ -7,6 +7,7 @@
   type Address,
   type Clock,
   createStop,
+  type Group,
   type Incarnation,
   type Offset,
   type Sleep,
@@ -23,6 +24,8 @@
 import { type Plan, planPool } from "./placement.ts";
 
 const PLAN_EVERY_MS = 150;
+/** Time that the holder of a new group gets to gather support before shards are moved to it. */
+const ESTABLISH_MS = 300;
 const SUBMIT_TIMEOUT_MS = 3_000;
 /** Records that one plan appends at once. */
 const RECORDS_AT_ONCE = 24;
@@ -51,12 +54,19 @@
   readonly #stop = createStop();
   readonly #subscription;
   #membershipChangedAt: number;
+  /** When the groups created in this daemon's time were seen, on its own clock. */
+  readonly #groupsSeenAt = new Map<Group, number>();
   #task: Promise<void> | undefined;
 
   constructor(options: PlannerOptions) {
     this.#options = options;
     this.#membershipChangedAt = options.now();
-    this.#subscription = options.ledger.changes.subscribe(({ entry }) => {
+    this.#subscription = options.ledger.changes.subscribe(({ entry, offset }) => {
+      if (entry?.kind === RecordKind.GroupCreated) {
+        this.#groupsSeenAt.set(offset, options.now());
+      } else if (entry?.kind === RecordKind.GroupRetired) {
+        this.#groupsSeenAt.delete(entry.group);
+      }
       if (
         entry?.kind === RecordKind.InstanceJoined ||
         entry?.kind === RecordKind.ServerChanged
@@ -130,13 +140,20 @@
     }
     const claim = ledger.claim!.claim;
     for (const table of ledger.pools.values()) {
-      const plan = planPool(ledger, table);
+      const plan = planPool(ledger, table, {
+        isEstablished: (group) => this.#isEstablished(group),
+      });
       const entries = this.#toEntries(plan, claim);
       const batch = entries.slice(0, RECORDS_AT_ONCE);
       await Promise.all(batch.map((entry) => this.#submit(entry)));
     }
   }
 
+  #isEstablished(group: Group): boolean {
+    const seenAt = this.#groupsSeenAt.get(group);
+    return seenAt === undefined || this.#options.now() - seenAt >= ESTABLISH_MS;
+  }
+
   #toEntries(plan: Plan, claim: number): Entry[] {
     const { newId } = this.#options;
     const { pool } = plan;
--- a/packages/planner/src/planner_test.ts
+++ b/packages/planner/src/planner_test.ts
@@ -205,4 +205,27 @@
     );
     expect(kept.length).to.be.greaterThan(successors.size / 2);
   });
+
+  it("gives no keys to a daemon that had to be succeeded, until it is heard again", () => {
+    const places = [0, 1, 2].map((dataCentre) => ({ dataCentre, region: 0, isHolder: true }));
+    const ledger = startedLedger(places);
+    planToEnd(ledger);
+    const group = [...ledger.groups.values()].find((one) => one.members[0].address === "i1")!;
+    const successor = group.members[1];
+    const kind = RecordKind.GroupSucceeded as const;
+    const incarnation = successor.incarnation;
+    append(ledger, { id: newId(), kind, group: group.group, incarnation });
+    planToEnd(ledger);
+    expect(shardsOf(ledger).get("i1") ?? 0).to.equal(0);
+    const own = ledger.instances.get("i1")!;
+    append(ledger, {
+      id: newId(),
+      kind: RecordKind.ServerChanged,
+      address: "i1",
+      incarnation: own.incarnation,
+      server: own.server,
+    });
+    planToEnd(ledger);
+    expect(shardsOf(ledger).get("i1")).to.be.greaterThan(8);
+  });
 });
--- a/packages/sessions/src/caller.ts
+++ b/packages/sessions/src/caller.ts
@@ -41,16 +41,15 @@
 
 const TIMEOUT_MS = 30_000;
 
-async function readBody(response: IncomingMessage): Promise<string | undefined> {
+/** Reads a whole body; undefined when it was cut short. */
+function readBody(response: IncomingMessage): Promise<string | undefined> {
   const parts: Buffer[] = [];
-  try {
-    for await (const part of response) {
-      parts.push(part);
-    }
-  } catch {
-    return undefined;
-  }
-  return response.complete ? Buffer.concat(parts).toString("utf8") : undefined;
+  return new Promise((resolve) => {
+    response.on("data", (part: Buffer) => parts.push(part));
+    response.on("end", () => resolve(Buffer.concat(parts).toString("utf8")));
+    response.on("error", () => resolve(undefined));
+    response.on("close", () => resolve(undefined));
+  });
 }
 
 function kindOf(response: IncomingMessage, body: string | undefined): ToldKind {
@@ -68,14 +67,23 @@
 export function sendRequest(options: CallerRequest): Promise<Told> {
   const startedAt = performance.now();
   const { method, headers, agent, body } = options;
-  const limit = AbortSignal.timeout(TIMEOUT_MS);
-  const signal = options.signal === undefined ? limit : AbortSignal.any([limit, options.signal]);
+  const { signal, address } = options;
   return new Promise((resolve) => {
     const settle = (told: Omit<Told, "durationMs">) => {
       resolve({ ...told, durationMs: performance.now() - startedAt });
     };
-    const url = `http://${options.address}${options.path}`;
-    const call = request(url, { method, headers, agent: agent ?? false, signal });
+    const [host, port] = address.split(":");
+    const call = request({
+      host,
+      port,
+      path: options.path,
+      method,
+      headers,
+      agent: agent ?? false,
+      signal,
+    });
+    const timer = setTimeout(() => call.destroy(new Error("No answer came in time")), TIMEOUT_MS);
+    call.on("close", () => clearTimeout(timer));
     call.on("error", (error) => {
       const isRefused = (error as NodeJS.ErrnoException).code === "ECONNREFUSED";
       const kind = isRefused ? ToldKind.Refused : ToldKind.Reset;
--- a/packages/sessions/src/deployment.ts
+++ b/packages/sessions/src/deployment.ts
@@ -60,6 +60,8 @@
   hasNetwork?: boolean;
   /** Delay between two data centres in one direction, in milliseconds. */
   delayMs?: (from: string, to: string) => number;
+  /** How many instances start at the same time; all of them when left out. */
+  startsAtOnce?: number;
   /** Whether backend servers report each piece of work; costs time under load. */
   recordsWorks?: boolean;
 }
@@ -101,7 +103,7 @@
     try {
       await deployment.startLog();
       await deployment.#startNetwork();
-      await Promise.all(deployment.names.map((name) => deployment.startInstance(name)));
+      await deployment.#startInstances();
       return deployment;
     } catch (error) {
       await deployment.close();
@@ -109,6 +111,15 @@
     }
   }
 
+  /** Starts all instances, a few at a time where that is asked for. */
+  async #startInstances(): Promise<void> {
+    const atOnce = this.#options.startsAtOnce ?? this.names.length;
+    for (let place = 0; place < this.names.length; place += atOnce) {
+      const names = this.names.slice(place, place + atOnce);
+      await Promise.all(names.map((name) => this.startInstance(name)));
+    }
+  }
+
   /** Names of all instances. */
   get names(): string[] {
     return [...this.#instances.keys()];
@@ -344,14 +355,14 @@
   }
 
   /** Waits until every shard of every keyed pool has an owner and nothing moves. */
-  async settle(name: string): Promise<void> {
+  async settle(name: string, options: { timeoutMs?: number } = {}): Promise<void> {
     let seen = "no status";
     const check = async () => {
       const status = await this.admin(name).status();
       seen = status.isOk ? JSON.stringify(status.value.pools) : status.error.message;
       return status.isOk && isSettled(status.value);
     };
-    await this.waitUntil(check, "placement to settle").catch((error) => {
+    await this.waitUntil(check, "placement to settle", options.timeoutMs).catch((error) => {
       throw new Error(`${error.message}; last seen: ${seen}`);
     });
   }
--- a/packages/sessions/src/failure_test.ts
+++ b/packages/sessions/src/failure_test.ts
@@ -246,6 +246,24 @@
     expectGolden("drain_backend", transcript);
   });
 
+  it("two of three voters are lost together, and an operator declares them lost", async () => {
+    await withDeployment({ instances: despachos(4) }, async (deployment, session) => {
+      const { owner, successor, witness } = await findOwner(deployment, KEY);
+      const via = deployment.names.find((name) => ![owner, successor, witness].includes(name))!;
+      await book(session, "booking-before", { via });
+      await Promise.all([owner, successor].map((name) => deployment.killInstance(name)));
+      await book(session, "booking-while-lost", { via });
+      for (const name of [owner, successor]) {
+        const lost = await deployment.admin(via).declareLost({ instance: name, by: "operator" });
+        expect(lost.isOk).to.equal(true);
+      }
+      await deployment.settle(via);
+      await book(session, "booking-after", { via });
+      await session.awaitRecords();
+      expectGolden("declare_lost", canonical(session));
+    });
+  });
+
   it("everything is restarted, and nothing accepted is lost", async () => {
     await withDeployment(FIVE, async (deployment, session) => {
       const changed = tamborin();
--- a/packages/stand_ins/src/backend_server.ts
+++ b/packages/stand_ins/src/backend_server.ts
@@ -413,7 +413,7 @@
       key,
       path,
       bodyBytes,
-      server: this.#options.port,
+      host: this.#options.host,
     });
     const body = Buffer.from(head + " ".repeat(padding));
     response.writeHead(200, {
