--- a/packages/backend/src/backend_client.ts
+++ b/packages/backend/src/backend_client.ts
@@ -236,6 +236,11 @@
     });
   }
 
+  /** Breaks off all that is under way; later requests open new connections. */
+  dropConnections(): void {
+    this.#agent.destroy();
+  }
+
   /** Closes all connections. */
   close(): void {
     this.#agent.destroy();
--- a/packages/daemon/src/holder.ts
+++ b/packages/daemon/src/holder.ts
@@ -213,22 +213,33 @@
     return answer;
   }
 
-  async #run(
-    job: Job,
-    slot: Slot,
-    permit: Permit | undefined,
-  ): Promise<Answer> {
-    const client = this.#options.server.client!;
+  async #run(job: Job, slot: Slot, permit: Permit | undefined): Promise<Answer> {
+    const { client } = this.#options.server;
     const finish = () => {
       slot.release();
       permit?.end();
     };
+    if (client === undefined) {
+      finish();
+      return notRun(Reason.Draining, "The backend server here is gone");
+    }
+    try {
+      return await this.#runAt(job, client, permit, finish);
+    } catch (error) {
+      this.#settleStopped(job.head.id, client, permit, finish);
+      throw error;
+    }
+  }
+
+  async #runAt(
+    job: Job,
+    client: BackendClient,
+    permit: Permit | undefined,
+    finish: () => void,
+  ): Promise<Answer> {
     const sent = await this.#send(job, client, permit);
     if (sent.isErr) {
-      return this.#concludeFailure(job, client, permit, {
-        error: sent.error,
-        finish,
-      });
+      return this.#concludeFailure(job, client, permit, { error: sent.error, finish });
     }
     this.#options.measures.noteServed(job.head);
     return await this.#passOn(job, sent.value, finish, () => {
--- a/packages/daemon/src/server_side.ts
+++ b/packages/daemon/src/server_side.ts
@@ -72,8 +72,13 @@
     return this.#life?.client;
   }
 
+  /** A server that fell silent gets no answers any more, so that its keys need not wait for it. */
   #take(announcement: Announcement | undefined): void {
-    if (announcement === undefined || announcement.life === this.#life?.name) {
+    if (announcement === undefined) {
+      this.#life?.client.dropConnections();
+      return;
+    }
+    if (announcement.life === this.#life?.name) {
       this.admission.dispatch();
       return;
     }
--- a/packages/sessions/src/deployment.ts
+++ b/packages/sessions/src/deployment.ts
@@ -359,7 +359,7 @@
     let seen = "no status";
     const check = async () => {
       const status = await this.admin(name).status();
-      seen = status.isOk ? JSON.stringify(status.value.pools) : status.error.message;
+      seen = status.isOk ? describeProgress(status.value) : status.error.message;
       return status.isOk && isSettled(status.value);
     };
     await this.waitUntil(check, "placement to settle", options.timeoutMs).catch((error) => {
@@ -402,6 +402,17 @@
   }
 }
 
+/** What a reader needs to know of a placement that does not settle. */
+function describeProgress(status: SystemStatus): string {
+  const daemons = status.daemons.map(({ instance, groupsHeld, shardsHeld, inFlight }) => ({
+    instance,
+    groupsHeld,
+    shardsHeld,
+    inFlight,
+  }));
+  return JSON.stringify({ pools: status.pools, daemons, folded: status.folded });
+}
+
 function isSettled(status: SystemStatus): boolean {
   const keyed = status.pools.filter((pool) => pool.keyed);
   const shards = keyed.reduce((sum, pool) => sum + pool.shards, 0);
