Plan at the planned size without stopping the daemon

Cause: for each unowned shard the planner looked through all holders, and through all groups for each; each plan counted data centres and groups again; every 150 ms, whether the log had changed or not. Also: scripts/prove.ts takes mechanisms out of the product one by one and expects their session to fail; a search that ends at daemons which do not hold the key now says no-holder.

--- a/packages/ledger/src/pool_table.ts
+++ b/packages/ledger/src/pool_table.ts
@@ -2,6 +2,7 @@
  * Which lease group owns each shard of one keyed pool, and which moves are not yet activated.
  * Two numbers for each shard, in flat arrays, since the planned size has 65,536 shards.
  */
+import { Buffer } from "node:buffer";
 import type { Group, Offset } from "@bulrushwood/types";
 import type { Predecessor } from "./state.ts";
 
@@ -87,9 +88,9 @@
     return {
       pool: this.pool,
       size: this.size,
-      groups: encodeRuns(this.#groups),
-      moves: encodeRuns(this.#moves),
-      moved: encodeRuns(this.#moved),
+      groups: encode(this.#groups),
+      moves: encode(this.#moves),
+      moved: encode(this.#moved),
       predecessors: [...this.#predecessors].map(([shard, predecessors]) => ({
         shard,
         predecessors,
@@ -100,9 +101,9 @@
   /** Reads a table from a snapshot. */
   static fromDocument(document: PoolDocument): PoolTable {
     const table = new PoolTable(document.pool, document.size);
-    decodeRuns(document.groups, table.#groups);
-    decodeRuns(document.moves, table.#moves);
-    decodeRuns(document.moved, table.#moved);
+    decode(document.groups, table.#groups);
+    decode(document.moves, table.#moves);
+    decode(document.moved, table.#moved);
     for (const { shard, predecessors } of document.predecessors) {
       table.#predecessors.set(shard, predecessors);
     }
@@ -110,45 +111,27 @@
   }
 }
 
-/** A run of equal values. */
-interface Run {
-  count: number;
-  value: number;
-}
-
 /** The predecessors of one shard, as they stand in a snapshot. */
 interface ShardPredecessors {
   shard: number;
   predecessors: Predecessor[];
 }
 
-/** A pool table as it stands in a snapshot; equal neighbours are written as one run. */
+/** A pool table as it stands in a snapshot: its arrays as base64 of their bytes, low byte first. */
 export interface PoolDocument {
   pool: string;
   size: number;
-  groups: Run[];
-  moves: Run[];
-  moved: Run[];
+  groups: string;
+  moves: string;
+  moved: string;
   predecessors: ShardPredecessors[];
 }
 
-function encodeRuns(values: Float64Array | Uint8Array): Run[] {
-  const runs: Run[] = [];
-  for (const value of values) {
-    const last = runs.at(-1);
-    if (last !== undefined && last.value === value) {
-      last.count++;
-    } else {
-      runs.push({ count: 1, value });
-    }
-  }
-  return runs;
+function encode(values: Float64Array | Uint8Array): string {
+  return Buffer.from(values.buffer, values.byteOffset, values.byteLength).toString("base64");
 }
 
-function decodeRuns(runs: Run[], into: Float64Array | Uint8Array): void {
-  let position = 0;
-  for (const { count, value } of runs) {
-    into.fill(value, position, position + count);
-    position += count;
-  }
+function decode(text: string, into: Float64Array | Uint8Array): void {
+  const target = new Uint8Array(into.buffer, into.byteOffset, into.byteLength);
+  target.set(Buffer.from(text, "base64").subarray(0, target.length));
 }
--- a/packages/planner/src/cast.ts
+++ b/packages/planner/src/cast.ts
@@ -1,7 +1,7 @@
 /**
  * Which daemons can play which part in the lease groups of a pool, and which groups are sound.
  */
-import type { Address, Group } from "@bulrushwood/types";
+import type { Address } from "@bulrushwood/types";
 import {
   type Instance,
   type LeaseGroup,
@@ -22,11 +22,13 @@
   /** All daemons that may vote. */
   readonly voters: Instance[];
   readonly #byAddress = new Map<Address, Instance>();
-  readonly #groups: LeaseGroup[];
+  readonly #holderByAddress = new Map<Address, Instance>();
+  readonly #centres: Set<string>;
+  /** Number of holders in each data centre. */
+  readonly #holdersIn = new Map<string, number>();
 
   constructor(ledger: Ledger, pool: string) {
     this.pool = pool;
-    this.#groups = [...ledger.groups.values()].filter((group) => group.pool === pool);
     const present = [...ledger.instances.values()].filter((instance) =>
       instance.presence === Presence.Present && !instance.isSuspected
     );
@@ -35,6 +37,11 @@
     for (const instance of this.voters) {
       this.#byAddress.set(instance.address, instance);
     }
+    for (const holder of this.holders) {
+      this.#holderByAddress.set(holder.address, holder);
+      this.#holdersIn.set(holder.dataCentre, (this.#holdersIn.get(holder.dataCentre) ?? 0) + 1);
+    }
+    this.#centres = new Set(this.voters.map((voter) => voter.dataCentre));
   }
 
   /** Whether a member still runs as the incarnation that the group names. */
@@ -45,18 +52,14 @@
 
   /** The daemon at an address, if it may hold keys of the pool. */
   holderAt(address: Address): Instance | undefined {
-    return this.holders.find((holder) => holder.address === address);
-  }
-
-  /** The groups that name a daemon as holder. */
-  groupsOf(holder: Address): Group[] {
-    const own = this.#groups.filter((group) => group.members[0].address === holder);
-    return own.map((group) => group.group);
+    return this.#holderByAddress.get(address);
   }
 
   /** Number of groups that a holder should have. */
   groupsWanted(holder: Instance): number {
-    return Math.max(1, Math.min(GROUPS_PER_HOLDER, this.#successorsOf(holder).length));
+    const distant = this.holders.length - (this.#holdersIn.get(holder.dataCentre) ?? 0);
+    const successors = distant > 0 ? distant : this.holders.length - 1;
+    return Math.max(1, Math.min(GROUPS_PER_HOLDER, successors));
   }
 
   /** The holders that may succeed another: those in other data centres, where there are any. */
@@ -95,9 +98,9 @@
   /** The most data centres that a group of this holder could span. */
   #bestSpread(holder: Address): number {
     const own = this.#byAddress.get(holder)!.dataCentre;
-    const all = new Set(this.voters.map((voter) => voter.dataCentre));
-    const hasDistantSuccessor = this.holders.some((other) => other.dataCentre !== own);
-    const reachable = hasDistantSuccessor ? all.size : Math.min(2, all.size);
+    const hasDistantSuccessor = this.#holdersIn.size > 1 || !this.#holdersIn.has(own);
+    const centres = this.#centres.size;
+    const reachable = hasDistantSuccessor ? centres : Math.min(2, centres);
     return Math.min(this.groupSize, reachable);
   }
 
--- a/packages/planner/src/placement.ts
+++ b/packages/planner/src/placement.ts
@@ -2,7 +2,7 @@
  * What should change about the lease groups and shards of one pool: groups to create and to retire, and
  * moves of shards, each with its cause.
  */
-import { type Group, MoveCause } from "@bulrushwood/types";
+import { type Address, type Group, MoveCause } from "@bulrushwood/types";
 import {
   type LeaseGroup,
   type Ledger,
@@ -16,6 +16,8 @@
 const SURPLUS_SHARE = 0.1;
 /** Shards that may be moved only to even the load, in one plan. */
 const BALANCE_SHARDS_MAX = 64;
+/** Groups that one plan creates at most. */
+const GROUPS_PER_PLAN = 96;
 
 /** Shards to move from one group to another. */
 export interface Move {
@@ -31,6 +33,8 @@
   create: Member[][];
   moves: Move[];
   retire: Group[];
+  /** Whether moves wait until the newest groups are established. */
+  isWaiting: boolean;
 }
 
 /**
@@ -46,9 +50,10 @@
   const groups = [...ledger.groups.values()].filter((group) => group.pool === table.pool);
   const sound = groups.filter((group) => cast.isSound(group)).sort(bySuccessor);
   const create = missingGroups(cast, sound);
-  const plan: Plan = { pool: table.pool, create, moves: [], retire: [] };
   const { isEstablished = () => true } = options;
   const areEstablished = sound.every((group) => isEstablished(group.group));
+  const isWaiting = !areEstablished;
+  const plan: Plan = { pool: table.pool, create, moves: [], retire: [], isWaiting };
   if (create.length === 0 && sound.length > 0 && areEstablished) {
     plan.moves = planMoves(ledger, table, cast, sound);
     plan.retire = retirable(table, groups, sound);
@@ -64,19 +69,25 @@
   return leftName < rightName ? -1 : 1;
 }
 
+/** Groups that holders lack; the rest of very many comes with the next plan. */
 function missingGroups(cast: Cast, sound: LeaseGroup[]): Member[][] {
+  const successorsOf = new Map<Address, Address[]>();
+  for (const { members } of sound) {
+    const successors = successorsOf.get(members[0].address) ?? [];
+    successors.push(members[1]?.address ?? "");
+    successorsOf.set(members[0].address, successors);
+  }
   const missing: Member[][] = [];
   for (const holder of cast.holders) {
-    const own = sound.filter((group) => group.members[0].address === holder.address);
-    const used = new Set(
-      own.flatMap((group) => group.members.slice(1, 2)).map((m) => m.address),
-    );
-    for (let count = own.length; count < cast.groupsWanted(holder); count++) {
+    if (missing.length >= GROUPS_PER_PLAN) {
+      break;
+    }
+    const successors = successorsOf.get(holder.address) ?? [];
+    const used = new Set(successors);
+    for (let count = successors.length; count < cast.groupsWanted(holder); count++) {
       const members = cast.chooseMembers(holder, used);
       missing.push(members);
-      if (members.length > 1) {
-        used.add(members[1].address);
-      }
+      used.add(members[1]?.address ?? "");
     }
   }
   return missing;
@@ -93,41 +104,76 @@
   return unneeded.map((group) => group.group).filter((group) => !sealing.has(group));
 }
 
-/** Collects shard moves while it keeps count of how many shards each group will have. */
+/** Collects shard moves while it keeps count of how many shards each group and holder will have. */
 class MoveList {
-  readonly #sound: LeaseGroup[];
   readonly #counts = new Map<Group, number>();
+  readonly #groupsOf = new Map<Address, Group[]>();
+  readonly #holderOf = new Map<Group, Address>();
+  readonly #countOf = new Map<Address, number>();
+  /** Holders by the number of their shards, so that the least loaded is found at once. */
+  readonly #holdersWith = new Map<number, Set<Address>>();
   readonly #moves = new Map<string, Move>();
+  readonly #planned = new Set<number>();
 
-  constructor(sound: LeaseGroup[]) {
-    this.#sound = sound;
-    for (const group of sound) {
-      this.#counts.set(group.group, group.shards);
+  constructor(cast: Cast, sound: LeaseGroup[]) {
+    for (const { group, shards, members } of sound) {
+      const holder = members[0].address;
+      this.#counts.set(group, shards);
+      this.#holderOf.set(group, holder);
+      this.#countOf.set(holder, (this.#countOf.get(holder) ?? 0) + shards);
+      const groups = this.#groupsOf.get(holder) ?? [];
+      groups.push(group);
+      this.#groupsOf.set(holder, groups);
+    }
+    for (const { address } of cast.holders) {
+      this.#file(address);
     }
   }
 
+  #file(holder: Address): void {
+    const count = this.countOf(holder);
+    const others = this.#holdersWith.get(count) ?? new Set();
+    this.#holdersWith.set(count, others.add(holder));
+  }
+
+  /** The holder with the fewest shards. */
+  get leastLoaded(): Address {
+    return this.#firstWith(Math.min(...this.#holdersWith.keys()));
+  }
+
+  /** The holder with the most shards. */
+  get mostLoaded(): Address {
+    return this.#firstWith(Math.max(...this.#holdersWith.keys()));
+  }
+
+  #firstWith(count: number): Address {
+    return this.#holdersWith.get(count)!.values().next().value!;
+  }
+
   get moves(): Move[] {
     return [...this.#moves.values()];
   }
 
-  countOf(holder: string): number {
-    return this.#groupsOf(holder).reduce(
-      (sum, group) => sum + this.#counts.get(group.group)!,
-      0,
-    );
+  /** Whether the plan already moves a shard. */
+  isPlanned(shard: number): boolean {
+    return this.#planned.has(shard);
+  }
+
+  /** Shards that a holder will have. */
+  countOf(holder: Address): number {
+    return this.#countOf.get(holder) ?? 0;
   }
 
-  #groupsOf(holder: string): LeaseGroup[] {
-    return this.#sound.filter((group) => group.members[0].address === holder);
+  /** The sound groups of a holder. */
+  groupsOf(holder: Address): Group[] {
+    return this.#groupsOf.get(holder) ?? [];
   }
 
-  /** The group with the fewest shards of one holder, or of the holder with the fewest shards. */
-  emptiest(holder: string): Group {
-    const groups = this.#groupsOf(holder);
-    const least = groups.reduce((chosen, next) =>
-      this.#counts.get(next.group)! < this.#counts.get(chosen.group)! ? next : chosen
+  /** The group with the fewest shards of one holder. */
+  emptiest(holder: Address): Group {
+    return this.groupsOf(holder).reduce((chosen, next) =>
+      this.#counts.get(next)! < this.#counts.get(chosen)! ? next : chosen
     );
-    return least.group;
   }
 
   add(shard: number, move: Omit<Move, "shards">): void {
@@ -135,9 +181,27 @@
     const known = this.#moves.get(key) ?? { ...move, shards: [] };
     known.shards.push(shard);
     this.#moves.set(key, known);
-    this.#counts.set(move.to, (this.#counts.get(move.to) ?? 0) + 1);
-    if (this.#counts.has(move.from)) {
-      this.#counts.set(move.from, this.#counts.get(move.from)! - 1);
+    this.#planned.add(shard);
+    this.#change(move.to, 1);
+    this.#change(move.from, -1);
+  }
+
+  #unfile(holder: Address): void {
+    const count = this.countOf(holder);
+    const others = this.#holdersWith.get(count);
+    others?.delete(holder);
+    if (others?.size === 0) {
+      this.#holdersWith.delete(count);
+    }
+  }
+
+  #change(group: Group, by: number): void {
+    const holder = this.#holderOf.get(group);
+    if (holder !== undefined) {
+      this.#counts.set(group, this.#counts.get(group)! + by);
+      this.#unfile(holder);
+      this.#countOf.set(holder, this.countOf(holder) + by);
+      this.#file(holder);
     }
   }
 }
@@ -148,7 +212,7 @@
   cast: Cast,
   sound: LeaseGroup[],
 ): Move[] {
-  const list = new MoveList(sound);
+  const list = new MoveList(cast, sound);
   const soundGroups = new Set(sound.map((group) => group.group));
   for (let shard = 0; shard < table.size; shard++) {
     const from = table.groupOf(shard);
@@ -161,7 +225,7 @@
       });
     }
   }
-  balance(table, cast, soundGroups, list);
+  balance(table, cast, list);
   return list.moves;
 }
 
@@ -185,14 +249,7 @@
   ) {
     return successor.address;
   }
-  return leastLoaded(cast, list);
-}
-
-function leastLoaded(cast: Cast, list: MoveList): string {
-  const holders = cast.holders.map((holder) => holder.address);
-  return holders.reduce((chosen, next) =>
-    list.countOf(next) < list.countOf(chosen) ? next : chosen
-  );
+  return list.leastLoaded;
 }
 
 /** Why shards have to leave a group: the first of its members that does not take part as it should. */
@@ -215,21 +272,16 @@
 }
 
 /** Moves shards from the holder with the most to the one with the fewest, while that evens them. */
-function balance(
-  table: PoolTable,
-  cast: Cast,
-  sound: Set<Group>,
-  list: MoveList,
-): void {
+function balance(table: PoolTable, cast: Cast, list: MoveList): void {
   const mean = table.size / cast.holders.length;
   const surplus = Math.max(1, Math.floor(mean * SURPLUS_SHARE));
   for (let moved = 0; moved < BALANCE_SHARDS_MAX; moved++) {
-    const to = leastLoaded(cast, list);
-    const from = mostLoaded(cast, list);
+    const to = list.leastLoaded;
+    const from = list.mostLoaded;
     if (list.countOf(from) - list.countOf(to) <= 2 * surplus) {
       return;
     }
-    const shard = findShard(table, cast, from, sound, list);
+    const shard = findShard(table, from, list);
     if (shard === undefined) {
       return;
     }
@@ -242,25 +294,15 @@
   }
 }
 
-function mostLoaded(cast: Cast, list: MoveList): string {
-  const holders = cast.holders.map((holder) => holder.address);
-  return holders.reduce((chosen, next) =>
-    list.countOf(next) > list.countOf(chosen) ? next : chosen
-  );
-}
-
 /** A shard that a holder owns, that is not on the move, and that the plan leaves where it is. */
 function findShard(
   table: PoolTable,
-  cast: Cast,
-  holder: string,
-  sound: Set<Group>,
+  holder: Address,
   list: MoveList,
 ): number | undefined {
-  const planned = new Set(list.moves.flatMap((move) => move.shards));
-  const own = cast.groupsOf(holder).filter((group) => sound.has(group));
+  const own = new Set(list.groupsOf(holder));
   for (let shard = table.size - 1; shard >= 0; shard--) {
-    const isFree = own.includes(table.groupOf(shard)) && !planned.has(shard);
+    const isFree = own.has(table.groupOf(shard)) && !list.isPlanned(shard);
     if (isFree && table.predecessorsOf(shard).length === 0) {
       return shard;
     }
--- a/packages/planner/src/planner.ts
+++ b/packages/planner/src/planner.ts
@@ -17,6 +17,7 @@
   type Instance,
   type Ledger,
   type LedgerError,
+  type PoolTable,
   Presence,
   RecordKind,
   toRanges,
@@ -28,7 +29,7 @@
 const ESTABLISH_MS = 300;
 const SUBMIT_TIMEOUT_MS = 3_000;
 /** Records that one plan appends at once. */
-const RECORDS_AT_ONCE = 24;
+const RECORDS_AT_ONCE = 48;
 
 /** What a planner needs. Times are in milliseconds. */
 export interface PlannerOptions {
@@ -56,12 +57,15 @@
   #membershipChangedAt: number;
   /** When the groups created in this daemon's time were seen, on its own clock. */
   readonly #groupsSeenAt = new Map<Group, number>();
+  /** Whether the log has changed since the last plan that had nothing left to do. */
+  #isStale = true;
   #task: Promise<void> | undefined;
 
   constructor(options: PlannerOptions) {
     this.#options = options;
     this.#membershipChangedAt = options.now();
     this.#subscription = options.ledger.changes.subscribe(({ entry, offset }) => {
+      this.#isStale = true;
       if (entry?.kind === RecordKind.GroupCreated) {
         this.#groupsSeenAt.set(offset, options.now());
       } else if (entry?.kind === RecordKind.GroupRetired) {
@@ -135,20 +139,25 @@
 
   async #plan(): Promise<void> {
     const { ledger, now, settleMs } = this.#options;
-    if (now() - this.#membershipChangedAt < settleMs) {
+    if (!this.#isStale || now() - this.#membershipChangedAt < settleMs) {
       return;
     }
+    this.#isStale = false;
     const claim = ledger.claim!.claim;
     for (const table of ledger.pools.values()) {
-      const plan = planPool(ledger, table, {
-        isEstablished: (group) => this.#isEstablished(group),
-      });
-      const entries = this.#toEntries(plan, claim);
-      const batch = entries.slice(0, RECORDS_AT_ONCE);
-      await Promise.all(batch.map((entry) => this.#submit(entry)));
+      await this.#planPool(table, claim);
     }
   }
 
+  async #planPool(table: PoolTable, claim: number): Promise<void> {
+    const isEstablished = (group: Group) => this.#isEstablished(group);
+    const plan = planPool(this.#options.ledger, table, { isEstablished });
+    const entries = this.#toEntries(plan, claim);
+    this.#isStale ||= entries.length > 0 || plan.isWaiting;
+    const batch = entries.slice(0, RECORDS_AT_ONCE);
+    await Promise.all(batch.map((entry) => this.#submit(entry)));
+  }
+
   #isEstablished(group: Group): boolean {
     const seenAt = this.#groupsSeenAt.get(group);
     return seenAt === undefined || this.#options.now() - seenAt >= ESTABLISH_MS;
--- a/packages/routing/src/forwarding.ts
+++ b/packages/routing/src/forwarding.ts
@@ -77,7 +77,7 @@
       }
     }
     if (now() + backoffMs >= searchUntil) {
-      return conclude(last ?? giveUp(now() >= deadline), mayHaveRun);
+      return conclude(endSearch(last, now() >= deadline), mayHaveRun);
     }
     await options.sleep(backoffMs * (0.5 + options.random()), options.signal);
     backoffMs = Math.min(backoffMs * 2, BACKOFF_MAX_MS);
@@ -117,6 +117,12 @@
   return mayRepeat && options.budget.take() ? Verdict.SearchOn : Verdict.Final;
 }
 
+/** A search that ended at a daemon which does not hold the key found no holder. */
+function endSearch(last: Answer | undefined, isPastDeadline: boolean): Answer {
+  const isRefusal = last === undefined || last.head.reason === Reason.NotHolder;
+  return isRefusal ? giveUp(isPastDeadline) : last;
+}
+
 function giveUp(isPastDeadline: boolean): Answer {
   if (isPastDeadline) {
     return notRun(
--- a/packages/sessions/src/deployment.ts
+++ b/packages/sessions/src/deployment.ts
@@ -6,6 +6,7 @@
 import { request } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import process from "node:process";
 import { AdminClient, type SystemStatus } from "@bulrushwood/admin";
 import {
   type BackendControl,
@@ -18,6 +19,8 @@
 import { Process } from "./process.ts";
 
 const STAND_IN = "dist/stand_in.cjs";
+/** The daemons' program; another one is tried by `npm run prove`. */
+const DEFAULT_PROGRAM = process.env.BULRUSHWOOD_PROGRAM ?? "dist/bulrushwood.cjs";
 const READY_TIMEOUT_MS = 20_000;
 const POLL_EVERY_MS = 20;
 
@@ -296,7 +299,7 @@
   async startDaemon(name: string, options: { waits?: boolean } = {}): Promise<void> {
     const instance = this.#instance(name);
     instance.daemon = new Process({
-      program: this.#options.program ?? "dist/bulrushwood.cjs",
+      program: this.#options.program ?? DEFAULT_PROGRAM,
       args: ["serve", this.writeSettings(name)],
     });
     if (options.waits ?? true) {
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -6,7 +6,8 @@
 import { chmodSync, copyFileSync, existsSync, mkdirSync, writeFileSync } from "node:fs";
 import { createRequire } from "node:module";
 import process from "node:process";
-import { build, type Plugin } from "esbuild";
+import { build } from "esbuild";
+import { withoutNativeAddons } from "./native_addons.ts";
 
 const SENTINEL = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
 const BINARY = "dist/bulrushwood";
@@ -23,18 +24,6 @@
   { entry: "packages/bench/src/main.ts", outfile: "dist/bench.cjs" },
 ];
 
-/** Native addons that libraries try to load; one binary cannot hold them, and all work without. */
-const withoutNativeAddons: Plugin = {
-  name: "without-native-addons",
-  setup(build) {
-    const filter = /^(bufferutil|utf-8-validate|msgpackr-extract)$/;
-    build.onResolve({ filter }, ({ path }) => ({ path, namespace: "absent" }));
-    build.onLoad({ filter: /.*/, namespace: "absent" }, ({ path }) => ({
-      contents: `throw new Error("${path} is not part of the binary");`,
-    }));
-  },
-};
-
 async function bundle(program: Program): Promise<void> {
   await build({
     entryPoints: [program.entry],
--- /dev/null
+++ b/scripts/prove.ts
@@ -0,0 +1,197 @@
+/**
+ * Shows that the proofs can fail: takes one mechanism after another out of the product, runs the session
+ * that rests on it, and expects it to fail. Arguments name parts of the mechanisms to take out.
+ */
+import { spawnSync } from "node:child_process";
+import { readFileSync } from "node:fs";
+import { resolve } from "node:path";
+import process from "node:process";
+import { build, type Plugin } from "esbuild";
+import { withoutNativeAddons } from "./native_addons.ts";
+
+const MUTANT = "dist/mutant.cjs";
+
+/** One mechanism, how it is taken out, and the test that rests on it. */
+interface Mutation {
+  mechanism: string;
+  file: string;
+  find: string;
+  replace: string;
+  test: string;
+  grep: string;
+}
+
+const MUTATIONS: Mutation[] = [
+  {
+    mechanism: "succession",
+    file: "packages/lease/src/voter.ts",
+    find: "const expired = support.until <= this.#options.now();",
+    replace: "const expired = false;",
+    test: "failure_test",
+    grep: "kill -9 of a holder$",
+  },
+  {
+    mechanism: "seals before moved shards are served",
+    file: "packages/lease/src/sealing.ts",
+    find: "return predecessors.every((predecessor) => this.#sealed.has(keyOf(predecessor)));",
+    replace: "return predecessors.length >= 0;",
+    test: "failure_test",
+    grep: "backend server drains",
+  },
+  {
+    mechanism: "snapshots",
+    file: "packages/daemon/src/incarnation.ts",
+    find: "this.#snapshots.start();",
+    replace: "",
+    test: "failure_test",
+    grep: "older records have expired",
+  },
+  {
+    mechanism: "records relayed by peers",
+    file: "packages/membership/src/relay.ts",
+    find: "if (folded > this.#options.ledger.folded && !this.#underWay) {",
+    replace: "if (folded < 0) {",
+    test: "failure_test",
+    grep: "cut off from the log alone",
+  },
+  {
+    mechanism: "settling of ambiguous appends",
+    file: "packages/ledger/src/submission.ts",
+    find: "if (seen !== undefined) {",
+    replace: "if (seen !== undefined || ambiguous) {",
+    test: "failure_test",
+    grep: "answer is lost or which is applied late",
+  },
+  {
+    mechanism: "what a configuration builds on",
+    file: "packages/ledger/src/ledger.ts",
+    find: "if (version !== entry.expects) {",
+    replace: "if (version < 0) {",
+    test: "failure_test",
+    grep: "two operators publish at once",
+  },
+  {
+    mechanism: "a graceful leave",
+    file: "packages/daemon/src/daemon.ts",
+    find: "await incarnation.leave();",
+    replace: "",
+    test: "failure_test",
+    grep: "a daemon drains under load",
+  },
+  {
+    mechanism: "giving up the keys of a silent server",
+    file: "packages/daemon/src/incarnation.ts",
+    find: "if (wanted === null) {",
+    replace: "if (wanted === undefined) {",
+    test: "failure_test",
+    grep: "backend server is stopped",
+  },
+  {
+    mechanism: "the successor is tried when the holder is gone",
+    file: "packages/routing/src/forwarding.ts",
+    find: "for (const address of target?.candidates ?? []) {",
+    replace: "for (const address of (target?.candidates ?? []).slice(0, 1)) {",
+    test: "failure_test",
+    grep: "kill -9 of a holder$",
+  },
+  {
+    mechanism: "declared losses count as sealed",
+    file: "packages/lease/src/sealing.ts",
+    find: "return now() - since > durationMs + driftMarginMs;",
+    replace: "return false;",
+    test: "failure_test",
+    grep: "declares them lost",
+  },
+  {
+    mechanism: "answers that are cut short are noticed",
+    file: "packages/daemon/src/holder.ts",
+    find: 'message.on("close", () => resolve(undefined));',
+    replace: 'message.on("close", () => resolve(joinParts(parts)));',
+    test: "path_test",
+    grep: "broke off",
+  },
+  {
+    mechanism: "cancellation of what runs",
+    file: "packages/backend/src/backend_client.ts",
+    find: 'options.signal.addEventListener("abort", abort, { once: true });',
+    replace: "",
+    test: "path_test",
+    grep: "passes cancellation",
+  },
+  {
+    mechanism: "answers matched to their requests",
+    file: "packages/protocol/src/link.ts",
+    find: "this.#outgoing.get(frame.stream)?.takeHead(head, frame.body, frame.end);",
+    replace: "[...this.#outgoing.values()][0]?.takeHead(head, frame.body, frame.end);",
+    test: "path_test",
+    grep: "late and out of order",
+  },
+  {
+    mechanism: "refusals of the server are not-run",
+    file: "packages/backend/src/backend_client.ts",
+    find: "if (refused === undefined) {",
+    replace: "if (refused !== null) {",
+    test: "path_test",
+    grep: "when the server sheds",
+  },
+];
+
+function mutate(mutation: Mutation): Plugin {
+  const path = resolve(mutation.file);
+  return {
+    name: "mutate",
+    setup(build) {
+      build.onLoad({ filter: /\.ts$/ }, (args) => {
+        if (resolve(args.path) !== path) {
+          return undefined;
+        }
+        const text = readFileSync(path, "utf8");
+        if (text.split(mutation.find).length !== 2) {
+          throw new Error(`${mutation.file} does not hold exactly once: ${mutation.find}`);
+        }
+        return { contents: text.replace(mutation.find, () => mutation.replace), loader: "ts" };
+      });
+    },
+  };
+}
+
+async function buildMutant(mutation: Mutation): Promise<void> {
+  await build({
+    entryPoints: ["packages/cli/src/main.ts"],
+    outfile: MUTANT,
+    bundle: true,
+    platform: "node",
+    target: "node20",
+    format: "cjs",
+    mainFields: ["module", "main"],
+    plugins: [withoutNativeAddons, mutate(mutation)],
+    logLevel: "error",
+  });
+}
+
+/** Whether the test fails once the mechanism is taken out. */
+async function fails(mutation: Mutation): Promise<boolean> {
+  await buildMutant(mutation);
+  const args = ["tsx", "scripts/test.ts", mutation.test, `--grep=${mutation.grep}`];
+  const env = { ...process.env, BULRUSHWOOD_PROGRAM: MUTANT };
+  const ended = spawnSync("npx", args, { env, encoding: "utf8" });
+  return ended.status !== 0 && /\d+ passed, [1-9]\d* failed/.test(ended.stdout);
+}
+
+async function main(): Promise<void> {
+  const wanted = process.argv.slice(2);
+  const chosen = MUTATIONS.filter((mutation) =>
+    wanted.length === 0 || wanted.some((part) => mutation.mechanism.includes(part))
+  );
+  let survivors = 0;
+  for (const mutation of chosen) {
+    const isProven = await fails(mutation);
+    survivors += isProven ? 0 : 1;
+    const verdict = isProven ? "the test fails, as it should" : "THE TEST STILL PASSES";
+    process.stdout.write(`without ${mutation.mechanism}: ${verdict}\n`);
+  }
+  process.stdout.write(`${chosen.length - survivors} passed, ${survivors} failed\n`);
+  process.exitCode = survivors === 0 ? 0 : 1;
+}
+
+await main();
