Watch a peer only while something is expected of it; tell each lease in status

Cause: every link sent a ping each 500 ms from both sides; at the planned size a daemon has up to 889 links, that is 3,556 messages a second for links on which nothing happens. Now an idle link sends nothing; while a call or request is open the peer is asked to answer pings.

--- a/packages/admin/src/wire.ts
+++ b/packages/admin/src/wire.ts
@@ -67,6 +67,20 @@
   checksGrants: z.boolean(),
 });
 
+/** One lease group that a daemon is holder or successor of. */
+const leaseStatus = z.object({
+  group: z.number(),
+  /** 0 as holder, 1 as successor. */
+  step: z.number(),
+  /** The step that the daemon's own vote supports. */
+  voterStep: z.number(),
+  /** How long the lease still runs, in milliseconds; 0 when it is not held. */
+  heldMs: z.number(),
+  inFlight: z.number(),
+  isClosing: z.boolean(),
+  shards: z.number(),
+});
+
 /** State of one daemon. */
 export const daemonStatusSchema = z.object({
   instance: z.string(),
@@ -81,6 +95,7 @@
   groupsHeld: z.number(),
   shardsHeld: z.number(),
   inFlight: z.number(),
+  leases: z.array(leaseStatus),
   server: serverStatus.nullable(),
   /** Requests answered by the backend server beside this daemon, since it started. */
   served: z.number(),
--- a/packages/backend/src/backend_client.ts
+++ b/packages/backend/src/backend_client.ts
@@ -176,7 +176,7 @@
       "close",
       () => options.signal.removeEventListener("abort", abort),
     );
-    return judgeAnswer(answer);
+    return judgeAnswer(answer, call);
   }
 
   /** Tells the server that the leases of running work have been renewed. */
@@ -316,14 +316,19 @@
   });
 }
 
+/** A server may refuse a request before it has its whole body; the rest is then not sent. */
 function judgeAnswer(
   answer: IncomingMessage,
+  call: ClientRequest,
 ): Result<IncomingMessage, BackendError> {
   const refused = answer.headers[REFUSED_HEADER];
   if (refused === undefined) {
     return Result.ok(answer);
   }
   answer.resume();
+  if (!call.writableFinished) {
+    call.destroy();
+  }
   const message = `The backend server refused the request without running it: ${refused}`;
   return Result.err(new BackendError(BackendErrorKind.Refused, message));
 }
--- a/packages/bench/src/open_loop.ts
+++ b/packages/bench/src/open_loop.ts
@@ -29,6 +29,8 @@
   /** Makes the next request. */
   next: () => LoadRequest;
   random: Random;
+  /** Connections to open at most. */
+  connections?: number;
   /** Called with each answer. */
   onTold?: (request: LoadRequest, told: Told, latencyMs: number) => void;
 }
@@ -89,7 +91,7 @@
 export async function applyLoad(options: LoadOptions): Promise<LoadResult> {
   const { rate, durationMs, next, random, onTold } = options;
   const result = new LoadResult();
-  const agent = new Agent({ keepAlive: true, maxSockets: CONNECTIONS_MAX });
+  const agent = new Agent({ keepAlive: true, maxSockets: options.connections ?? CONNECTIONS_MAX });
   const pending = new Set<Promise<void>>();
   const startedAt = now();
   let intended = startedAt;
--- /dev/null
+++ b/packages/bench/src/slopes.ts
@@ -0,0 +1,141 @@
+/**
+ * What one of each thing costs: bytes and processor time of frames, in this process, and memory of open
+ * requests in the daemons that hold them.
+ */
+import { Buffer } from "node:buffer";
+import { Codec, type Frame, FrameKind, type RequestHead } from "@bulrushwood/protocol";
+import { Deployment } from "@bulrushwood/sessions";
+import { sleep } from "@bulrushwood/types";
+import { benchConfiguration, benchInstances } from "./deployments.ts";
+import type { Experiment, Report, Row } from "./experiment.ts";
+import { applyLoad } from "./open_loop.ts";
+
+const ROUNDS = 20_000;
+const OPEN_REQUESTS = 1_500;
+const BYTES_PER_KB = 1_000;
+const US_PER_MS = 1_000;
+
+const HEAD: RequestHead = {
+  id: "12345-678901.0",
+  pool: "despacho",
+  shard: 12_345,
+  group: 123_456,
+  move: 234_567,
+  workClass: "booking",
+  tenant: "exportadora-quito",
+  key: "planta-1234",
+  method: "POST",
+  path: "/plants/planta-1234/bookings",
+  headers: [
+    { name: "content-type", value: "application/json" },
+    { name: "content-length", value: "200" },
+    { name: "x-tenant", value: "exportadora-quito" },
+  ],
+  remainingMs: 3_999.5,
+  idempotencyKey: "",
+  firstAttempt: false,
+};
+
+function renewal(): Frame {
+  const released = { through: 345_678, beyond: [] };
+  const bid = { group: 123_456, step: 0, incarnation: 1_234, released };
+  const from = { address: "10.0.1.17:7000", incarnation: 1_234 };
+  const payload = { from, folded: 345_678, bids: [bid, { ...bid, group: 123_460 }] };
+  return { kind: FrameKind.Call, call: 77, method: "lease.renew", payload };
+}
+
+function renewalReply(): Frame {
+  const vote = { group: 123_456, granted: true, step: 0 };
+  const payload = { folded: 345_678, votes: [vote, { ...vote, group: 123_460 }] };
+  return { kind: FrameKind.Reply, call: 77, payload };
+}
+
+function measureFrame(name: string, frame: Frame): Row {
+  const [sender, receiver] = [new Codec(), new Codec()];
+  let bytes = 0;
+  const startedAt = performance.now();
+  for (let round = 0; round < ROUNDS; round++) {
+    const message = sender.encode([frame]);
+    bytes = message.length;
+    receiver.decode(message);
+  }
+  const us = (performance.now() - startedAt) * US_PER_MS / ROUNDS;
+  return { name, figures: { bytes, "us to write and read": us, "KB of memory": 0 } };
+}
+
+/** Memory of requests that wait at their holder, at the ingress and at the holder. */
+async function measureOpenRequests(): Promise<Row[]> {
+  const instances = benchInstances(3, { slots: 100, serviceMs: 1 });
+  const deployment = await Deployment.start({ instances, recordsWorks: false });
+  try {
+    await deployment.publish("despacho-1", benchConfiguration(64), 0);
+    await deployment.settle("despacho-1");
+    const explained = await deployment.admin("despacho-1").explain("despacho", "planta-1");
+    const holder = explained.isOk ? explained.value.owner : "despacho-1";
+    const ingress = deployment.names.find((name) => name !== holder)!;
+    const names = [ingress, holder];
+    const before = names.map((name) => deployment.daemon(name).memoryBytes);
+    const request = {
+      address: deployment.callerAddress(ingress),
+      method: "POST",
+      path: "/plants/planta-1/bookings?service_ms=3500",
+      workClass: "booking",
+    };
+    const load = applyLoad({
+      rate: OPEN_REQUESTS,
+      durationMs: 1_000,
+      next: () => request,
+      random: Math.random,
+      connections: OPEN_REQUESTS,
+    });
+    await sleep(2_500);
+    const after = names.map((name) => deployment.daemon(name).memoryBytes);
+    await load;
+    return names.map((_, index) => ({
+      name: `open request at the ${index === 0 ? "ingress" : "holder"}`,
+      figures: {
+        bytes: 0,
+        "us to write and read": 0,
+        "KB of memory": (after[index] - before[index]) / OPEN_REQUESTS / BYTES_PER_KB,
+      },
+    }));
+  } finally {
+    await deployment.close();
+  }
+}
+
+async function run(): Promise<Report> {
+  const body = Buffer.alloc(200, "x");
+  const headers = [{ name: "content-type", value: "application/json" }];
+  const frames: [string, Frame][] = [
+    ["renewal with two bids", renewal()],
+    ["answer to a renewal", renewalReply()],
+    ["ping", { kind: FrameKind.Ping, wantsReply: true }],
+    ["request with 200 bytes", { kind: FrameKind.Request, stream: 7, head: HEAD, body, end: true }],
+    ["response with 200 bytes", {
+      kind: FrameKind.Response,
+      stream: 7,
+      head: { status: 200, headers },
+      body,
+      end: true,
+    }],
+  ];
+  const rows = frames.map(([name, frame]) => measureFrame(name, frame));
+  rows.push(...await measureOpenRequests());
+  return {
+    name: "slopes",
+    explanation:
+      "One of each: bytes on a link without TCP and IP, processor time of codec and checks " +
+      "on both sides together, resident memory. An idle link sends nothing.",
+    rows,
+    goals: [],
+    plots: [{ title: "Bytes of a frame", column: "bytes" }],
+  };
+}
+
+/** What one of each thing costs. */
+export const slopes: Experiment = {
+  name: "slopes",
+  describes: "bytes, processor time and memory of one renewal, request, response and open request",
+  run,
+};
--- a/packages/daemon/src/callers.ts
+++ b/packages/daemon/src/callers.ts
@@ -177,6 +177,7 @@
       signal: gone.signal,
     });
     const isWhole = await this.#send(response, id, answer);
+    request.resume();
     this.#observe(answer, understood, {
       isWhole,
       durationMs: now() - arrivedAt,
@@ -512,7 +513,7 @@
   bytesMax: number,
 ): AsyncGenerator<Buffer> {
   let bytes = 0;
-  for await (const part of request) {
+  for await (const part of request.iterator({ destroyOnReturn: false })) {
     bytes += part.length;
     if (bytes > bytesMax) {
       throw new Error(`The body has more than ${bytesMax} bytes`);
--- a/packages/daemon/src/holder.ts
+++ b/packages/daemon/src/holder.ts
@@ -347,16 +347,13 @@
       finish();
       return { head, body };
     }
-    message.once(
-      "close",
-      message.complete ? finish : () => {
-        if (message.complete) {
-          finish();
-        } else {
-          settleStopped();
-        }
-      },
-    );
+    message.once("close", () => {
+      if (message.complete) {
+        finish();
+      } else {
+        settleStopped();
+      }
+    });
     return { head, body: message };
   }
 }
--- a/packages/daemon/src/incarnation.ts
+++ b/packages/daemon/src/incarnation.ts
@@ -584,6 +584,7 @@
       groupsHeld: held.length,
       shardsHeld: held.reduce((sum, tenure) => sum + tenure.group.shards, 0),
       inFlight: this.#keeper?.inFlight ?? 0,
+      leases: this.#keeper?.describe() ?? [],
       server: this.#serverStatus(),
       served: this.#measures.served,
       classes: this.#measures.classes,
--- a/packages/lease/src/keeper.ts
+++ b/packages/lease/src/keeper.ts
@@ -101,6 +101,19 @@
   end: () => void;
 }
 
+/** One lease group as its holder or successor sees it. */
+export interface LeaseDescription {
+  group: Group;
+  step: number;
+  /** The step that this daemon's own vote supports. */
+  voterStep: number;
+  /** How long the lease still runs, in milliseconds; 0 when it is not held. */
+  heldMs: number;
+  inFlight: number;
+  isClosing: boolean;
+  shards: number;
+}
+
 /** The leases of one daemon. */
 export class Keeper {
   readonly #options: KeeperOptions;
@@ -144,6 +157,20 @@
     return [...this.#tenures.values()].filter((tenure) => tenure.heldUntil > now);
   }
 
+  /** All groups that this daemon is holder or successor of, for those who look into a fault. */
+  describe(): LeaseDescription[] {
+    const now = this.#options.now();
+    return [...this.#tenures.values()].map((tenure) => ({
+      group: tenure.id,
+      step: tenure.step,
+      voterStep: this.#voter.stepOf(tenure.id),
+      heldMs: Math.max(0, Math.round(tenure.heldUntil - now)),
+      inFlight: tenure.inFlight,
+      isClosing: tenure.isClosing,
+      shards: tenure.group.shards,
+    }));
+  }
+
   /** Requests in flight over all groups. */
   get inFlight(): number {
     return [...this.#tenures.values()].reduce(
--- a/packages/protocol/src/codec.ts
+++ b/packages/protocol/src/codec.ts
@@ -70,7 +70,7 @@
 
 const fieldsOfKind: Record<FrameKind, Fields> = {
   [FrameKind.Hello]: { version: isNumber, address: isString },
-  [FrameKind.Ping]: {},
+  [FrameKind.Ping]: { wantsReply: isBoolean },
   [FrameKind.Call]: { call: isNumber, method: isString, payload: isAnything },
   [FrameKind.Reply]: {
     call: isNumber,
--- a/packages/protocol/src/frames.ts
+++ b/packages/protocol/src/frames.ts
@@ -27,9 +27,10 @@
   address: Address;
 }
 
-/** Shows that the sender is alive. */
+/** Shows that the sender is alive, and may ask the peer to show the same. */
 export interface Ping {
   kind: FrameKind.Ping;
+  wantsReply: boolean;
 }
 
 /** A call that expects one reply. */
--- a/packages/protocol/src/link.ts
+++ b/packages/protocol/src/link.ts
@@ -64,6 +64,10 @@
   #flushScheduled = false;
   #nextId = 1;
   #heardAt = performance.now();
+  /** Whether the peer has said hello. */
+  #isGreeted = false;
+  /** Since when something is expected of the peer. */
+  #waitingSince: number | undefined;
   #error: LinkError | undefined;
   #peer: Address;
   #settleReady!: (result: Result<Link, LinkError>) => void;
@@ -226,6 +230,9 @@
       case FrameKind.Hello:
         return this.#takeHello(frame.version, frame.address);
       case FrameKind.Ping:
+        if (frame.wantsReply) {
+          this.send({ kind: FrameKind.Ping, wantsReply: false });
+        }
         return;
       case FrameKind.Call:
         return this.#takeCall(frame);
@@ -252,6 +259,7 @@
       return;
     }
     this.#peer = address;
+    this.#isGreeted = true;
     this.#settleReady(Result.ok(this));
   }
 
@@ -322,12 +330,20 @@
     }
   }
 
+  /** Watches the peer only while something is expected of it, so that idle links cost nothing. */
   #checkSilence(): void {
-    if (performance.now() - this.#heardAt > SILENCE_MAX_MS) {
+    const isWaiting = this.#calls.size > 0 || this.#outgoing.size > 0 || !this.#isGreeted;
+    if (!isWaiting) {
+      this.#waitingSince = undefined;
+      return;
+    }
+    const now = performance.now();
+    this.#waitingSince ??= now;
+    if (now - Math.max(this.#heardAt, this.#waitingSince) > SILENCE_MAX_MS) {
       this.#fail(brokenLink(`The peer ${this.#peer} was silent for too long`));
       return;
     }
-    this.send({ kind: FrameKind.Ping });
+    this.send({ kind: FrameKind.Ping, wantsReply: true });
   }
 
   #fail(error: LinkError): void {
--- a/packages/sessions/src/deployment.ts
+++ b/packages/sessions/src/deployment.ts
@@ -407,12 +407,10 @@
 
 /** What a reader needs to know of a placement that does not settle. */
 function describeProgress(status: SystemStatus): string {
-  const daemons = status.daemons.map(({ instance, groupsHeld, shardsHeld, inFlight }) => ({
-    instance,
-    groupsHeld,
-    shardsHeld,
-    inFlight,
-  }));
+  const daemons = status.daemons.map(({ instance, leases, server }) => {
+    const notHeld = leases.filter(({ shards, heldMs }) => shards > 0 && heldMs === 0);
+    return { instance, server: server !== null, notHeld };
+  });
   return JSON.stringify({ pools: status.pools, daemons, folded: status.folded });
 }
 
--- a/packages/sessions/src/path_test.ts
+++ b/packages/sessions/src/path_test.ts
@@ -133,4 +133,18 @@
       expect(deployment.works).to.have.length(0);
     });
   });
+
+  it("says not-run of a long upload that the server refuses before it has come", async () => {
+    const instances = [...despachos(3), ...inspeccions(1)];
+    await withDeployment({ instances }, async (deployment, session) => {
+      await deployment.controlBackend("inspeccion-1", { shedding: true });
+      for (const via of ["despacho-1", "inspeccion-1"]) {
+        const body = Buffer.alloc(5_000_000, "p");
+        const sent = { label: `photo-${via}`, via, method: "PUT", path: "/photos/drum-1", body };
+        const told = await session.send(sent);
+        expect(`${told.kind} ${told.reason}`, via).to.equal("not-run server-refused");
+      }
+      expect(deployment.works).to.have.length(0);
+    });
+  });
 });
--- a/packages/stand_ins/src/backend_server.ts
+++ b/packages/stand_ins/src/backend_server.ts
@@ -70,6 +70,10 @@
   reportedLoad: z.number().optional(),
   /** Breaks off this many of the next answers half way. */
   breakAnswers: z.number().int().min(0).optional(),
+  /** Health that it reports, whatever the truth is. */
+  reportedHealth: z.enum(["ok", "failing"]).optional(),
+  /** Age of the load that it reports, in milliseconds. */
+  reportLagMs: z.number().min(0).max(600_000).optional(),
   /** Stops announcing itself. */
   silent: z.boolean().optional(),
 });
@@ -94,6 +98,12 @@
   onWork?: (work: Work) => void;
 }
 
+/** Load at one time. */
+interface LoadSample {
+  at: number;
+  load: number;
+}
+
 interface Running {
   work: Work;
   group: number;
@@ -117,6 +127,10 @@
   #draining = false;
   #shedding = false;
   #reportedLoad: number | undefined;
+  #reportedHealth = "ok";
+  #reportLagMs = 0;
+  /** Load as it was, for reports that lag. */
+  readonly #loads: LoadSample[] = [];
   #breakAnswers = 0;
   #silent = false;
   #refused = 0;
@@ -169,7 +183,7 @@
       checksGrants,
       draining: this.#draining,
       clockMs: this.#clockMs(),
-      load: this.#reportedLoad ?? this.#busy,
+      load: this.#reportLoad(),
     };
     const call = request(`http://${daemon}${ANNOUNCE_PATH}`, {
       method: "POST",
@@ -182,6 +196,16 @@
     call.end(JSON.stringify(announcement));
   }
 
+  /** Load as reported: what it was a while ago, or what the control says. */
+  #reportLoad(): number {
+    const now = this.#clockMs();
+    this.#loads.push({ at: now, load: this.#busy });
+    while (this.#loads.length > 1 && this.#loads[1].at <= now - this.#reportLagMs) {
+      this.#loads.shift();
+    }
+    return this.#reportedLoad ?? this.#loads[0].load;
+  }
+
   async #answer(
     incoming: IncomingMessage,
     response: ServerResponse,
@@ -196,6 +220,13 @@
         refused: this.#refused,
       });
     }
+    if (path === "/health") {
+      const status = this.#reportedHealth === "ok" ? 200 : 503;
+      return sendJson(response, status, { health: this.#reportedHealth });
+    }
+    if (path === "/load") {
+      return sendJson(response, 200, { load: this.#reportLoad() });
+    }
     if (path === GRANTS_PATH) {
       return await this.#answerGrants(incoming, response);
     }
@@ -223,6 +254,8 @@
     this.#draining = settings.draining ?? this.#draining;
     this.#shedding = settings.shedding ?? this.#shedding;
     this.#reportedLoad = settings.reportedLoad ?? this.#reportedLoad;
+    this.#reportedHealth = settings.reportedHealth ?? this.#reportedHealth;
+    this.#reportLagMs = settings.reportLagMs ?? this.#reportLagMs;
     this.#breakAnswers = settings.breakAnswers ?? this.#breakAnswers;
     this.#silent = settings.silent ?? this.#silent;
     this.#announce();
--- /dev/null
+++ b/scripts/capacity.ts
@@ -0,0 +1,325 @@
+/**
+ * Works out what the planned size costs from the figures in `docs/measurements`, and writes
+ * `docs/CAPACITY.md`. Measure again with `npm run bench -- NAME --json docs/measurements/NAME.json`.
+ */
+import { existsSync, readFileSync, writeFileSync } from "node:fs";
+import type { Report } from "@bulrushwood/bench";
+
+const DIRECTORY = "docs/measurements";
+
+/** The size that the users ask to design for. */
+const PLAN = {
+  daemons: 890,
+  shards: 65_536,
+  requestsPerSecond: 4_200_000,
+  configurationChangesPerDay: 1_800,
+  restartsPerDay: 46,
+  failuresPerDay: 3,
+  controlCorePercent: 2.7,
+  controlMb: 256,
+  controlKbPerSecond: 30,
+  lossMs: 2_000,
+  plannedMoveMs: 50,
+  addedP99Ms: 1.5,
+  requestUs: 100,
+};
+/** Records that one restart causes: leaving, joining, new groups, moves, activations, retirements. */
+const RECORDS_PER_RESTART = 60;
+const SECONDS_PER_DAY = 86_400;
+const SNAPSHOTS_PER_DAY = 144;
+const BYTES_PER_KB = 1_000;
+const MB_PER_CHUNK = 0.065536;
+
+enum Verdict {
+  Met = "met",
+  NotMet = "not met",
+  NotMeasured = "not yet measured",
+}
+
+interface Line {
+  what: string;
+  goal: string;
+  figure: string;
+  verdict: Verdict;
+  mechanism: string;
+}
+
+function readReport(name: string): Report | undefined {
+  const path = `${DIRECTORY}/${name}.json`;
+  return existsSync(path) ? JSON.parse(readFileSync(path, "utf8")) as Report : undefined;
+}
+
+function figure(report: Report | undefined, row: string, column: string): number | undefined {
+  return report?.rows.find((one) => one.name === row)?.figures[column];
+}
+
+function judge(measured: number | undefined, atMost: number): Verdict {
+  if (measured === undefined) {
+    return Verdict.NotMeasured;
+  }
+  return measured <= atMost ? Verdict.Met : Verdict.NotMet;
+}
+
+function show(value: number | undefined, unit: string): string {
+  if (value === undefined) {
+    return "-";
+  }
+  const digits = Math.abs(value) >= 100 ? 0 : Math.abs(value) >= 10 ? 1 : 2;
+  return `${value.toFixed(digits)} ${unit}`;
+}
+
+/** Bytes of log records that each daemon reads in a second, on the mean of a day. */
+function logBytesPerSecond(recordBytes: number, snapshotMb: number): number {
+  const restarts = PLAN.restartsPerDay + PLAN.failuresPerDay;
+  const records = PLAN.configurationChangesPerDay * 4 + restarts * RECORDS_PER_RESTART;
+  const snapshots = SNAPSHOTS_PER_DAY * snapshotMb * 1_000_000;
+  return (records * recordBytes + snapshots) / SECONDS_PER_DAY;
+}
+
+function controlLines(): Line[] {
+  const control = readReport("control");
+  const size = readReport("planned-size");
+  const largest = control?.rows.at(-1)?.figures;
+  const recordBytes = figure(size, "record, bytes", "times") ?? 0;
+  const snapshotMb = figure(size, "snapshot, MB", "times") ?? 0;
+  const logKb = logBytesPerSecond(recordBytes, snapshotMb) / BYTES_PER_KB;
+  const linkKb = largest?.["KB/s"];
+  const totalKb = linkKb === undefined ? undefined : linkKb + logKb;
+  const ledgerMb = figure(size, "ledger, MB", "times") ?? 0;
+  const totalMb = largest === undefined ? undefined : largest.MB + ledgerMb;
+  return [
+    {
+      what: "bytes for control, each daemon",
+      goal: `${PLAN.controlKbPerSecond} KB/s`,
+      figure: `${show(linkKb, "KB/s")} on links + ${show(logKb, "KB/s")} of the log = ${
+        show(totalKb, "KB/s")
+      }`,
+      verdict: judge(totalKb, PLAN.controlKbPerSecond),
+      mechanism: "renewals grow with the peers of a daemon's groups, not with daemons or keys",
+    },
+    {
+      what: "processor time for control, each daemon",
+      goal: `${PLAN.controlCorePercent}% of a core`,
+      figure: `${show(largest?.["% of a core"], "%")}, worst ${
+        show(largest?.["worst % of a core"], "%")
+      }`,
+      verdict: judge(largest?.["worst % of a core"], PLAN.controlCorePercent),
+      mechanism: "one renewal for each peer four times a lease; plans only when the log changes",
+    },
+    {
+      what: "memory, each daemon",
+      goal: `${PLAN.controlMb} MB`,
+      figure: `${show(largest?.MB, "MB")} resident + ${show(ledgerMb, "MB")} of ledger = ${
+        show(totalMb, "MB")
+      }`,
+      verdict: judge(totalMb, PLAN.controlMb),
+      mechanism: "17 bytes for each shard in flat arrays; bounded tables of requests",
+    },
+    {
+      what: "one plan with nothing to do",
+      goal: "100 ms",
+      figure: show(figure(size, "plan with nothing to do", "worst ms"), "ms"),
+      verdict: judge(figure(size, "plan with nothing to do", "worst ms"), 100),
+      mechanism: "counts by holder kept while planning",
+    },
+    {
+      what: "longest plan with something to do",
+      goal: "100 ms",
+      figure: show(figure(size, "plan with something to do", "worst ms"), "ms"),
+      verdict: judge(figure(size, "plan with something to do", "worst ms"), 100),
+      mechanism: "at most 96 groups in a plan; the first placement of all shards is one plan",
+    },
+    {
+      what: "one snapshot",
+      goal: "100 ms",
+      figure: `${show(figure(size, "snapshot", "worst ms"), "ms")}, ${show(snapshotMb, "MB")} in ${
+        Math.ceil(snapshotMb / MB_PER_CHUNK)
+      } appends`,
+      verdict: judge(figure(size, "snapshot", "worst ms"), 100),
+      mechanism: "shard arrays as base64; chunks of 64 KB",
+    },
+  ];
+}
+
+function requestLines(): Line[] {
+  const forwarding = readReport("forwarding");
+  const direct = figure(forwarding, "direct to the stand-in", "p99 ms");
+  const forwarded = figure(forwarding, "forwarded", "p99 ms");
+  const added = direct === undefined || forwarded === undefined ? undefined : forwarded - direct;
+  const ingress = figure(forwarding, "forwarded", "despacho-1 us/request");
+  const holder = figure(forwarding, "forwarded", "despacho-2 us/request");
+  const perDaemon = PLAN.requestsPerSecond / PLAN.daemons;
+  const cores = ingress === undefined || holder === undefined
+    ? undefined
+    : (ingress + holder) * perDaemon / 1_000_000;
+  return [
+    {
+      what: "time added at p99 for a forwarded request",
+      goal: `${PLAN.addedP99Ms} ms`,
+      figure: show(added, "ms"),
+      verdict: judge(added, PLAN.addedP99Ms),
+      mechanism: "one link hop; answers up to 32 KB in one frame",
+    },
+    {
+      what: "processor time at the ingress",
+      goal: `${PLAN.requestUs} us`,
+      figure: show(ingress, "us"),
+      verdict: judge(ingress, PLAN.requestUs),
+      mechanism: "frames of one turn in one message",
+    },
+    {
+      what: "processor time at the holder",
+      goal: `${PLAN.requestUs} us`,
+      figure: show(holder, "us"),
+      verdict: judge(holder, PLAN.requestUs),
+      mechanism: "kept connections to the server, opened ahead",
+    },
+    {
+      what: `cores for ${Math.round(perDaemon)} requests/s in and as many held, each daemon`,
+      goal: "1 (one process)",
+      figure: show(cores, "cores"),
+      verdict: judge(cores, 1),
+      mechanism: "none yet: a Node.js process uses one core for this work",
+    },
+  ];
+}
+
+function lossLines(): Line[] {
+  const report = readReport("unavailability");
+  const rows = report?.rows ?? [];
+  return rows.map((row, index) => {
+    const isLoss = index < 3;
+    const column = isLoss ? "worst ms" : "p99 ms";
+    const goal = isLoss ? PLAN.lossMs : PLAN.plannedMoveMs;
+    return {
+      what: `time without an owner: ${row.name}`,
+      goal: `${goal} ms ${isLoss ? "worst" : "at p99"}`,
+      figure: `median ${show(row.figures["median ms"], "ms")}, p99 ${
+        show(row.figures["p99 ms"], "ms")
+      }, worst ${show(row.figures["worst ms"], "ms")} of ${row.figures["keys moved"]} keys`,
+      verdict: judge(row.figures[column], goal),
+      mechanism: isLoss
+        ? "succession when the successor's own support has run out; no append"
+        : "shards move one by one; requests wait at the new holder",
+    };
+  });
+}
+
+function openLines(): Line[] {
+  const open = (what: string, goal: string, mechanism: string): Line => (
+    { what, goal, figure: "-", verdict: Verdict.NotMeasured, mechanism }
+  );
+  return [
+    open(
+      "a configuration in force everywhere",
+      "5 s at 890 daemons",
+      "long polls of the log; relay by peers",
+    ),
+    open("890 daemons reading the log at once", "the platform's limit", "one long poll each"),
+    open(
+      "start of a daemon from a snapshot at that size",
+      "seconds",
+      "latest whole snapshot and tail",
+    ),
+    open(
+      "the hottest 14 keys change within minutes",
+      "targets kept",
+      "not built: load by shard, split-out keys",
+    ),
+    open("a data centre is lost", "2 s", "three data centres in each group"),
+    open(
+      "regions lose each other for an hour",
+      "keys served",
+      "holder and successor in one region",
+    ),
+  ];
+}
+
+function table(lines: Line[]): string {
+  const rows = lines.map(({ what, goal, figure, verdict, mechanism }) =>
+    `| ${what} | ${goal} | ${figure} | ${verdict} | ${mechanism} |`
+  );
+  const head = [
+    "| what | goal | figure | verdict | mechanism |",
+    "| --- | --- | --- | --- | --- |",
+  ];
+  return [...head, ...rows].join("\n");
+}
+
+function slopes(name: string): string {
+  const report = readReport(name);
+  if (report === undefined) {
+    return "Not measured yet.";
+  }
+  const columns = Object.keys(report.rows[0].figures);
+  const rows = report.rows.map((row) =>
+    `| ${row.name} | ${columns.map((column) => show(row.figures[column], "").trim()).join(" | ")} |`
+  );
+  const head = `| | ${columns.join(" | ")} |\n| --- |${" --- |".repeat(columns.length)}`;
+  return `${report.explanation}\n\n${head}\n${rows.join("\n")}`;
+}
+
+function page(): string {
+  return `# Capacity at the planned size
+
+Written by \`npm run capacity\` from the figures in \`docs/measurements\`; do not edit it by hand. The planned size:
+${PLAN.daemons} daemons, ${PLAN.shards} shards, ${
+    PLAN.requestsPerSecond / 1_000_000
+  } million requests a second, ${PLAN.configurationChangesPerDay} changes of configuration, ${PLAN.restartsPerDay}
+restarts and ${PLAN.failuresPerDay} failures a day. All figures come from one machine of 8 cores with small stand-ins.
+
+## Control
+
+${table(controlLines())}
+
+The figures on links are those of the largest number of daemons measured; they stop growing once a daemon has the
+peers of its four groups as holder, four as successor and some as witness, and its six watchers and watched. The log's share
+counts four records for each change of configuration, ${RECORDS_PER_RESTART} for each restart or failure, and ${SNAPSHOTS_PER_DAY} snapshots a day.
+
+## Requests
+
+${table(requestLines())}
+
+## Losses and moves
+
+${table(lossLines())}
+
+## Open
+
+${table(openLines())}
+
+## Roles
+
+| role | state | messages | carried by |
+| --- | --- | --- | --- |
+| every daemon | ledger; links; recent records for peers | renewals to the peers of its groups, 4 a lease; 3 heartbeats a second at most; 1 long poll | Keeper, Detector, Follower |
+| holder | leases of its groups; requests in flight; ids and idempotency keys | 1 answer for each request; extensions of grants while work runs | Holder, GrantExtender |
+| ingress | retry budget; hints of who answered | 1 request for each forwarded request | Ingress |
+| voter | step, expiry and floor for each group it belongs to | answers to renewals and seals | Voter |
+| planner (one) | counts while planning | appends of groups and moves, at most 48 at once; snapshots | Planner, SnapshotWriter |
+
+## Measured
+
+### Control
+
+${slopes("control")}
+
+### Frames and open requests
+
+${slopes("slopes")}
+
+### Ledger and planner
+
+${slopes("planned-size")}
+
+### Requests
+
+${slopes("forwarding")}
+
+### Losses and moves
+
+${slopes("unavailability")}
+`;
+}
+
+writeFileSync("docs/CAPACITY.md", page());
