Replace lease groups that were given up; a daemon that gave up its own may still follow others

Cause of the placements that did not settle: when a daemon's server was silent for 600 ms the daemon gave up all its groups, also those in which it is only the successor. When the same happened to holder and successor at once (a hiccup of the machine), nobody could hold the group, and the log still called it sound. Change: only held groups and those a daemon is holder of are given up, the log is told (groups-surrendered) and the planner replaces them; a holder that gave its groups up is not suspected.

--- a/packages/daemon/src/incarnation.ts
+++ b/packages/daemon/src/incarnation.ts
@@ -239,6 +239,7 @@
     this.#keeper = new Keeper({
       ...common,
       ...lease,
+      canServe: () => this.#server.announcement !== undefined,
       onUnowned: (pool, cause, shardMs) => this.#measures.noteUnowned(pool, cause, shardMs),
     });
     this.#detector = new Detector({ ...common, ...membership });
--- a/packages/lease/src/keeper.ts
+++ b/packages/lease/src/keeper.ts
@@ -70,6 +70,8 @@
   durationMs: number;
   driftMarginMs: number;
   rules?: Rules;
+  /** Whether there is a backend server to serve with; a daemon without one bids for nothing. */
+  canServe?: () => boolean;
   /** Told how far a peer has folded the log. */
   onPeerFolded?: (peer: Address, folded: Offset) => void;
   /** Told for how long shards had no owner, in milliseconds times shards. */
@@ -345,7 +347,8 @@
   #mayBid(tenure: Tenure, bid: Bid): boolean {
     const isEarly = this.#voter.stepOf(tenure.id) === 0 &&
       tenure.isTooEarly(this.#options.now());
-    return !tenure.isSurrendered && !isEarly && this.#voter.wouldGrant(bid);
+    const { canServe = () => true } = this.#options;
+    return !tenure.isSurrendered && !isEarly && canServe() && this.#voter.wouldGrant(bid);
   }
 
   /** Counts a vote from the time the bid was sent, less the drift margin. */
@@ -551,10 +554,24 @@
     await this.#sleepUntil(this.#changed, timeoutMs);
   }
 
-  /** Gives up all groups: finishes what is in flight, then tells the voters. */
+  /**
+   * Gives up all groups that this daemon holds or is to hold: finishes what is in flight, then tells the
+   * voters, and the log, so that the groups are replaced. It may still follow others later.
+   */
   async surrenderAll(): Promise<void> {
-    const tenures = [...this.#tenures.values()];
+    const now = this.#options.now();
+    const tenures = [...this.#tenures.values()].filter((tenure) =>
+      !tenure.isSurrendered && (tenure.step === 0 || tenure.heldUntil > now)
+    );
     await Promise.all(tenures.map((tenure) => this.#surrender(tenure)));
+    if (tenures.length > 0 && !this.#stop.signal.aborted) {
+      this.#options.append({
+        id: this.#options.newId(),
+        kind: RecordKind.GroupsSurrendered,
+        incarnation: this.#options.incarnation,
+        groups: tenures.map((tenure) => tenure.id),
+      });
+    }
   }
 
   async #surrender(tenure: Tenure): Promise<void> {
--- a/packages/ledger/src/ledger.ts
+++ b/packages/ledger/src/ledger.ts
@@ -17,6 +17,7 @@
   fromRanges,
   type GroupCreated,
   type GroupRetired,
+  type GroupsSurrendered,
   type GroupSucceeded,
   type InstanceJoined,
   type InstanceLost,
@@ -148,6 +149,8 @@
         return this.#applyGroupRetired(entry);
       case RecordKind.GroupSucceeded:
         return this.#applyGroupSucceeded(entry);
+      case RecordKind.GroupsSurrendered:
+        return this.#applyGroupsSurrendered(entry);
       case RecordKind.ShardsMoved:
         return this.#applyShardsMoved(offset, entry);
       case RecordKind.MovesActivated:
@@ -255,6 +258,7 @@
       pool,
       members,
       step: 0,
+      isSurrendered: false,
       checksGrants,
       shards: 0,
     });
@@ -289,11 +293,25 @@
       return `Incarnation ${entry.incarnation} is not the successor of group ${entry.group}`;
     }
     group.step = 1;
-    this.#suspect(group.members[0]);
+    if (!group.isSurrendered) {
+      this.#suspect(group.members[0]);
+    }
     this.#countChurn(group.pool, MoveCause.Loss, group.shards);
     return APPLIED;
   }
 
+  /** Groups that were given up are replaced, whether anybody follows in them or not. */
+  #applyGroupsSurrendered(entry: GroupsSurrendered): string {
+    const groups = entry.groups.map((group) => this.groups.get(group));
+    const own = groups.filter((group) =>
+      group?.members.slice(0, 2).some((member) => member.incarnation === entry.incarnation)
+    );
+    for (const group of own) {
+      group!.isSurrendered = true;
+    }
+    return own.length > 0 ? APPLIED : "None of the groups names the incarnation";
+  }
+
   /** A daemon that had to be succeeded gets no keys until it is heard in the log again. */
   #suspect(member: IncarnationChange): void {
     const instance = this.instances.get(member.address);
--- a/packages/ledger/src/records.ts
+++ b/packages/ledger/src/records.ts
@@ -18,6 +18,7 @@
   GroupCreated = "group-created",
   GroupRetired = "group-retired",
   GroupSucceeded = "group-succeeded",
+  GroupsSurrendered = "groups-surrendered",
   ShardsMoved = "shards-moved",
   MovesActivated = "moves-activated",
   ConfigurationPublished = "configuration-published",
@@ -101,6 +102,13 @@
   incarnation: offset,
 });
 
+const groupsSurrendered = z.strictObject({
+  ...base,
+  kind: z.literal(RecordKind.GroupsSurrendered),
+  incarnation: offset,
+  groups: z.array(offset).min(1),
+});
+
 const shardRange = z.strictObject({ first: offset, last: offset });
 
 const shardsMoved = z.strictObject({
@@ -161,6 +169,7 @@
   groupCreated,
   groupRetired,
   groupSucceeded,
+  groupsSurrendered,
   shardsMoved,
   movesActivated,
   configurationPublished,
@@ -182,6 +191,7 @@
 export type GroupCreated = z.infer<typeof groupCreated>;
 export type GroupRetired = z.infer<typeof groupRetired>;
 export type GroupSucceeded = z.infer<typeof groupSucceeded>;
+export type GroupsSurrendered = z.infer<typeof groupsSurrendered>;
 export type ShardsMoved = z.infer<typeof shardsMoved>;
 export type MovesActivated = z.infer<typeof movesActivated>;
 export type ConfigurationPublished = z.infer<typeof configurationPublished>;
--- a/packages/ledger/src/state.ts
+++ b/packages/ledger/src/state.ts
@@ -46,6 +46,8 @@
   members: Member[];
   /** 0 while the holder holds, 1 once the log tells of the successor. */
   step: number;
+  /** Whether the holder, or the successor that followed it, has given the group up. */
+  isSurrendered: boolean;
   /** For each member, whether the backend server beside it checked grants at the creation. */
   checksGrants: boolean[];
   /** How many shards the group owns. */
--- a/packages/planner/src/cast.ts
+++ b/packages/planner/src/cast.ts
@@ -77,7 +77,7 @@
   /** Whether a group's holder holds it, all its members run, and they are spread as far as can be. */
   isSound(group: LeaseGroup): boolean {
     const [holder, successor] = group.members;
-    if (group.step !== 0 || group.members.length !== this.groupSize) {
+    if (group.step !== 0 || group.isSurrendered || group.members.length !== this.groupSize) {
       return false;
     }
     if (!group.members.every((member) => this.isCurrent(member))) {
--- a/packages/sessions/src/failure_test.ts
+++ b/packages/sessions/src/failure_test.ts
@@ -246,6 +246,25 @@
     expectGolden("drain_backend", transcript);
   });
 
+  it("all backend servers fall silent for a moment, and are heard again", async () => {
+    await withDeployment({ instances: despachos(4) }, async (deployment, session) => {
+      const via = deployment.names[0];
+      await book(session, "booking-before", { via });
+      const setSilent = (silent: boolean) =>
+        Promise.all(deployment.names.map((name) => deployment.controlBackend(name, { silent })));
+      await setSilent(true);
+      await sleep(LEASE_MS);
+      await setSilent(false);
+      await sleep(LEASE_MS);
+      await deployment.settle(via);
+      await book(session, "booking-after", { via });
+      await session.awaitRecords();
+      const { audit } = session.transcript();
+      const told = session.transcript().requests.map((request) => request.told);
+      expectGolden("servers_silent", { told, audit });
+    });
+  });
+
   it("two of three voters are lost together, and an operator declares them lost", async () => {
     await withDeployment({ instances: despachos(4) }, async (deployment, session) => {
       const { owner, successor, witness } = await findOwner(deployment, KEY);
