--- a/packages/daemon/src/incarnation.ts
+++ b/packages/daemon/src/incarnation.ts
@@ -5,7 +5,7 @@
 import { randomUUID } from "node:crypto";
 import { filter, firstValueFrom, Subscription, timeout } from "rxjs";
 import { Result } from "true-myth";
-import { AdminServer, type DaemonStatus } from "@bulrushwood/admin";
+import { AdminServer } from "@bulrushwood/admin";
 import { Announcements } from "@bulrushwood/backend";
 import { Keeper } from "@bulrushwood/lease";
 import {
@@ -15,7 +15,6 @@
   Ledger,
   LedgerErrorKind,
   RecordKind,
-  type ServerDescription,
   SnapshotWriter,
   Submitter,
 } from "@bulrushwood/ledger";
@@ -35,14 +34,14 @@
 import { Measures } from "./measures.ts";
 import { answerCall, type PeerServices, serveExchange } from "./peers.ts";
 import { ServerSide } from "./server_side.ts";
+import { describeServer, ServerSync } from "./server_sync.ts";
+import { addGauges, readStatus, type StatusSources } from "./daemon_status.ts";
 import { Vacating } from "./vacating.ts";
 
 /** How long a starting daemon waits for the backend server beside it, in milliseconds. */
 const FIRST_ANNOUNCEMENT_MS = 1_000;
 const APPEND_TIMEOUT_MS = 5_000;
 const CHANGE_RETRY_MS = 500;
-/** How long a daemon that was succeeded keeps quiet before it asks for keys again. */
-const PROVE_ALIVE_MS = 1_500;
 
 /** Why an incarnation ended. */
 export enum Ending {
@@ -86,11 +85,10 @@
   #admin!: AdminServer;
   #holder!: Holder;
   #vacating!: Vacating;
+  #serverSync!: ServerSync;
   #services: PeerServices | undefined;
   #isReady = false;
   #isEnding = false;
-  #isDescribing = false;
-  #isProvingAlive = false;
   #end!: (ending: Ending) => void;
   /** Resolves when this incarnation has to end. */
   readonly ended: Promise<Ending>;
@@ -166,7 +164,7 @@
     }
     this.#follower.ended().then((ended) => this.#takeFollowerEnd(ended.isErr));
     await this.#awaitAnnouncement();
-    const joined = await this.#membership.join(this.#describeNeighbour());
+    const joined = await this.#membership.join(describeServer(this.#server));
     signal.removeEventListener("abort", closeFollower);
     if (joined.isErr) {
       return Result.err(joined.error);
@@ -206,7 +204,7 @@
       call: (peer, method, payload, options) => this.#call(peer, method, payload, options),
       newId: randomUUID,
       isReady: () => this.#isReady && !this.#isEnding,
-      ownStatus: () => this.#status(),
+      ownStatus: () => readStatus(this.#statusSources()),
       drain: () => this.drain(),
     });
     this.#admin = await AdminServer.listen(actions, splitAddress(listen.admin));
@@ -262,6 +260,16 @@
       address,
       incarnation,
     });
+    this.#serverSync = new ServerSync({
+      address,
+      ledger,
+      server: this.#server,
+      membership: this.#membership,
+      detector: this.#detector,
+      vacating: this.#vacating,
+      log: this.#log,
+      onOtherServer: () => this.#end(Ending.Restart),
+    });
     this.#grants = new GrantExtender({
       keeper: this.#keeper,
       server: this.#server,
@@ -290,10 +298,10 @@
       relay: this.#relay,
       holder: this.#holder,
       records: this.#records,
-      status: () => this.#status(),
+      status: () => readStatus(this.#statusSources()),
     };
     this.#watch();
-    this.#addGauges();
+    addGauges(this.#measures, this.#statusSources());
     const ingress = new Ingress({
       address,
       ledger,
@@ -319,7 +327,7 @@
 
   #watch(): void {
     const changes = this.#ledger.changes.subscribe((folded) => this.#takeFolded(folded));
-    const neighbour = this.#announcements.neighbour.subscribe(() => this.#syncServer());
+    const neighbour = this.#announcements.neighbour.subscribe(() => this.#serverSync.sync());
     this.#subscriptions.add(changes);
     this.#subscriptions.add(neighbour);
   }
@@ -341,8 +349,8 @@
       );
       this.#end(Ending.Restart);
     }
-    if (entry.kind === RecordKind.GroupSucceeded && this.#isSuspected()) {
-      this.#proveAlive();
+    if (entry.kind === RecordKind.GroupSucceeded) {
+      this.#serverSync.proveAlive();
     }
     if (entry.kind === RecordKind.ShardsMoved) {
       const shards = entry.shards.reduce(
@@ -353,25 +361,6 @@
     }
   }
 
-  #isSuspected(): boolean {
-    return this.#ledger.instances.get(this.#address)?.isSuspected ?? false;
-  }
-
-  /** Shows in the log that this daemon runs after all, once it hears its peers again. */
-  async #proveAlive(): Promise<void> {
-    if (this.#isProvingAlive) {
-      return;
-    }
-    this.#isProvingAlive = true;
-    while (this.#isSuspected() && !this.#isEnding) {
-      await sleep(PROVE_ALIVE_MS);
-      if (this.#isSuspected() && this.#detector.hearsPeers && !this.#isEnding) {
-        await this.#membership.describeServer(this.#describeNeighbour());
-      }
-    }
-    this.#isProvingAlive = false;
-  }
-
   #takeFollowerEnd(isExpired: boolean): void {
     if (isExpired) {
       this.#log(
@@ -390,61 +379,6 @@
     await firstValueFrom(first).catch(() => undefined);
   }
 
-  /** What the log should know of the server beside this daemon now. */
-  #describeNeighbour(): ServerDescription | null {
-    const announcement = this.#server.announcement;
-    if (announcement === undefined || announcement.draining || this.#isEnding) {
-      return null;
-    }
-    const { pool, slots, connections, checksGrants } = announcement;
-    return { pool, slots, connections, checksGrants };
-  }
-
-  /** Brings the log's description of the server up to date; gives up its keys when it is gone. */
-  async #syncServer(): Promise<void> {
-    if (this.#isDescribing || this.#isEnding) {
-      return;
-    }
-    this.#isDescribing = true;
-    try {
-      await this.#describeUntilEqual();
-    } finally {
-      this.#isDescribing = false;
-    }
-  }
-
-  async #describeUntilEqual(): Promise<void> {
-    while (!this.#isEnding) {
-      const wanted = this.#describeNeighbour();
-      const known = this.#ledger.instances.get(this.#address)?.server ?? null;
-      if (JSON.stringify(wanted) === JSON.stringify(known)) {
-        return;
-      }
-      const isOther = wanted !== null && known !== null &&
-        (wanted.pool !== known.pool ||
-          wanted.checksGrants !== known.checksGrants);
-      if (isOther) {
-        this.#end(Ending.Restart);
-        return;
-      }
-      if (wanted === null) {
-        this.#vacating.vacate({
-          isServerGone: this.#server.announcement === undefined,
-        });
-      }
-      const described = await this.#membership.describeServer(wanted);
-      if (described.isErr) {
-        const fields = { reason: described.error.message };
-        this.#log(
-          LogLevel.Warn,
-          "The log did not take the server's description",
-          fields,
-        );
-        await sleep(CHANGE_RETRY_MS);
-      }
-    }
-  }
-
   async #call(
     peer: Address,
     method: string,
@@ -520,94 +454,18 @@
     });
   }
 
-  #addGauges(): void {
-    const measures = this.#measures;
-    measures.addGauge(
-      "bulrushwood_log_offset",
-      "Last folded offset of the log",
-      {
-        read: () => this.#ledger.folded,
-      },
-    );
-    measures.addGauge(
-      "bulrushwood_configuration_version",
-      "Configuration in force",
-      {
-        read: () => this.#ledger.configuration?.version ?? 0,
-      },
-    );
-    measures.addGauge("bulrushwood_log_reachable", "1 while the log answers", {
-      read: () => this.#follower.isReachable ? 1 : 0,
-    });
-    measures.addGauge("bulrushwood_groups_held", "Lease groups held", {
-      read: () => this.#keeper.held.length,
-    });
-    measures.addGauge(
-      "bulrushwood_requests_in_flight",
-      "Keyed requests at the backend server",
-      {
-        read: () => this.#keeper.inFlight,
-      },
-    );
-    measures.addGauge(
-      "bulrushwood_requests_waiting",
-      "Requests waiting for a slot",
-      {
-        read: () => this.#server.admission.waiting,
-      },
-    );
-    measures.addGauge("bulrushwood_links", "Links to other daemons", {
-      read: () => this.#links.count,
-    });
-    measures.addGauge(
-      "bulrushwood_link_bytes",
-      "Bytes sent and received on links",
-      {
-        read: () => this.#links.bytes,
-      },
-    );
-  }
-
-  #status(): DaemonStatus {
-    const { instance, dataCentre } = this.#settings;
-    const own = this.#ledger.instances.get(this.#address);
-    const held = this.#keeper?.held ?? [];
+  #statusSources(): StatusSources {
     return {
-      instance,
+      settings: this.#settings,
       address: this.#address,
-      dataCentre,
+      ledger: this.#ledger,
+      follower: this.#follower,
+      measures: this.#measures,
+      server: this.#server,
+      links: this.#links,
       incarnation: this.#membership.incarnation,
-      presence: own?.presence ?? "starting",
-      folded: this.#ledger.folded,
-      logReachable: this.#follower.isReachable,
-      configurationVersion: this.#ledger.configuration?.version ?? 0,
-      isPlanner: this.#planner?.hasClaim ?? false,
-      groupsHeld: held.length,
-      shardsHeld: held.reduce((sum, tenure) => sum + tenure.group.shards, 0),
-      inFlight: this.#keeper?.inFlight ?? 0,
-      leases: this.#keeper?.describe() ?? [],
-      server: this.#serverStatus(),
-      served: this.#measures.served,
-      classes: this.#measures.classes,
-      unavailable: this.#measures.unowned,
-    };
-  }
-
-  #serverStatus(): DaemonStatus["server"] {
-    const announcement = this.#server.announcement;
-    if (announcement === undefined) {
-      return null;
-    }
-    const { pool, slots, draining, checksGrants } = announcement;
-    const { running, waiting } = this.#server.admission;
-    return {
-      pool,
-      slots,
-      draining,
-      checksGrants,
-      running,
-      waiting,
-      limit: this.#server.limit,
+      keeper: this.#keeper,
+      planner: this.#planner,
     };
   }
 
@@ -619,6 +477,7 @@
   /** Leaves gracefully: no request in flight is cut off, and no new work is taken after a while. */
   async leave(): Promise<void> {
     this.#isEnding = true;
+    this.#serverSync.close();
     this.#log(LogLevel.Info, "The daemon is leaving");
     const { shutdownMs } = this.#settings.limits;
     const callersClosed = this.#callers.close({ timeoutMs: shutdownMs });
@@ -635,6 +494,7 @@
   async close(): Promise<void> {
     this.#isEnding = true;
     this.#subscriptions.unsubscribe();
+    this.#serverSync?.close();
     this.#grants?.close();
     await this.#planner?.close();
     await this.#snapshots?.close();
