Prove idempotency keys and servers that check no grants by sessions

A repeated idempotency key ran once through four daemons and got the same answer; after the loss of its holder the repeat is told unknown (repeated) and a key that the caller vouches for runs.

--- a/packages/bench/src/control.ts
+++ b/packages/bench/src/control.ts
@@ -9,7 +9,7 @@
 import { benchConfiguration, benchInstances } from "./deployments.ts";
 import type { Experiment, ExperimentOptions, Report, Row } from "./experiment.ts";
 
-const COUNTS = [8, 32, 60];
+const COUNTS = [8, 32, 100];
 const SHARDS = 4_096;
 const WATCH_MS = 10_000;
 const BYTES_PER_KB = 1_000;
@@ -54,7 +54,12 @@
 
 async function measure(count: number, options: ExperimentOptions): Promise<Row> {
   const instances = benchInstances(count, { serviceMs: 1 });
-  const deployment = await Deployment.start({ instances, recordsWorks: false, startsAtOnce: 8 });
+  const deployment = await Deployment.start({
+    instances,
+    recordsWorks: false,
+    startsAtOnce: 8,
+    sharesBackends: true,
+  });
   try {
     const first = deployment.names[0];
     const startedAt = performance.now();
@@ -123,6 +128,6 @@
 /** What control costs. */
 export const control: Experiment = {
   name: "control",
-  describes: "bytes, processor time and memory of idle daemons at 8, 32 and 60 daemons",
+  describes: "bytes, processor time and memory of idle daemons at 8, 32 and 100 daemons",
   run,
 };
--- a/packages/bench/src/slopes.ts
+++ b/packages/bench/src/slopes.ts
@@ -107,20 +107,16 @@
 async function run(): Promise<Report> {
   const body = Buffer.alloc(200, "x");
   const headers = [{ name: "content-type", value: "application/json" }];
-  const frames: [string, Frame][] = [
-    ["renewal with two bids", renewal()],
-    ["answer to a renewal", renewalReply()],
-    ["ping", { kind: FrameKind.Ping, wantsReply: true }],
-    ["request with 200 bytes", { kind: FrameKind.Request, stream: 7, head: HEAD, body, end: true }],
-    ["response with 200 bytes", {
-      kind: FrameKind.Response,
-      stream: 7,
-      head: { status: 200, headers },
-      body,
-      end: true,
-    }],
+  const head = { status: 200, headers };
+  const request: Frame = { kind: FrameKind.Request, stream: 7, head: HEAD, body, end: true };
+  const response: Frame = { kind: FrameKind.Response, stream: 7, head, body, end: true };
+  const rows = [
+    measureFrame("renewal with two bids", renewal()),
+    measureFrame("answer to a renewal", renewalReply()),
+    measureFrame("ping", { kind: FrameKind.Ping, wantsReply: true }),
+    measureFrame("request with 200 bytes", request),
+    measureFrame("response with 200 bytes", response),
   ];
-  const rows = frames.map(([name, frame]) => measureFrame(name, frame));
   rows.push(...await measureOpenRequests());
   return {
     name: "slopes",
--- a/packages/sessions/src/demo.ts
+++ b/packages/sessions/src/demo.ts
@@ -225,20 +225,26 @@
   }
 }
 
+/** One thing that an audit looks for. */
+interface Finding {
+  what: string;
+  found: string[];
+}
+
 function showAudit(report: AuditReport): boolean {
-  const findings: [string, string[]][] = [
-    ["requests that may not be repeated and ran twice", report.ranTwice],
-    ["requests told not-run that ran", report.falselyNotRun],
-    ["keys served by two servers at once", report.sharedKeys],
-    ["whole answers that went to another caller", report.wrongAnswers],
-    ["answers without work", report.answeredNotRun],
+  const findings: Finding[] = [
+    { what: "requests that may not be repeated and ran twice", found: report.ranTwice },
+    { what: "requests told not-run that ran", found: report.falselyNotRun },
+    { what: "keys served by two servers at once", found: report.sharedKeys },
+    { what: "whole answers that went to another caller", found: report.wrongAnswers },
+    { what: "answers without work", found: report.answeredNotRun },
   ];
   say(`  audit of ${report.requests} requests against ${report.works} pieces of work:`);
-  for (const [what, found] of findings) {
+  for (const { what, found } of findings) {
     say(`    ${what.padEnd(50)} ${found.length}`);
     found.slice(0, 5).forEach((line) => say(`      ${line}`));
   }
-  return findings.every(([, found]) => found.length === 0) && report.requests > 0;
+  return findings.every(({ found }) => found.length === 0) && report.requests > 0;
 }
 
 async function main(): Promise<void> {
--- a/packages/sessions/src/deployment.ts
+++ b/packages/sessions/src/deployment.ts
@@ -65,6 +65,8 @@
   delayMs?: (from: string, to: string) => number;
   /** How many instances start at the same time; all of them when left out. */
   startsAtOnce?: number;
+  /** Whether one process runs all backend servers; they can then not be stopped one by one. */
+  sharesBackends?: boolean;
   /** Whether backend servers report each piece of work; costs time under load. */
   recordsWorks?: boolean;
 }
@@ -90,6 +92,7 @@
   readonly #works = new Map<string, RecordedWork>();
   #network: Network | undefined;
   #log: Process | undefined;
+  #sharedBackends: Process | undefined;
 
   private constructor(options: DeploymentOptions) {
     this.#options = options;
@@ -106,6 +109,7 @@
     try {
       await deployment.startLog();
       await deployment.#startNetwork();
+      await deployment.#startSharedBackends();
       await deployment.#startInstances();
       return deployment;
     } catch (error) {
@@ -244,9 +248,18 @@
 
   /** Starts the backend server of an instance. */
   async startBackend(name: string): Promise<void> {
-    const instance = this.#instance(name);
-    const { options, host } = instance;
-    const settings = {
+    if (this.#options.sharesBackends) {
+      return;
+    }
+    const settings = this.#backendSettings(name);
+    this.#instance(name).backend = await this.#startStandIn("backend", settings, (line) => {
+      this.#noteWork(name, JSON.parse(line) as Work);
+    });
+  }
+
+  #backendSettings(name: string): object {
+    const { options, host } = this.#instance(name);
+    return {
       host,
       port: Port.Backend,
       daemon: `${host}:${Port.Announcements}`,
@@ -258,9 +271,14 @@
       coldStartMs: options.coldStartMs,
       writesWorks: this.#options.recordsWorks ?? true,
     };
-    instance.backend = await this.#startStandIn("backend", settings, (line) => {
-      this.#noteWork(name, JSON.parse(line) as Work);
-    });
+  }
+
+  /** Starts one process for all backend servers, where many daemons are wanted on one machine. */
+  async #startSharedBackends(): Promise<void> {
+    if (this.#options.sharesBackends) {
+      const settings = this.names.map((name) => this.#backendSettings(name));
+      this.#sharedBackends = await this.#startStandIn("backends", settings);
+    }
   }
 
   #noteWork(instance: string, work: Work): void {
@@ -394,6 +412,7 @@
   async close(): Promise<void> {
     const instances = [...this.#instances.values()];
     await Promise.all(instances.map(({ options }) => this.killInstance(options.name)));
+    await this.#sharedBackends?.kill();
     await this.#log?.kill();
     this.#network?.close();
     rmSync(this.#directory, { recursive: true, force: true });
--- a/packages/sessions/src/failure_test.ts
+++ b/packages/sessions/src/failure_test.ts
@@ -265,6 +265,26 @@
     });
   });
 
+  it("a holder beside a server that checks no grants is stopped, and goes on", async () => {
+    const instances = despachos(5, { checksGrants: false });
+    await withDeployment({ instances }, async (deployment, session) => {
+      const { owner, others } = await findOwner(deployment, KEY);
+      const via = others[0];
+      await book(session, "booking-before", { via });
+      deployment.daemon(owner).signal("SIGSTOP");
+      await sleep(LEASE_MS * 1.5);
+      await book(session, "booking-meanwhile", { via });
+      deployment.daemon(owner).signal("SIGCONT");
+      await sleep(LEASE_MS * 3);
+      await deployment.settle(via);
+      await book(session, "booking-after", { via });
+      await session.awaitRecords();
+      const { requests, audit } = session.transcript();
+      const told = requests.map(({ label, told, ran }) => ({ label, told, times: ran.length }));
+      expectGolden("unchecked_server", { told, audit });
+    });
+  });
+
   it("two of three voters are lost together, and an operator declares them lost", async () => {
     await withDeployment({ instances: despachos(4) }, async (deployment, session) => {
       const { owner, successor, witness } = await findOwner(deployment, KEY);
@@ -383,3 +403,40 @@
     });
   });
 });
+
+describe("requests with an idempotency key", () => {
+  const headers = { "idempotency-key": "slot-17" };
+  const path = `/plants/${KEY}/bookings`;
+
+  it("run once, however often and through whomever they are sent", async () => {
+    await withDeployment({ instances: despachos(4) }, async (deployment, session) => {
+      const bodies = new Set<string>();
+      for (const [index, via] of deployment.names.entries()) {
+        const label = index === 0 ? "first" : "repeat";
+        const sent = { label, via, method: "POST", path, headers };
+        const told = await session.send(sent);
+        expect(told.kind).to.equal(ToldKind.Answered);
+        bodies.add(told.body);
+      }
+      expect(bodies.size).to.equal(1);
+      expect(deployment.works).to.have.length(1);
+    });
+  });
+
+  it("are unknown to the next holder, unless the caller says that they are new", async () => {
+    await withDeployment({ instances: despachos(4) }, async (deployment, session) => {
+      const { owner, others } = await findOwner(deployment, KEY);
+      const via = others[0];
+      const send = async (label: string, more: Record<string, string>) => {
+        const sent = { label, via, method: "POST", path, headers: { ...headers, ...more } };
+        await session.send(sent);
+      };
+      await send("first", {});
+      await deployment.killInstance(owner);
+      await send("repeat-after-loss", {});
+      await send("new-after-loss", { "idempotency-key": "slot-18", "bulrushwood-attempt": "1" });
+      await session.awaitRecords();
+      expectGolden("idempotency_after_loss", session.transcript());
+    });
+  });
+});
