--- a/packages/daemon/src/callers.ts
+++ b/packages/daemon/src/callers.ts
@@ -13,12 +13,16 @@
 import { readHeaders, toFlatHeaders } from "./headers.ts";
 import type { RequestBody } from "./holder.ts";
 import type { Call, Ingress } from "./ingress.ts";
+import { type Log, LogLevel } from "./logger.ts";
 import type { Measures } from "./measures.ts";
 
 /** Bodies up to this size are read whole before the request is forwarded, in bytes. */
 const SMALL_BODY_BYTES = 64 * 1024;
 const IDEMPOTENCY_KEY_CHARACTERS_MAX = 256;
 
+/** What metrics call the outcome of a request that a backend server answered. */
+const ANSWERED = "answered";
+
 /** Header of an answer: what became of the request, when the backend server did not answer it. */
 export const OUTCOME_HEADER = "bulrushwood-outcome";
 /** Header of an answer: why. */
@@ -39,6 +43,7 @@
   shardOf: ShardOf;
   /** Prefix of request ids; unique to this life of the daemon. */
   idPrefix: string;
+  log: Log;
   /** Whether the daemon ends; connections are closed after their answer. */
   isEnding: () => boolean;
 }
@@ -178,30 +183,27 @@
     });
     const isWhole = await this.#send(response, id, answer);
     request.resume();
-    this.#observe(answer, understood, {
-      isWhole,
-      durationMs: now() - arrivedAt,
-    });
+    const durationMs = now() - arrivedAt;
+    this.#observe(answer, understood, { id, isWhole, durationMs });
   }
 
   #observe(
     answer: Answer,
     understood: Understood,
-    options: { isWhole: boolean; durationMs: number },
+    options: { id: string; isWhole: boolean; durationMs: number },
   ): void {
     const { match, configuration, tenant } = understood;
+    const { id, isWhole, durationMs } = options;
     const workClass = match.route.class;
-    const outcome = answer.head.outcome ??
-      (options.isWhole ? "answered" : Outcome.Unknown);
+    const outcome = answer.head.outcome ?? (isWhole ? ANSWERED : Outcome.Unknown);
     const { withinMs } = configuration.classes[workClass].target;
-    const { durationMs } = options;
-    this.#options.measures.observe({
-      tenant,
-      workClass,
-      outcome,
-      durationMs,
-      withinMs,
-    });
+    this.#options.measures.observe({ tenant, workClass, outcome, durationMs, withinMs });
+    if (outcome !== ANSWERED) {
+      const { reason, detail } = answer.head;
+      const level = outcome === Outcome.Unknown ? LogLevel.Warn : LogLevel.Debug;
+      const fields = { id, tenant, workClass, outcome, reason, detail };
+      this.#options.log(level, "A caller got no answer of a backend server", fields);
+    }
   }
 
   #understand(request: IncomingMessage): Result<Understood, Refusal> {
--- a/packages/daemon/src/incarnation.ts
+++ b/packages/daemon/src/incarnation.ts
@@ -316,6 +316,7 @@
       measures: this.#measures,
       settings: this.#settings,
       shardOf: await createShardOf(),
+      log: this.#log,
       idPrefix: `${incarnation}`,
       isEnding: () => this.#isEnding,
     }, splitAddress(listen.callers));
--- a/scripts/prove.ts
+++ b/scripts/prove.ts
@@ -28,7 +28,7 @@
     find: "const expired = support.until <= this.#options.now();",
     replace: "const expired = false;",
     test: "failure_test",
-    grep: "kill -9 of a holder$",
+    grep: "loss inside",
   },
   {
     mechanism: "seals before moved shards are served",
@@ -92,7 +92,7 @@
     find: "for (const address of target?.candidates ?? []) {",
     replace: "for (const address of (target?.candidates ?? []).slice(0, 1)) {",
     test: "failure_test",
-    grep: "kill -9 of a holder$",
+    grep: "loss inside",
   },
   {
     mechanism: "declared losses count as sealed",
