Leave no link behind that comes up while a daemon starts again

Cause of the remaining placements that did not settle, and worse: when a daemon that its peers counted as lost started again in its process, a link that was being dialled or accepted while the old incarnation closed stayed open with the old incarnation's handlers. An old incarnation must not vote. Ruled out: a follower that stops, lost surrenders, stale reports of loss.

--- a/packages/daemon/src/incarnation.ts
+++ b/packages/daemon/src/incarnation.ts
@@ -494,6 +494,7 @@
   /** Ends at once. */
   async close(): Promise<void> {
     this.#isEnding = true;
+    this.#services = undefined;
     this.#subscriptions.unsubscribe();
     this.#serverSync?.close();
     this.#grants?.close();
--- a/packages/protocol/src/links.ts
+++ b/packages/protocol/src/links.ts
@@ -38,6 +38,7 @@
   readonly #failed = new Map<Address, FailedDial>();
   readonly #http: Server;
   readonly #server: WebSocketServer;
+  #isClosed = false;
   /** Bytes of links that are over. */
   #closedBytes = 0;
 
@@ -90,7 +91,12 @@
     });
   }
 
+  /** A link that comes up while this side closes must not outlive it. */
   #track(link: Link): Link {
+    if (this.#isClosed) {
+      link.close();
+      return link;
+    }
     this.#all.add(link);
     link.closed.then(() => {
       this.#all.delete(link);
@@ -114,6 +120,9 @@
     if (link !== undefined) {
       return Result.ok(link);
     }
+    if (this.#isClosed) {
+      return Result.err(unreachable(peer, "the links of this daemon are closed"));
+    }
     const failed = this.#failed.get(peer);
     if (
       failed !== undefined && performance.now() - failed.at < REDIAL_AFTER_MS
@@ -163,6 +172,7 @@
 
   /** Closes all links and stops listening. */
   async close(): Promise<void> {
+    this.#isClosed = true;
     for (const link of this.#all) {
       link.close();
     }
--- a/packages/protocol/src/protocol_test.ts
+++ b/packages/protocol/src/protocol_test.ts
@@ -186,6 +186,20 @@
     expect(served).to.have.length(20);
   });
 
+  it("leave none behind that comes up while one side closes", async () => {
+    for (let round = 0; round < 20; round++) {
+      const [left, right] = [await listen(), await listen()];
+      const dialling = left.links.get(right.address);
+      await new Promise((resolve) => setTimeout(resolve, round % 5));
+      await left.links.close();
+      await dialling;
+      await new Promise((resolve) => setTimeout(resolve, 20));
+      expect([left.links.count, right.links.count], `round ${round}`).to.deep.equal([0, 0]);
+      await right.links.close();
+      open.splice(0);
+    }
+  });
+
   it("fail what is open on them when they break", async () => {
     const right = await listen();
     const left = await listen();
--- a/packages/sessions/src/deployment.ts
+++ b/packages/sessions/src/deployment.ts
@@ -426,9 +426,11 @@
 
 /** What a reader needs to know of a placement that does not settle. */
 function describeProgress(status: SystemStatus): string {
-  const daemons = status.daemons.map(({ instance, leases, server }) => {
+  const daemons = status.daemons.map(({ instance, leases, ...rest }) => {
+    const { folded, incarnation, logReachable, shardsHeld, groupsHeld } = rest;
     const notHeld = leases.filter(({ shards, heldMs }) => shards > 0 && heldMs === 0);
-    return { instance, server: server !== null, notHeld };
+    const progress = { folded, incarnation, logReachable, shardsHeld, groupsHeld };
+    return { instance, ...progress, notHeld: notHeld.length };
   });
   return JSON.stringify({ pools: status.pools, daemons, folded: status.folded });
 }
--- a/packages/sessions/src/failure_test.ts
+++ b/packages/sessions/src/failure_test.ts
@@ -76,6 +76,12 @@
   return { probes, owners, audit };
 }
 
+/** What an audit found, and what probes were told, of a session whose owners may differ. */
+function findingsOf(transcript: unknown): unknown {
+  const { probes, audit } = transcript as { probes: { told: string }[]; audit: unknown };
+  return { told: probes.map((probe) => probe.told), audit };
+}
+
 /** Runs a failure under load, with a booking before and one after. */
 async function underLoad(
   options: DeploymentOptions,
@@ -157,6 +163,23 @@
     expectGolden("stop_daemon", transcript);
   });
 
+  it("a daemon is stopped until it counts as lost, and goes on as a new incarnation", async () => {
+    for (let round = 0; round < 2; round++) {
+      const { transcript } = await underLoad(FIVE, async (deployment, _session, roles) => {
+        deployment.daemon(roles.owner).signal("SIGSTOP");
+        await awaitLost(deployment, roles.others[0], roles.owner);
+        deployment.daemon(roles.owner).signal("SIGCONT");
+        await deployment.waitUntil(async () => {
+          const status = await deployment.status(roles.others[0]);
+          const own = status.daemons.find((daemon) => daemon.instance === roles.owner);
+          return own !== undefined && own.groupsHeld > 0;
+        }, "the stopped daemon to hold keys again");
+        return { via: roles.others[1], down: [] };
+      });
+      expectGolden("stop_daemon_until_lost", findingsOf(transcript));
+    }
+  });
+
   it("a backend server is stopped with a request in hand, and goes on", async () => {
     const { transcript } = await underLoad(FIVE, async (deployment, session, roles) => {
       const inHand = book(session, "booking-in-hand", {
