--- a/scripts/prove.ts
+++ b/scripts/prove.ts
@@ -80,7 +80,7 @@
   },
   {
     mechanism: "giving up the keys of a silent server",
-    file: "packages/daemon/src/incarnation.ts",
+    file: "packages/daemon/src/server_sync.ts",
     find: "if (wanted === null) {",
     replace: "if (wanted === undefined) {",
     test: "failure_test",
