Prove fourteen mechanisms by taking them out

Three first tries survived and were mended: the kill session rests on re-placement as well as on succession (the session with the log down rests on succession alone); giving up keys and not bidding without a server back each other up, so both are taken out together; a cut answer is noticed by its error before its end.

--- a/packages/sessions/src/failure_test.ts
+++ b/packages/sessions/src/failure_test.ts
@@ -197,6 +197,20 @@
     expectGolden("stop_backend", transcript);
   });
 
+  it("a backend server is stopped while the log is down", async () => {
+    const { transcript } = await underLoad(FIVE, async (deployment, session, roles) => {
+      await deployment.controlLog({ down: true });
+      await sleep(LEASE_MS / 2);
+      deployment.backend(roles.owner).signal("SIGSTOP");
+      await sleep(LEASE_MS * 2);
+      await book(session, "booking-meanwhile", { via: roles.others[0] });
+      await deployment.controlLog({ down: false });
+      deployment.backend(roles.owner).signal("SIGCONT");
+      return { via: roles.successor, down: [] };
+    });
+    expectGolden("stop_backend_without_log", findingsOf(transcript));
+  });
+
   it("two data centres lose each other for a while", async () => {
     const { transcript } = await underLoad(NETWORKED, async (deployment, session, roles) => {
       const [left, right] = ["carapungo", "calderon"].map((name) => deployment.hostsIn(name));
--- a/scripts/prove.ts
+++ b/scripts/prove.ts
@@ -11,14 +11,20 @@
 
 const MUTANT = "dist/mutant.cjs";
 
-/** One mechanism, how it is taken out, and the test that rests on it. */
-interface Mutation {
-  mechanism: string;
+/** One change of a source file. */
+interface Edit {
   file: string;
   find: string;
   replace: string;
+}
+
+/** One mechanism, how it is taken out, and the test that rests on it. */
+interface Mutation extends Edit {
+  mechanism: string;
   test: string;
   grep: string;
+  /** A second place, where two mechanisms back each other up. */
+  also?: Edit;
 }
 
 const MUTATIONS: Mutation[] = [
@@ -84,7 +90,12 @@
     find: "if (wanted === null) {",
     replace: "if (wanted === undefined) {",
     test: "failure_test",
-    grep: "backend server is stopped",
+    grep: "server is stopped while the log is down",
+    also: {
+      file: "packages/daemon/src/incarnation.ts",
+      find: "canServe: () => this.#server.announcement !== undefined,",
+      replace: "",
+    },
   },
   {
     mechanism: "the successor is tried when the holder is gone",
@@ -105,8 +116,8 @@
   {
     mechanism: "answers that are cut short are noticed",
     file: "packages/daemon/src/holder.ts",
-    find: 'message.on("close", () => resolve(undefined));',
-    replace: 'message.on("close", () => resolve(joinParts(parts)));',
+    find: 'message.on("error", () => resolve(undefined));',
+    replace: 'message.on("error", () => resolve(joinParts(parts)));',
     test: "path_test",
     grep: "broke off",
   },
@@ -136,20 +147,22 @@
   },
 ];
 
+function applyEdit(edit: Edit): string {
+  const text = readFileSync(edit.file, "utf8");
+  if (text.split(edit.find).length !== 2) {
+    throw new Error(`${edit.file} does not hold exactly once: ${edit.find}`);
+  }
+  return text.replace(edit.find, () => edit.replace);
+}
+
 function mutate(mutation: Mutation): Plugin {
-  const path = resolve(mutation.file);
+  const edits = mutation.also === undefined ? [mutation] : [mutation, mutation.also];
   return {
     name: "mutate",
     setup(build) {
       build.onLoad({ filter: /\.ts$/ }, (args) => {
-        if (resolve(args.path) !== path) {
-          return undefined;
-        }
-        const text = readFileSync(path, "utf8");
-        if (text.split(mutation.find).length !== 2) {
-          throw new Error(`${mutation.file} does not hold exactly once: ${mutation.find}`);
-        }
-        return { contents: text.replace(mutation.find, () => mutation.replace), loader: "ts" };
+        const edit = edits.find((one) => resolve(one.file) === resolve(args.path));
+        return edit === undefined ? undefined : { contents: applyEdit(edit), loader: "ts" };
       });
     },
   };
