--- a/packages/daemon/src/callers.ts
+++ b/packages/daemon/src/callers.ts
@@ -81,7 +81,6 @@
   #routes: RouteTable | undefined;
   #routesOf: Configuration | undefined;
   #nextId = 1;
-  #open = 0;
 
   private constructor(options: CallersOptions) {
     this.#options = options;
@@ -124,11 +123,6 @@
     return callers;
   }
 
-  /** Requests whose answer is not complete. */
-  get open(): number {
-    return this.#open;
-  }
-
   async #answer(
     request: IncomingMessage,
     response: ServerResponse,
@@ -142,16 +136,11 @@
       sendRefusal(response, id, understood.error);
       return;
     }
-    this.#open++;
-    try {
-      await this.#serve(request, response, {
-        id,
-        arrivedAt,
-        understood: understood.value,
-      });
-    } finally {
-      this.#open--;
-    }
+    await this.#serve(request, response, {
+      id,
+      arrivedAt,
+      understood: understood.value,
+    });
   }
 
   async #serve(
@@ -410,11 +399,6 @@
     await closed;
     clearTimeout(timer);
   }
-
-  /** Closes connections that carry no request. */
-  closeIdle(): void {
-    this.#server.closeIdleConnections();
-  }
 }
 
 function single(request: IncomingMessage, name: string): string {
--- a/packages/daemon/src/incarnation.ts
+++ b/packages/daemon/src/incarnation.ts
@@ -305,7 +305,6 @@
     const ingress = new Ingress({
       address,
       ledger,
-      keeper: this.#keeper,
       links: this.#links,
       holder: this.#holder,
       settings: this.#settings,
--- a/packages/daemon/src/ingress.ts
+++ b/packages/daemon/src/ingress.ts
@@ -2,7 +2,6 @@
  * Takes one caller's request to the daemon that may run it, here or over a link, and brings the answer.
  */
 import { Buffer } from "node:buffer";
-import type { Keeper } from "@bulrushwood/lease";
 import { type Ledger, Presence } from "@bulrushwood/ledger";
 import {
   LinkError,
@@ -36,7 +35,6 @@
 export interface IngressOptions {
   address: Address;
   ledger: Ledger;
-  keeper: Keeper;
   links: Links;
   holder: Holder;
   settings: DaemonSettings;
--- a/packages/lease/src/keeper.ts
+++ b/packages/lease/src/keeper.ts
@@ -132,7 +132,6 @@
   readonly #subscription;
   /** When moves to groups of this daemon were folded, on its own clock in milliseconds. */
   readonly #movedAt = new Map<Offset, number>();
-  readonly #lastHeard = new Map<Address, number>();
 
   constructor(options: KeeperOptions) {
     this.#options = options;
@@ -181,11 +180,6 @@
     );
   }
 
-  /** When a peer's renewal or reply last came, on this process's clock; undefined for never. */
-  lastHeard(peer: Address): number | undefined {
-    return this.#lastHeard.get(peer);
-  }
-
   #takeFolded(folded: Folded): void {
     const { entry, effect, offset } = folded;
     if (entry === undefined || effect !== "applied") {
@@ -318,7 +312,6 @@
     if (!reply.success) {
       return;
     }
-    this.#lastHeard.set(peer, now());
     this.#options.onPeerFolded?.(peer, reply.data.folded);
     for (const vote of reply.data.votes) {
       this.#takeVote(peer, vote, sentAt);
@@ -435,7 +428,6 @@
 
   #answerRenewal(renewal: Renewal): Promise<RenewalReply> {
     const { from, folded, bids } = renewal;
-    this.#lastHeard.set(from.address, this.#options.now());
     this.#options.onPeerFolded?.(from.address, folded);
     const votes = bids.map((bid) => this.#voter.vote(bid));
     return Promise.resolve({ folded: this.#options.ledger.folded, votes });
--- a/packages/ledger/src/follower.ts
+++ b/packages/ledger/src/follower.ts
@@ -2,7 +2,6 @@
  * Follows the log: starts from the latest whole snapshot, then folds the tail for as long as it runs.
  * Records may also come from a peer while the log does not answer; both ways feed the same fold.
  */
-import { BehaviorSubject, type Observable } from "rxjs";
 import { Result } from "true-myth";
 import { createStop, type Offset, type Sleep } from "@bulrushwood/types";
 import {
@@ -37,7 +36,7 @@
 export class Follower {
   readonly #options: FollowerOptions;
   readonly #stop = createStop();
-  readonly #reachable = new BehaviorSubject<boolean>(false);
+  #isReachable = false;
   readonly #recent: LogRecord[] = [];
   #assembly = new SnapshotAssembly();
   #task: Promise<Result<void, LedgerError>> | undefined;
@@ -47,13 +46,8 @@
   }
 
   /** Whether the last read of the log was answered. */
-  get reachable(): Observable<boolean> {
-    return this.#reachable;
-  }
-
-  /** Whether the last read of the log was answered, at this moment. */
   get isReachable(): boolean {
-    return this.#reachable.value;
+    return this.#isReachable;
   }
 
   /** Reads the log to its end as of now; retries until it answers or the follower is closed. */
@@ -64,7 +58,7 @@
         this.#task = this.#follow();
         return Result.ok(started.value);
       }
-      this.#reachable.next(false);
+      this.#isReachable = false;
       this.#options.onWaiting?.(started.error.message);
       await this.#options.sleep(RETRY_MAX_MS / 4, this.#stop.signal);
     }
@@ -108,7 +102,7 @@
   #checkWhole(batch: Batch, end: Offset): Result<Offset, LedgerError> {
     const { ledger } = this.#options;
     if (ledger.folded >= end || end === 0) {
-      this.#reachable.next(true);
+      this.#isReachable = true;
       return Result.ok(end);
     }
     const message = `The log starts at ${batch.first} and holds no whole snapshot`;
@@ -125,7 +119,7 @@
         signal: this.#stop.signal,
       });
       if (read.isOk) {
-        this.#reachable.next(true);
+        this.#isReachable = true;
         this.#take(read.value);
         retryMs = RETRY_MIN_MS;
         continue;
@@ -138,7 +132,7 @@
           new LedgerError(LedgerErrorKind.Expired, read.error.message),
         );
       }
-      this.#reachable.next(false);
+      this.#isReachable = false;
       await sleep(retryMs, this.#stop.signal);
       retryMs = Math.min(retryMs * 2, RETRY_MAX_MS);
     }
--- a/packages/protocol/src/link.ts
+++ b/packages/protocol/src/link.ts
@@ -110,11 +110,6 @@
     return this.#error === undefined;
   }
 
-  /** Number of requests open on this link, from both sides. */
-  get openRequests(): number {
-    return this.#outgoing.size + this.#incoming.size;
-  }
-
   /** Queues a frame; all frames queued in one turn leave together. */
   send(frame: Frame): void {
     if (this.#error !== undefined) {
