Find stopped daemons and servers sooner

Change: 1 s of silence in steps of 0.25 s; an idempotent request goes to the next candidate without asking; grants are extended only to a server heard in the last 0.3 s.

--- a/packages/backend/src/announcements.ts
+++ b/packages/backend/src/announcements.ts
@@ -68,6 +68,11 @@
     return this.#neighbour.value;
   }
 
+  /** How long the server has not been heard, in milliseconds. */
+  get silentMs(): number {
+    return performance.now() - this.#heardAt;
+  }
+
   async #answer(
     request: IncomingMessage,
     response: ServerResponse,
@@ -105,8 +110,7 @@
   }
 
   #checkSilence(): void {
-    const silentMs = performance.now() - this.#heardAt;
-    if (this.current !== undefined && silentMs > this.#options.timeoutMs) {
+    if (this.current !== undefined && this.silentMs > this.#options.timeoutMs) {
       this.#neighbour.next(undefined);
     }
   }
--- a/packages/daemon/src/grant_extender.ts
+++ b/packages/daemon/src/grant_extender.ts
@@ -6,6 +6,9 @@
 import type { Group } from "@bulrushwood/types";
 import type { ServerSide } from "./server_side.ts";
 
+/** Silence of the server after which its grants are not extended, in milliseconds. */
+const SILENCE_MAX_MS = 300;
+
 /** What an extender needs. Times are in milliseconds. */
 export interface GrantExtenderOptions {
   keeper: Keeper;
@@ -40,7 +43,7 @@
   /** A server that has fallen silent gets no extension, so that its work ends with its grants. */
   #extend(): void {
     const { keeper, server } = this.#options;
-    if (server.announcement === undefined || server.client === undefined) {
+    if (server.silentMs > SILENCE_MAX_MS || server.client === undefined) {
       return;
     }
     const busy = keeper.held.filter((tenure) => tenure.inFlight > 0);
--- a/packages/daemon/src/ingress.ts
+++ b/packages/daemon/src/ingress.ts
@@ -202,7 +202,11 @@
       const body = response.body.isWhole ? response.body.takeWhole() : response.body;
       return { head: response.head, body };
     } catch (error) {
-      return await this.#resolveBroken(error as LinkError, sent);
+      const broken = error as LinkError;
+      const isBroken = broken.kind === LinkErrorKind.Broken && !call.signal.aborted;
+      return isBroken && call.workClass.idempotent
+        ? lostTrack("The link broke while the request was there")
+        : await this.#resolveBroken(broken, sent);
     } finally {
       clearTimeout(timer);
       if (!exchange.isStreaming) {
@@ -211,7 +215,10 @@
     }
   }
 
-  /** Asks the holder what became of a request whose answer will not come. */
+  /**
+   * Asks the holder what became of a request whose answer will not come. An idempotent one is sent to the
+   * next candidate instead of asking.
+   */
   async #resolveBroken(error: LinkError, sent: SentRequest): Promise<Answer> {
     const { id, address, incarnation } = sent;
     if (error.kind === LinkErrorKind.Unreachable) {
--- a/packages/daemon/src/server_side.ts
+++ b/packages/daemon/src/server_side.ts
@@ -47,6 +47,11 @@
     return this.#life?.checksGrants ?? false;
   }
 
+  /** How long the server has not been heard, in milliseconds. */
+  get silentMs(): number {
+    return this.#announcements.silentMs;
+  }
+
   /** Whether new work may be sent to the server. */
   get takesWork(): boolean {
     return this.announcement !== undefined && !this.announcement.draining;
--- a/packages/protocol/src/link.ts
+++ b/packages/protocol/src/link.ts
@@ -24,8 +24,8 @@
 } from "./frames.ts";
 
 /** Silence after which a link counts as broken, in milliseconds. */
-const SILENCE_MAX_MS = 1_500;
-const PING_EVERY_MS = 500;
+const SILENCE_MAX_MS = 1_000;
+const PING_EVERY_MS = 250;
 
 /** What a link does with what the peer asks. */
 export interface LinkHandlers {
