Read whole bodies and list test instances in one place each

Callers and holder each read a whole body by the same listeners; both now call readWhole. The bench listed the instances of pool despacho as the sessions do; it now calls despachos. The whole suite was not run again.

--- a/packages/bench/src/control.ts
+++ b/packages/bench/src/control.ts
@@ -4,9 +4,9 @@
  */
 import { readFileSync } from "node:fs";
 import { request } from "node:http";
-import { Deployment } from "@bulrushwood/sessions";
+import { Deployment, despachos } from "@bulrushwood/sessions";
 import { sleep } from "@bulrushwood/types";
-import { benchConfiguration, benchInstances } from "./deployments.ts";
+import { benchConfiguration } from "./deployments.ts";
 import type { Experiment, ExperimentOptions, Report, Row } from "./experiment.ts";
 
 const COUNTS = [8, 32, 100];
@@ -53,7 +53,7 @@
 }
 
 async function measure(count: number, options: ExperimentOptions): Promise<Row> {
-  const instances = benchInstances(count, { serviceMs: 1 });
+  const instances = despachos(count, { serviceMs: 1 });
   const deployment = await Deployment.start({
     instances,
     recordsWorks: false,
--- a/packages/bench/src/deployments.ts
+++ b/packages/bench/src/deployments.ts
@@ -1,24 +1,8 @@
 /**
- * Deployments and configurations that the experiments share.
+ * The configuration that the experiments share.
  */
-import type { InstanceOptions } from "@bulrushwood/sessions";
 import { Preference, Priority } from "@bulrushwood/types";
 
-const DATA_CENTRES = ["carapungo", "calderon", "pomasqui"];
-
-/** Instances of pool `despacho`, spread over three data centres. */
-export function benchInstances(
-  count: number,
-  options: Partial<InstanceOptions> = {},
-): InstanceOptions[] {
-  return Array.from({ length: count }, (_, index) => ({
-    name: `despacho-${index + 1}`,
-    dataCentre: DATA_CENTRES[index % DATA_CENTRES.length],
-    pool: "despacho",
-    ...options,
-  }));
-}
-
 /** A configuration with bookings, quotations and stock checks in one keyed pool, and photos in another. */
 export function benchConfiguration(shards: number): object {
   const work = (share: number, withinMs: number, idempotent: boolean, deadlineMs: number) => ({
--- a/packages/bench/src/forwarding.ts
+++ b/packages/bench/src/forwarding.ts
@@ -2,9 +2,9 @@
  * What a request costs: the time added to a call of the stand-in itself, and the processor time at the
  * ingress and at the holder.
  */
-import { Deployment, type Process } from "@bulrushwood/sessions";
+import { Deployment, despachos, type Process } from "@bulrushwood/sessions";
 import { sleep } from "@bulrushwood/types";
-import { benchConfiguration, benchInstances } from "./deployments.ts";
+import { benchConfiguration } from "./deployments.ts";
 import type { Experiment, ExperimentOptions, Report, Row } from "./experiment.ts";
 import { applyLoad, type LoadRequest, type LoadResult } from "./open_loop.ts";
 
@@ -101,7 +101,7 @@
 
 async function run(options: ExperimentOptions): Promise<Report> {
   const deployment = await Deployment.start({
-    instances: benchInstances(3, { slots: 64 }),
+    instances: despachos(3, { slots: 64 }),
     recordsWorks: false,
   });
   try {
--- a/packages/bench/src/slopes.ts
+++ b/packages/bench/src/slopes.ts
@@ -4,9 +4,9 @@
  */
 import { Buffer } from "node:buffer";
 import { Codec, type Frame, FrameKind, type RequestHead } from "@bulrushwood/protocol";
-import { Deployment } from "@bulrushwood/sessions";
+import { Deployment, despachos } from "@bulrushwood/sessions";
 import { sleep } from "@bulrushwood/types";
-import { benchConfiguration, benchInstances } from "./deployments.ts";
+import { benchConfiguration } from "./deployments.ts";
 import type { Experiment, Report, Row } from "./experiment.ts";
 import { applyLoad } from "./open_loop.ts";
 
@@ -65,7 +65,7 @@
 
 /** Memory of requests that wait at their holder, at the ingress and at the holder. */
 async function measureOpenRequests(): Promise<Row[]> {
-  const instances = benchInstances(3, { slots: 100, serviceMs: 1 });
+  const instances = despachos(3, { slots: 100, serviceMs: 1 });
   const deployment = await Deployment.start({ instances, recordsWorks: false });
   try {
     await deployment.publish("despacho-1", benchConfiguration(64), 0);
--- a/packages/bench/src/unavailability.ts
+++ b/packages/bench/src/unavailability.ts
@@ -2,9 +2,9 @@
  * How long keys have no owner: after a kill, a freeze, a planned move and a graceful leave, seen by callers
  * that ask for each key many times a second.
  */
-import { Deployment } from "@bulrushwood/sessions";
+import { Deployment, despachos } from "@bulrushwood/sessions";
 import { sleep } from "@bulrushwood/types";
-import { benchConfiguration, benchInstances } from "./deployments.ts";
+import { benchConfiguration } from "./deployments.ts";
 import type { Experiment, ExperimentOptions, Report, Row } from "./experiment.ts";
 import { applyLoad, type LoadRequest } from "./open_loop.ts";
 
@@ -174,7 +174,7 @@
 }
 
 async function run(options: ExperimentOptions): Promise<Report> {
-  const instances = benchInstances(INSTANCES, { serviceMs: 1, slots: 32 });
+  const instances = despachos(INSTANCES, { serviceMs: 1, slots: 32 });
   const deployment = await Deployment.start({ instances, recordsWorks: false });
   try {
     await deployment.publish("despacho-1", benchConfiguration(64), 0);
--- a/packages/daemon/src/callers.ts
+++ b/packages/daemon/src/callers.ts
@@ -15,6 +15,7 @@
 import type { Call, Ingress } from "./ingress.ts";
 import { type Log, LogLevel } from "./logger.ts";
 import type { Measures } from "./measures.ts";
+import { readWhole } from "./whole_body.ts";
 
 /** Bodies up to this size are read whole before the request is forwarded, in bytes. */
 const SMALL_BODY_BYTES = 64 * 1024;
@@ -315,7 +316,7 @@
     if (isChunked || Number(length) > SMALL_BODY_BYTES) {
       return Result.ok(limitParts(request, bodyBytes));
     }
-    const body = await readAll(request);
+    const body = await readWhole(request);
     return body === undefined ? refuse(400, "body", "The body was cut short") : Result.ok(body);
   }
 
@@ -510,17 +511,3 @@
     throw new Error("The body was cut short");
   }
 }
-
-/** Reads a whole body; undefined when it was cut short. */
-function readAll(request: IncomingMessage): Promise<Buffer | undefined> {
-  return new Promise((resolve) => {
-    const parts: Buffer[] = [];
-    request.on("data", (part: Buffer) => parts.push(part));
-    request.on(
-      "end",
-      () => resolve(parts.length === 1 ? parts[0] : Buffer.concat(parts)),
-    );
-    request.on("error", () => resolve(undefined));
-    request.on("close", () => resolve(undefined));
-  });
-}
--- a/packages/daemon/src/holder.ts
+++ b/packages/daemon/src/holder.ts
@@ -24,6 +24,7 @@
 import type { GrantExtender } from "./grant_extender.ts";
 import type { Measures } from "./measures.ts";
 import type { ServerSide } from "./server_side.ts";
+import { readWhole } from "./whole_body.ts";
 
 /** Answers up to this size are read whole before they are passed on, in bytes. */
 export const WHOLE_BODY_BYTES_MAX = 32 * 1024;
@@ -371,24 +372,6 @@
   return length !== undefined && Number(length) <= WHOLE_BODY_BYTES_MAX;
 }
 
-/** Reads a whole body; undefined when it was cut short. */
-function readWhole(message: IncomingMessage): Promise<Buffer | undefined> {
-  return new Promise((resolve) => {
-    const parts: Buffer[] = [];
-    message.on("data", (part: Buffer) => parts.push(part));
-    message.on(
-      "end",
-      () => resolve(message.complete ? joinParts(parts) : undefined),
-    );
-    message.on("error", () => resolve(undefined));
-    message.on("close", () => resolve(undefined));
-  });
-}
-
-function joinParts(parts: Buffer[]): Buffer {
-  return parts.length === 1 ? parts[0] : Buffer.concat(parts);
-}
-
 function refusalAnswer(error: AdmissionError): Answer {
   switch (error.kind) {
     case AdmissionErrorKind.Overloaded:
--- a/packages/sessions/src/mod.ts
+++ b/packages/sessions/src/mod.ts
@@ -6,3 +6,4 @@
 export { Deployment, type DeploymentOptions, type InstanceOptions } from "./deployment.ts";
 export { Process } from "./process.ts";
 export { Session, type Transcript } from "./session.ts";
+export { despachos } from "./fixtures.ts";
--- a/scripts/prove.ts
+++ b/scripts/prove.ts
@@ -115,7 +115,7 @@
   },
   {
     mechanism: "answers that are cut short are noticed",
-    file: "packages/daemon/src/holder.ts",
+    file: "packages/daemon/src/whole_body.ts",
     find: 'message.on("error", () => resolve(undefined));',
     replace: 'message.on("error", () => resolve(joinParts(parts)));',
     test: "path_test",
