--- a/packages/http_client/src/mod.ts
+++ b/packages/http_client/src/mod.ts
@@ -78,7 +78,9 @@
     }
     outgoing.on("socket", (socket: Socket) => {
       isConnected = !socket.connecting;
-      socket.once("connect", () => isConnected = true);
+      if (socket.connecting) {
+        socket.once("connect", () => isConnected = true);
+      }
     });
     outgoing.on("error", (error) => fail(error.message));
     outgoing.on("response", (message) => {
--- a/packages/lease_ranges/src/granting.ts
+++ b/packages/lease_ranges/src/granting.ts
@@ -76,6 +76,8 @@
   server: () => ServerIdentity | undefined;
   send: SendOrder;
   grantMsMax: number;
+  /** Told of time that the instance was suspended, in milliseconds. */
+  onSuspended: (ms: number) => void;
   /** Told of orders that failed. */
   onFailed: (order: string, reason: string, range: KeySpan) => void;
 }
@@ -183,8 +185,10 @@
   /** The longest grant that the present support allows, in milliseconds. */
   #grantableMs(): number {
     const { tenure, suspension, now, grantMsMax, server, table, self } = this.#options;
-    if (suspension.check()) {
+    const suspendedMs = suspension.check();
+    if (suspendedMs > 0) {
       tenure.forgetSupport();
+      this.#options.onSuspended(suspendedMs);
     }
     const present = server();
     const entered = table.table.value.hosts[self]?.server;
--- a/packages/router/src/event_log.ts
+++ b/packages/router/src/event_log.ts
@@ -20,6 +20,7 @@
   ServerLost = "server-lost",
   ServerBack = "server-back",
   ReportRefused = "report-refused",
+  Suspended = "suspended",
   TenureEntered = "tenure-entered",
   TenureLost = "tenure-lost",
   PeerSilent = "peer-silent",
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -160,6 +160,7 @@
       server: () => this.#watch.report,
       send: (order, limits) => this.#client.order(order, limits),
       grantMsMax: settings.bounds.grantMsMax,
+      onSuspended: (ms) => log(Event.Suspended, { ms: Math.round(ms) }),
       onFailed: (order, reason, { first, last }) => {
         this.#metrics.noteOrderFailure(order);
         log(Event.OrderFailed, { order, reason, first, last });
--- a/packages/router/src/server_client.ts
+++ b/packages/router/src/server_client.ts
@@ -135,7 +135,9 @@
     let isConnected = false;
     outgoing.once("socket", (socket: Socket) => {
       isConnected = !socket.connecting;
-      socket.once("connect", () => isConnected = true);
+      if (socket.connecting) {
+        socket.once("connect", () => isConnected = true);
+      }
     });
     try {
       const answered = new Promise<IncomingMessage>((resolve, reject) => {
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -46,6 +46,7 @@
     main: "dist/bulrushwood.cjs",
     output: "dist/bulrushwood.blob",
     disableExperimentalSEAWarning: true,
+    useCodeCache: true,
   };
   writeFileSync("dist/sea.json", JSON.stringify(settings));
   execFileSync(process.execPath, ["--experimental-sea-config", "dist/sea.json"]);
