Finish what runs before a daemon ends; give all keys before it leaves the table

Cause (LOST): a daemon that was giving keys away when it was told to stop never gave the rest, and exited with requests at its server.

--- a/packages/lease_ranges/src/granting.ts
+++ b/packages/lease_ranges/src/granting.ts
@@ -253,14 +253,17 @@
   }
 
   /**
-   * Gives keys away. With `leave` the daemon is taken out of the table as well. Resolves once the store
-   * has the change, or undefined keys were left to give.
+   * Gives keys away. With `leave` all own keys are given, those that `choose` left out to nobody, and the
+   * daemon is taken out of the table. Resolves once the store has the change.
    */
   async give(
     choose: (own: Range[]) => Assignment[],
     options: { leave: boolean; isServerGone: boolean },
   ): Promise<ChangeOutcome> {
-    const assignments = this.#withinOwn(choose(this.own));
+    const chosen = choose(this.own);
+    const rest = this.own.flatMap((range) => without(range, chosen));
+    const others = options.leave ? rest.map((span) => ({ ...span, to: null, handover: null })) : [];
+    const assignments = this.#withinOwn([...chosen, ...others]);
     const grants = this.#grants;
     this.#closing.push(...assignments);
     this.#reshape();
@@ -301,7 +304,8 @@
       .map((assignment) => ({ ...assignment, to: knownOwner(table, assignment.to) }));
     const given = own.length === 0 ? table : assign(table, own);
     const isIn = given.hosts[self] !== undefined;
-    if (options.leave && isIn) {
+    // Keys that came meanwhile were not released, so the daemon cannot leave yet.
+    if (options.leave && isIn && rangesOf(given, self).length === 0) {
       return removeHost(given, self);
     }
     return own.length === 0 ? undefined : given;
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -11,13 +11,7 @@
   ServerState,
   type Store,
 } from "@bulrushwood/deployment";
-import {
-  type Assignment,
-  KeyedFollower,
-  sizeOf,
-  TABLE_TOPIC,
-  TableStore,
-} from "@bulrushwood/ledger_store";
+import { KeyedFollower, sizeOf, TABLE_TOPIC, TableStore } from "@bulrushwood/ledger_store";
 import { Granting, type OwnServer, TenureKeeper } from "@bulrushwood/lease_ranges";
 import {
   BallotBox,
@@ -59,6 +53,10 @@
 const LINGER_MS = 2_600;
 /** The daemon ends so long before it would be killed, in milliseconds. */
 const END_MARGIN_MS = 600;
+/** Pause before keys are given away again, in milliseconds. */
+const GIVE_AGAIN_MS = 50;
+/** How often a daemon that ends looks whether the last requests are done, in milliseconds. */
+const END_CHECK_MS = 20;
 /** How long measured load is told before it is measured again, in milliseconds. */
 const MEASURE_MS = 200;
 
@@ -518,15 +516,25 @@
     const others = this.#candidates().filter(({ address }) =>
       address !== this.#self && table.hosts[address] !== undefined
     );
-    const { pieces } = this.#measure();
-    const outcome = await this.#granting.give(
-      (own) => pieces.length > 0 ? spread(pieces, others) : own.map((range) => toNobody(range)),
-      { ...options, leave: true },
-    );
+    const pieces = this.#runner.meter.cut(this.#granting.own);
+    const outcome = await this.#granting.give(() => spread(pieces, others), {
+      ...options,
+      leave: true,
+    });
     this.#log(Event.KeysGiven, { cause, outcome });
     this.#isGiving = false;
   }
 
+  /** Gives keys away until none is left, also those that came while others were given. */
+  async #giveAllBeforeEnd(): Promise<void> {
+    while (this.#granting.own.length > 0) {
+      if (!this.#isGiving) {
+        await this.#giveAll("the daemon stops", { isServerGone: false });
+      }
+      await sleep(GIVE_AGAIN_MS);
+    }
+  }
+
   /** Gives some keys away, as a planner asked. */
   #giveMoves(moves: { first: number; last: number; to: Address }[]): void {
     if (this.#isGiving || this.#isEnding) {
@@ -611,19 +619,14 @@
     this.#isEnding = true;
     this.#log(Event.Stopping);
     this.#heartbeats.hurry();
-    const given = this.#isGiving
-      ? undefined
-      : this.#giveAll("the daemon stops", { isServerGone: false });
+    const given = this.#giveAllBeforeEnd();
     await sleep(LINGER_MS);
-    await Promise.race([given, sleep(Math.max(0, endAt - now()))]);
-    await this.#callers.close({ timeoutMs: Math.max(0, endAt - now()) });
+    const closed = this.#callers.close({ timeoutMs: endAt - now() });
+    await Promise.race([Promise.all([given, closed]), sleep(endAt - now())]);
+    this.#runner.refuseNew();
     while (this.#runner.open > 0 && now() < endAt) {
-      await sleep(SERVER_LOOK_MS);
+      await sleep(END_CHECK_MS);
     }
     this.#log(Event.Stopped, { afterMs: Math.round(now() - startedAt) });
   }
 }
-
-function toNobody({ first, last }: { first: number; last: number }): Assignment {
-  return { first, last, to: null, handover: null };
-}
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -9,7 +9,7 @@
 import { LoadMeter } from "@bulrushwood/planner_ranges";
 import { Reason, type RequestHead } from "@bulrushwood/protocol";
 import { type Answer, notRun, unknown } from "@bulrushwood/routing";
-import { now, Outcome } from "@bulrushwood/types";
+import { now } from "@bulrushwood/types";
 import { Event, type EventLog } from "./event_log.ts";
 import { toFlatHeaders } from "./headers.ts";
 import { type ServerClient, ServerOutcome, type ServerResult } from "./server_client.ts";
@@ -51,6 +51,7 @@
   readonly #options: RunnerOptions;
   readonly #gate: Gate;
   readonly #meter = new LoadMeter(now);
+  #isClosed = false;
   #arrivals = 0;
   #rate = 0;
   #ratedAt = now();
@@ -136,7 +137,7 @@
   /** Whether the server may still get requests. */
   #mayStart(): boolean {
     const { watch, drainMs } = this.#options;
-    if (watch.report === undefined || !watch.isReachable) {
+    if (watch.report === undefined || !watch.isReachable || this.#isClosed) {
       return false;
     }
     const { leavingSince } = watch;
@@ -207,8 +208,9 @@
     }
   }
 
-  /** Refuses all that wait. */
-  close(): void {
+  /** Refuses what waits and what comes from now on; what runs is finished. */
+  refuseNew(): void {
+    this.#isClosed = true;
     this.#gate.close();
   }
 }
@@ -217,8 +219,3 @@
   const reason = error.kind === AdmissionErrorKind.Cancelled ? Reason.Cancelled : Reason.Overloaded;
   return notRun(reason, error.message, error.retryAfterMs);
 }
-
-/** Whether an answer vouches that the request was not run. */
-export function isNotRun(answer: Answer): boolean {
-  return answer.head.outcome === Outcome.NotRun;
-}
--- a/packages/router/src/server_client.ts
+++ b/packages/router/src/server_client.ts
@@ -149,7 +149,9 @@
       }
       outgoing.end(body);
       const message = await answered;
-      const result = this.#judge(call, message, await readWhole(message));
+      // Node.js takes an answer without a length for complete even where its connection was reset.
+      const reset = new Promise<never>((_, reject) => outgoing.on("error", reject));
+      const result = this.#judge(call, message, await Promise.race([readWhole(message), reset]));
       if (result.outcome === ServerOutcome.Unknown || !outgoing.writableFinished) {
         // What follows on this connection may belong to no request.
         message.socket.destroy();
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -4,7 +4,7 @@
  * as `target/bulrushwood`.
  */
 import { execFileSync } from "node:child_process";
-import { chmodSync, copyFileSync, existsSync, mkdirSync, writeFileSync } from "node:fs";
+import { chmodSync, copyFileSync, existsSync, mkdirSync, renameSync, writeFileSync } from "node:fs";
 import { createRequire } from "node:module";
 import process from "node:process";
 import { build } from "esbuild";
@@ -61,8 +61,10 @@
   mkdirSync("target", { recursive: true });
   await bundle(PROGRAMS[0]);
   makeBinary();
-  copyFileSync(BINARY, DEPLOYED_BINARY);
-  chmodSync(DEPLOYED_BINARY, 0o755);
+  // Renamed into place, since the binary that it replaces may be running.
+  copyFileSync(BINARY, `${DEPLOYED_BINARY}.new`);
+  chmodSync(`${DEPLOYED_BINARY}.new`, 0o755);
+  renameSync(`${DEPLOYED_BINARY}.new`, DEPLOYED_BINARY);
 }
 
 async function main(): Promise<void> {
