--- a/packages/lease_ranges/src/tenure_keeper.ts
+++ b/packages/lease_ranges/src/tenure_keeper.ts
@@ -20,8 +20,12 @@
 const VOTER_PATIENCE_MS = 1_600;
 /** A new tenure waits so long for better voters than it can have now, in milliseconds. */
 const FEW_VOTERS_PATIENCE_MS = 1_000;
-/** Voters of a tenure: this daemon and two others. */
-const VOTERS = 3;
+/** Voters of a tenure: this daemon and six others, so that three may be lost together. */
+const VOTERS = 7;
+/** Voters that may be lost before a tenure is begun anew without delay. */
+const LOST_VOTERS_MAX = 1;
+/** A tenure that lost fewer voters, or could have more, is begun anew after this, in milliseconds. */
+const IMPROVE_AFTER_MS = 5_000;
 
 /** The server that keys are granted to. */
 export interface OwnServer extends ServerIdentity {
@@ -125,8 +129,9 @@
     if (host.server.id !== server.id || host.server.bornMs !== server.bornMs || host.isSuspected) {
       return true;
     }
-    const isSettled = now() - this.#enteredAt > VOTER_PATIENCE_MS;
-    return isSettled && this.#canImprove();
+    const ageMs = now() - this.#enteredAt;
+    const isSettled = ageMs > VOTER_PATIENCE_MS;
+    return isSettled && this.#canImprove({ isOld: ageMs > IMPROVE_AFTER_MS });
   }
 
   /** Waits for a moment for voters; then begins with those that there are. */
@@ -138,7 +143,7 @@
   }
 
   /** Whether a voter is silent, or missing, while another could take its place. */
-  #canImprove(): boolean {
+  #canImprove(options: { isOld: boolean }): boolean {
     const { self, candidates } = this.#options;
     const newest = this.#tenures.at(-1);
     if (newest === undefined) {
@@ -151,7 +156,11 @@
         address === candidate.address && incarnation === candidate.incarnation
       )
     );
-    return spare.length > 0 && (lost.length > 0 || others.length < VOTERS - 1);
+    if (spare.length === 0) {
+      return false;
+    }
+    const isShort = lost.length > 0 || others.length < VOTERS - 1;
+    return lost.length > LOST_VOTERS_MAX || (options.isOld && isShort);
   }
 
   async #enter(server: OwnServer): Promise<void> {
--- a/packages/lease_votes/src/ballot_box.ts
+++ b/packages/lease_votes/src/ballot_box.ts
@@ -10,6 +10,8 @@
   now: Clock;
   /** Whether the store counts the tenure as suspected, or this daemon cannot know. */
   mustRefuse: (tenure: string) => boolean;
+  /** Whether a tenure is this daemon's own; it counts on its own support as long as it runs. */
+  isOwn: (tenure: string) => boolean;
   rules?: VoteRules;
 }
 
@@ -37,7 +39,8 @@
 
   /** Seals a tenure for good; refuses while support for it still runs. */
   seal(tenure: string): boolean {
-    const isRunning = (this.#until.get(tenure) ?? 0) > this.#options.now();
+    const isRunning = (this.#until.get(tenure) ?? 0) > this.#options.now() ||
+      this.#options.isOwn(tenure);
     if (isRunning && this.#rules.sealAfterSupport) {
       return false;
     }
--- a/packages/lease_votes/src/rules.ts
+++ b/packages/lease_votes/src/rules.ts
@@ -34,6 +34,6 @@
  * A voter that has not heard from the store for so long stops voting, in milliseconds. Longer than the
  * store's outages, shorter than the patience of whoever waits for a tenure without voters.
  */
-export const VOTER_BLIND_MS = 14_000;
+export const VOTER_BLIND_MS = 12_000;
 /** After this, a suspected tenure has ended without its voters: they stopped, and their support ran out. */
 export const SUSPICION_MS = VOTER_BLIND_MS + SUPPORT_MS + 2_000;
--- a/packages/ledger_store/src/mod.ts
+++ b/packages/ledger_store/src/mod.ts
@@ -23,7 +23,7 @@
 export {
   type Change,
   ChangeOutcome,
-  TABLE_TOPIC,
+  SYSTEM_TOPIC,
   TableStore,
   type TableStoreOptions,
 } from "./table_store.ts";
--- a/packages/ledger_store/src/table_store.ts
+++ b/packages/ledger_store/src/table_store.ts
@@ -10,8 +10,10 @@
 import type { KeyedFollower } from "./keyed_follower.ts";
 import { emptyTable, formatTable, type OwnershipTable, parseTable } from "./ownership_table.ts";
 
-/** Topic of all ownership tables. */
-export const TABLE_TOPIC = "keyed.bulrushwood-ownership";
+/** Topic of all ownership tables, and of the entries of all daemons. */
+export const SYSTEM_TOPIC = "keyed.bulrushwood";
+/** Keys of ownership tables begin with this, and end with the name of the service. */
+const TABLE_KEY_PREFIX = "table/";
 /** Time limit of one append, in milliseconds; several times a slow store's answer. */
 const APPEND_TIMEOUT_MS = 1_000;
 /** Pause before an append is tried again, in milliseconds. */
@@ -59,7 +61,7 @@
   }
 
   get #key(): string {
-    return this.#options.service;
+    return TABLE_KEY_PREFIX + this.#options.service;
   }
 
   /** The newest table that is known here; emits at once and after each change. */
--- a/packages/membership_beats/src/members.ts
+++ b/packages/membership_beats/src/members.ts
@@ -6,11 +6,11 @@
 import { Result } from "true-myth";
 import { z } from "zod";
 import type { Store } from "@bulrushwood/deployment";
-import type { KeyedFollower } from "@bulrushwood/ledger_store";
+import { type KeyedFollower, SYSTEM_TOPIC } from "@bulrushwood/ledger_store";
 import type { Address, Sleep } from "@bulrushwood/types";
 
-/** Topic of all entries. */
-export const MEMBERS_TOPIC = "keyed.bulrushwood-members";
+/** Keys of entries begin with this, and end with the daemon's address. */
+const MEMBER_KEY_PREFIX = "member/";
 const APPEND_TIMEOUT_MS = 1_000;
 const RETRY_MS = 300;
 
@@ -37,10 +37,10 @@
 /** The daemons that the store names, by address. */
 export function readMembers(follower: KeyedFollower): Map<Address, Member> {
   const members = new Map<Address, Member>();
-  for (const item of follower.items) {
-    const member = parseMember(item.value);
-    if (member.isOk && member.value.address === item.key) {
-      members.set(item.key, member.value);
+  for (const { key, value } of follower.items) {
+    const member = key.startsWith(MEMBER_KEY_PREFIX) ? parseMember(value) : undefined;
+    if (member?.isOk) {
+      members.set(member.value.address, member.value);
     }
   }
   return members;
@@ -52,9 +52,12 @@
   member: Member,
   options: { sleep: Sleep; signal: AbortSignal },
 ): Promise<void> {
-  const item = { key: member.address, value: Buffer.from(JSON.stringify(member)) };
+  const item = {
+    key: MEMBER_KEY_PREFIX + member.address,
+    value: Buffer.from(JSON.stringify(member)),
+  };
   while (!options.signal.aborted) {
-    const appended = await store.append(MEMBERS_TOPIC, item, { timeoutMs: APPEND_TIMEOUT_MS });
+    const appended = await store.append(SYSTEM_TOPIC, item, { timeoutMs: APPEND_TIMEOUT_MS });
     if (appended.isOk) {
       return;
     }
--- a/packages/membership_beats/src/mod.ts
+++ b/packages/membership_beats/src/mod.ts
@@ -16,5 +16,5 @@
   type Peer,
   SILENT_MS,
 } from "./heartbeats.ts";
-export { enterMember, type Member, MEMBERS_TOPIC, parseMember, readMembers } from "./members.ts";
+export { enterMember, type Member, parseMember, readMembers } from "./members.ts";
 export { type AskSeal, isSealedBy, sealTenure } from "./sealing.ts";
--- a/packages/protocol/src/codec.ts
+++ b/packages/protocol/src/codec.ts
@@ -69,6 +69,7 @@
   reason: optional(isString),
   detail: optional(isString),
   retryAfterMs: optional(isNumber),
+  isUnframed: optional(isBoolean),
 };
 
 const fieldsOfKind: Record<FrameKind, Fields> = {
--- a/packages/protocol/src/frames.ts
+++ b/packages/protocol/src/frames.ts
@@ -96,6 +96,8 @@
   detail?: string;
   /** With an outcome: when the caller should come back, in milliseconds. */
   retryAfterMs?: number;
+  /** Whether only the end of the server's connection marked the end of the body. */
+  isUnframed?: boolean;
 }
 
 /** Why a request was not answered by a backend server. */
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -206,7 +206,13 @@
     const headers = head.outcome === undefined
       ? toFlatHeaders(head.headers)
       : this.#ownHeaders(head.retryAfterMs, id);
-    headers.push("content-length", String(body.length));
+    if (head.isUnframed) {
+      // Nobody can vouch that the body is whole, so the answer does not claim it either.
+      response.useChunkedEncodingByDefault = false;
+      response.shouldKeepAlive = false;
+    } else {
+      headers.push("content-length", String(body.length));
+    }
     if (this.#options.isEnding()) {
       headers.push("connection", "close");
     }
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -21,6 +21,10 @@
 const OWNER_HOPS_MAX = 4;
 /** How long a request waits for a key without an owner, or whose owner is out of reach, in milliseconds. */
 const OWNER_WAIT_MS = 600;
+/** An owner that is silent for so long is not tried, in milliseconds. */
+const OUT_OF_REACH_MS = 1_000;
+/** An owner that is silent for longer is not followed soon, so nobody waits for it, in milliseconds. */
+const LOST_MS = 3_000;
 /** Pause before an owner that was out of reach is tried again, in milliseconds. */
 const REACH_RETRY_MS = 60;
 /** When a caller should come back whose key has no owner in reach, in milliseconds. */
@@ -43,6 +47,8 @@
   ownerOf: (service: string, key: number) => Address | null;
   /** Resolves when owners changed, or after a time in milliseconds. */
   waitForChange: (service: string, ms: number) => Promise<void>;
+  /** For how long a daemon has been silent, in milliseconds. */
+  silentMs: (address: Address) => number;
 }
 
 /** Chooses among the servers of a service without keys. */
@@ -100,7 +106,15 @@
     let hops = 0;
     while (hops < OWNER_HOPS_MAX && !request.signal.aborted) {
       const owner = owners.ownerOf(pool, shard);
-      if (owner !== null) {
+      const silentMs = owner === null || owner === this.#options.self ? 0 : owners.silentMs(owner);
+      if (silentMs > LOST_MS) {
+        return notRun(
+          Reason.NoHolder,
+          `The key's owner ${owner} is out of reach`,
+          OWNER_RETRY_AFTER_MS,
+        );
+      }
+      if (owner !== null && silentMs < OUT_OF_REACH_MS) {
         answer = await this.#try(request, owner);
         if (!this.#mayFollow(request, answer)) {
           return answer;
@@ -111,7 +125,8 @@
         return answer;
       }
       if (owners.ownerOf(pool, shard) === owner) {
-        const waitMs = owner === null ? waitUntil - now() : REACH_RETRY_MS;
+        const isAbsent = owner === null || silentMs >= OUT_OF_REACH_MS;
+        const waitMs = isAbsent ? waitUntil - now() : REACH_RETRY_MS;
         await owners.waitForChange(pool, waitMs);
       }
     }
--- a/packages/router/src/range_planner.ts
+++ b/packages/router/src/range_planner.ts
@@ -15,7 +15,7 @@
   type TableStore,
 } from "@bulrushwood/ledger_store";
 import { SUSPICION_MS } from "@bulrushwood/lease_votes";
-import { type Heartbeats, sealTenure } from "@bulrushwood/membership_beats";
+import { type Heartbeats, sealTenure, SILENT_MS } from "@bulrushwood/membership_beats";
 import { type Candidate, type Move, rebalance, spreadEvenly } from "@bulrushwood/planner_ranges";
 import { ServerState } from "@bulrushwood/deployment";
 import { type Address, createStop, now, sleep } from "@bulrushwood/types";
@@ -120,6 +120,21 @@
       this.#hosts = hosts;
       this.#hostsSince = now();
     }
+    this.#noteSuspected(table);
+  }
+
+  /** Every daemon counts from when it saw the suspicion, so that a new planner need not begin anew. */
+  #noteSuspected(table: OwnershipTable): void {
+    const suspected = Object.values(table.hosts).filter(({ isSuspected }) => isSuspected);
+    const tenures = new Set(suspected.map(({ tenure }) => tenure));
+    for (const tenure of this.#suspectedAt.keys()) {
+      if (!tenures.has(tenure)) {
+        this.#suspectedAt.delete(tenure);
+      }
+    }
+    for (const tenure of tenures) {
+      this.#suspectedAt.set(tenure, this.#suspectedAt.get(tenure) ?? now());
+    }
   }
 
   /** A daemon whose address another service's daemon has now is gone. */
@@ -128,8 +143,9 @@
     if (address === self) {
       return false;
     }
-    const isOther = heartbeats.peers.get(address)?.beat.service !== service;
-    return !heartbeats.isHeard(address) || (isOther && heartbeats.peers.has(address));
+    const peer = heartbeats.peers.get(address);
+    const isOther = peer !== undefined && peer.beat.service !== service;
+    return isOther || heartbeats.silentMs(address) > SILENT_MS;
   }
 
   async #removeLost(table: OwnershipTable): Promise<void> {
@@ -138,7 +154,6 @@
     for (const tenure of this.#silentSince.keys()) {
       if (!tenures.has(tenure)) {
         this.#silentSince.delete(tenure);
-        this.#suspectedAt.delete(tenure);
       }
     }
     for (const [address, host] of silent) {
@@ -182,9 +197,6 @@
 
   /** Begins to wait for the end of a tenure whose voters do not answer. */
   async #suspect(address: Address, tenure: string): Promise<void> {
-    if (this.#suspectedAt.has(tenure)) {
-      return;
-    }
     await this.#options.table.change((current) => {
       const host = current.hosts[address];
       if (host?.tenure !== tenure || host.isSuspected) {
@@ -192,7 +204,6 @@
       }
       return { ...current, hosts: { ...current.hosts, [address]: { ...host, isSuspected: true } } };
     });
-    this.#suspectedAt.set(tenure, now());
   }
 
   /** Takes a daemon out and gives its keys to others in the same change. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -11,7 +11,7 @@
   ServerState,
   type Store,
 } from "@bulrushwood/deployment";
-import { KeyedFollower, sizeOf, TABLE_TOPIC, TableStore } from "@bulrushwood/ledger_store";
+import { KeyedFollower, sizeOf, SYSTEM_TOPIC, TableStore } from "@bulrushwood/ledger_store";
 import { Granting, type OwnServer, TenureKeeper } from "@bulrushwood/lease_ranges";
 import {
   BallotBox,
@@ -23,7 +23,6 @@
   type Beat,
   enterMember,
   Heartbeats,
-  MEMBERS_TOPIC,
   readMembers,
   type ServerStatus,
 } from "@bulrushwood/membership_beats";
@@ -45,8 +44,12 @@
 import { ServerWatch } from "./server_watch.ts";
 import { answerReady, answerReports, SideServer } from "./side_servers.ts";
 
-/** How long one read of the store waits for a record, in milliseconds; calls to the store are paid for. */
-const READ_WAIT_MS = 5_000;
+/** How long a read of the manifest waits for a record, in milliseconds; peers tell of newer ones as well. */
+const MANIFEST_WAIT_MS = 10_000;
+/** How long a read of the system's own topic waits, in milliseconds; a voter must know that it is up to date. */
+const SYSTEM_WAIT_MS = 4_000;
+/** Time beyond a read's wait after which the store counts as out of reach, in milliseconds. */
+const STORE_GRACE_MS = 700;
 /** How often the server beside this daemon is looked after, in milliseconds. */
 const SERVER_LOOK_MS = 120;
 /** Time after the signal to stop in which callers learn of it by the readiness check, in milliseconds. */
@@ -57,6 +60,8 @@
 const GIVE_AGAIN_MS = 50;
 /** How often a daemon that ends looks whether the last requests are done, in milliseconds. */
 const END_CHECK_MS = 20;
+/** The last requests of a daemon that ends may take so long, in milliseconds. */
+const LAST_REQUESTS_MS = 1_600;
 /** How long measured load is told before it is measured again, in milliseconds. */
 const MEASURE_MS = 200;
 
@@ -82,8 +87,7 @@
   readonly #metrics = new Metrics();
   readonly #store: Store;
   readonly #manifests: KeyedFollower;
-  readonly #members: KeyedFollower;
-  readonly #tables: KeyedFollower;
+  readonly #system: KeyedFollower;
   readonly #manifest: ManifestKeeper;
   readonly #tableStores = new Map<string, TableStore>();
   readonly #relay: Relay;
@@ -121,12 +125,11 @@
     const { peers } = settings.listen;
     this.#self = `${peers.host}:${peers.port}`;
     this.#store = adapter.openStore(settings);
-    this.#manifests = this.#follow(adapter.manifestPlace.topic);
-    this.#members = this.#follow(MEMBERS_TOPIC);
-    this.#tables = this.#follow(TABLE_TOPIC);
+    this.#manifests = this.#follow(adapter.manifestPlace.topic, MANIFEST_WAIT_MS);
+    this.#system = this.#follow(SYSTEM_TOPIC, SYSTEM_WAIT_MS);
     this.#manifest = new ManifestKeeper({ follower: this.#manifests, adapter, log });
     const call = this.#call.bind(this);
-    const followers = [this.#manifests, this.#members, this.#tables];
+    const followers = [this.#manifests, this.#system];
     this.#relay = new Relay({ followers, call });
     this.#watch = new ServerWatch({ ...settings, now });
     const [host, port] = settings.serverAddress.split(":");
@@ -164,7 +167,11 @@
         log(Event.OrderFailed, { order, reason, first, last });
       },
     });
-    this.#ballotBox = new BallotBox({ now, mustRefuse: (tenure) => this.#mustRefuse(tenure) });
+    this.#ballotBox = new BallotBox({
+      now,
+      mustRefuse: (tenure) => this.#mustRefuse(tenure),
+      isOwn: (tenure) => this.#tenure.isOwn(tenure),
+    });
     this.#heartbeats = new Heartbeats({
       self,
       incarnation,
@@ -194,7 +201,7 @@
       service: settings.service,
       table,
       heartbeats: this.#heartbeats,
-      mayPlan: () => this.#isKeyed && !this.#isEnding && this.#tables.isReachable,
+      mayPlan: () => this.#isKeyed && !this.#isEnding && this.#hasStore,
       candidates: () => this.#candidates(),
       call,
       giveOwn: (moves) => this.#giveMoves(moves),
@@ -242,7 +249,7 @@
       onAnswer: (route, answer, ms) => this.#metrics.noteAnswer(route, answer, ms),
     });
     this.#manifest.changes.subscribe(() => this.#callers.applyManifest());
-    this.#members.changes.subscribe(() => this.#addMembers());
+    this.#system.changes.subscribe(() => this.#addMembers());
     this.#addGauges();
     const member = {
       address: this.#self,
@@ -254,8 +261,7 @@
     const { signal } = this.#stop;
     this.#tasks.push(
       this.#manifests.start(),
-      this.#members.start(),
-      this.#tables.start(),
+      this.#system.start(),
       enterMember(this.#store, member, { sleep, signal }),
       this.#lookAfterServer(),
     );
@@ -271,13 +277,13 @@
     this.#sides.push(await SideServer.listen(endpoint, handler, { log: this.#log }));
   }
 
-  #follow(topic: string): KeyedFollower {
+  #follow(topic: string, waitMs: number): KeyedFollower {
     return new KeyedFollower({
       store: this.#store,
       topic,
       now,
       sleep,
-      waitMs: READ_WAIT_MS,
+      waitMs,
       onReachable: (isReachable, reason) => {
         const event = isReachable ? Event.StoreReachable : Event.StoreLost;
         this.#log(event, { topic, reason });
@@ -292,7 +298,7 @@
     }
     const table = new TableStore({
       store: this.#store,
-      follower: this.#tables,
+      follower: this.#system,
       sleep,
       service,
       onDamaged: (reason) => this.#log(Event.TableDamaged, { service, reason }),
@@ -312,6 +318,7 @@
           return ranges.find(({ last }) => key <= last)?.owner ?? null;
         },
         waitForChange: (service, ms) => this.#waitForTable(service, ms),
+        silentMs: (address) => this.#heartbeats.silentMs(address),
       },
       choice: {
         choose: (service) => this.#choices.choose(this.#serversOf(service)),
@@ -362,6 +369,12 @@
     return servers;
   }
 
+  /** Whether the store answers; a read that stays open too long shows sooner than its time limit. */
+  get #hasStore(): boolean {
+    const sinceMs = now() - this.#system.confirmedAt;
+    return this.#system.isReachable && sinceMs < SYSTEM_WAIT_MS + STORE_GRACE_MS;
+  }
+
   get #isKeyed(): boolean {
     return this.#manifest.manifest?.services.get(this.#settings.service)?.isKeyed ?? false;
   }
@@ -388,7 +401,7 @@
 
   /** A voter refuses what the store suspects, and everything while it cannot know what that is. */
   #mustRefuse(tenure: string): boolean {
-    if (now() - this.#tables.confirmedAt > VOTER_BLIND_MS) {
+    if (now() - this.#system.confirmedAt > VOTER_BLIND_MS) {
       return true;
     }
     return [...this.#tableStores.values()].some(({ table }) =>
@@ -432,7 +445,7 @@
       tenures: this.#tenure.tenuresFor(peer),
       manifestVersion: this.#manifest.version,
       isLeaving: this.#isEnding,
-      hasStore: this.#tables.isReachable,
+      hasStore: this.#hasStore,
       server: this.#status({ withPieces }),
     };
   }
@@ -460,7 +473,7 @@
   }
 
   #addMembers(): void {
-    for (const address of readMembers(this.#members).keys()) {
+    for (const address of readMembers(this.#system).keys()) {
       this.#heartbeats.add(address);
     }
   }
@@ -597,7 +610,7 @@
       waiting: () => this.#pressure.waiting,
       ownKeys: () => this.#granting.own.reduce((sum, range) => sum + sizeOf(range), 0),
       supportedMs: () => Math.max(0, this.#tenure.supportedUntil - now()),
-      isStoreReachable: () => this.#tables.isReachable,
+      isStoreReachable: () => this.#hasStore,
       manifestVersion: () => this.#manifest.version,
       peersHeard: () =>
         [...this.#heartbeats.peers.keys()].filter((peer) => this.#heartbeats.isHeard(peer)).length,
@@ -622,7 +635,7 @@
     const given = this.#giveAllBeforeEnd();
     await sleep(LINGER_MS);
     const closed = this.#callers.close({ timeoutMs: endAt - now() });
-    await Promise.race([Promise.all([given, closed]), sleep(endAt - now())]);
+    await Promise.race([Promise.all([given, closed]), sleep(endAt - LAST_REQUESTS_MS - now())]);
     this.#runner.refuseNew();
     while (this.#runner.open > 0 && now() < endAt) {
       await sleep(END_CHECK_MS);
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -182,11 +182,11 @@
     } else if (result.status > 0 || result.load !== undefined) {
       watch.noteAnswer();
     }
-    const { outcome, detail, status, headers, body } = result;
+    const { outcome, detail, status, headers, body, isUnframed } = result;
     const fields = { id: head.id, server: watch.report?.id, detail };
     switch (outcome) {
       case ServerOutcome.Answered:
-        return { head: { status, headers }, body };
+        return { head: { status, headers, isUnframed }, body };
       case ServerOutcome.Misdirected:
         log(Event.RequestRefused, { ...fields, reason: Reason.NotHolder });
         return notRun(
--- a/packages/router/src/server_client.ts
+++ b/packages/router/src/server_client.ts
@@ -44,6 +44,8 @@
   load: ServerLoad | undefined;
   /** Whether the server refused the connection. */
   isRefused: boolean;
+  /** Whether only the end of the connection marked the end of the body. */
+  isUnframed: boolean;
 }
 
 /** One request to the server. */
@@ -187,7 +189,9 @@
     }
     const headers = readHeaders(message.rawHeaders);
     const outcome = ServerOutcome.Answered;
-    return { outcome, detail: "", status, headers, body, load, isRefused: false };
+    const isUnframed = message.headers["content-length"] === undefined &&
+      message.headers["transfer-encoding"] === undefined;
+    return { outcome, detail: "", status, headers, body, load, isRefused: false, isUnframed };
   }
 
   /** Closes idle connections, and breaks off all that is under way. */
@@ -206,5 +210,6 @@
     body: undefined,
     load: undefined,
     isRefused: false,
+    isUnframed: false,
   };
 }
