--- a/packages/ledger_store/src/table_store.ts
+++ b/packages/ledger_store/src/table_store.ts
@@ -111,7 +111,7 @@
     const item = { key: this.#key, value };
     let mayHaveApplied = false;
     while (true) {
-      const appended = await store.append(TABLE_TOPIC, item, {
+      const appended = await store.append(SYSTEM_TOPIC, item, {
         expectedEnd,
         timeoutMs: APPEND_TIMEOUT_MS,
       });
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -248,7 +248,12 @@
       isEnding: () => this.#isEnding,
       onAnswer: (route, answer, ms) => this.#metrics.noteAnswer(route, answer, ms),
     });
-    this.#manifest.changes.subscribe(() => this.#callers.applyManifest());
+    this.#manifest.changes.subscribe((manifest) => {
+      this.#callers.applyManifest();
+      // A voter has to know the tables of all services, since each may suspect a tenure.
+      [...manifest.services.values()].filter(({ isKeyed }) => isKeyed)
+        .forEach(({ name }) => this.#tableOf(name));
+    });
     this.#system.changes.subscribe(() => this.#addMembers());
     this.#addGauges();
     const member = {
