--- /dev/null
+++ b/packages/ledger_store/src/ownership_table_test.ts
@@ -0,0 +1,97 @@
+import { Buffer } from "node:buffer";
+import { expect } from "chai";
+import {
+  assign,
+  emptyTable,
+  enterHost,
+  formatTable,
+  type Host,
+  KEYS,
+  parseTable,
+  rangeOf,
+  rangesOf,
+  removeHost,
+} from "./mod.ts";
+
+const HOST: Host = {
+  tenure: "t1",
+  voters: [{ address: "a", incarnation: "i" }],
+  server: { id: "s1", bornMs: 5 },
+  slots: 12,
+  isSuspected: false,
+};
+
+function tableWithTwoOwners() {
+  const entered = enterHost(enterHost(emptyTable(), "a", HOST), "b", { ...HOST, tenure: "t2" });
+  return assign(entered, [
+    { first: 0, last: 999, to: "a", handover: null },
+    { first: 1_000, last: KEYS - 1, to: "b", handover: null },
+  ]);
+}
+
+describe("ownership table", () => {
+  it("finds the range of a key at its borders", () => {
+    const table = tableWithTwoOwners();
+    expect([0, 999, 1_000, KEYS - 1].map((key) => rangeOf(table, key).owner))
+      .to.deep.equal(["a", "a", "b", "b"]);
+  });
+
+  it("cuts ranges where keys in their middle move, and gives the moved ones a new epoch", () => {
+    const table = assign(tableWithTwoOwners(), [{ first: 10, last: 19, to: "b", handover: "h" }]);
+    expect(
+      table.ranges.map((
+        { first, last, owner, epoch, handover },
+      ) => [first, last, owner, epoch, handover]),
+    ).to.deep.equal([
+      [0, 9, "a", 1, null],
+      [10, 19, "b", 2, "h"],
+      [20, 999, "a", 1, null],
+      [1_000, KEYS - 1, "b", 1, null],
+    ]);
+  });
+
+  it("joins neighbours only where nothing tells them apart", () => {
+    const table = assign(tableWithTwoOwners(), [
+      { first: 0, last: 9, to: "b", handover: null },
+      { first: 10, last: 19, to: "b", handover: null },
+    ]);
+    expect(table.ranges[0]).to.deep.include({ first: 0, last: 19, owner: "b", epoch: 2 });
+  });
+
+  it("keeps keys and epochs of a server whose daemon starts anew", () => {
+    const table = enterHost(tableWithTwoOwners(), "a", { ...HOST, tenure: "t3" });
+    expect(rangesOf(table, "a")).to.deep.equal(rangesOf(tableWithTwoOwners(), "a"));
+  });
+
+  it("gives a new life of a server a new epoch", () => {
+    const server = { id: "s1", bornMs: 6 };
+    const table = enterHost(tableWithTwoOwners(), "a", { ...HOST, server });
+    expect(rangesOf(table, "a").map(({ epoch }) => epoch)).to.deep.equal([2]);
+  });
+
+  it("frees the keys of a daemon that is taken out", () => {
+    const table = removeHost(tableWithTwoOwners(), "a");
+    expect(table.hosts).to.have.keys("b");
+    expect(rangesOf(table, null)).to.have.length(1);
+    expect(rangeOf(table, 5).epoch).to.equal(2);
+  });
+
+  it("reads what it wrote", () => {
+    const table = tableWithTwoOwners();
+    expect(parseTable(formatTable(table)).unwrapOr(emptyTable())).to.deep.equal(table);
+  });
+
+  for (
+    const [name, text, field] of [
+      ["bytes that are no JSON", "\u0000\u0001", "JSON"],
+      ["a missing field", '{"write":"","epoch":1,"hosts":{}}', "ranges"],
+      ["a field of another type", '{"write":"","epoch":"1","hosts":{},"ranges":[]}', "epoch"],
+      ["keys without a range", '{"write":"","epoch":1,"hosts":{},"ranges":[]}', "cover each key"],
+    ]
+  ) {
+    it(`refuses ${name} and names the fault`, () => {
+      const parsed = parseTable(Buffer.from(text));
+      expect(parsed.isErr && parsed.error.message).to.contain(field);
+    });
+  }
+});
--- a/packages/ledger_store/src/table_store.ts
+++ b/packages/ledger_store/src/table_store.ts
@@ -26,6 +26,8 @@
   sleep: Sleep;
   service: string;
   onDamaged: (reason: string) => void;
+  /** A random number from 0 to 1. */
+  random: () => number;
 }
 
 /** A change of a table; undefined when there is nothing to change any more. */
@@ -99,7 +101,7 @@
       if (await this.#append(written, expectedEnd)) {
         return ChangeOutcome.Done;
       }
-      await this.#options.sleep(RETRY_MS * Math.random());
+      await this.#options.sleep(RETRY_MS * this.#options.random());
     }
     return ChangeOutcome.Abandoned;
   }
--- /dev/null
+++ b/packages/ledger_store/src/table_store_test.ts
@@ -0,0 +1,121 @@
+import { expect } from "chai";
+import { AppendFault, KeyedStoreService } from "@bulrushwood/stand_ins";
+import { now, sleep } from "@bulrushwood/types";
+import {
+  assign,
+  ChangeOutcome,
+  KeyedFollower,
+  KEYS,
+  type OwnershipTable,
+  rangesOf,
+  SYSTEM_TOPIC,
+  TableStore,
+} from "./mod.ts";
+
+interface Daemon {
+  follower: KeyedFollower;
+  table: TableStore;
+  close: () => Promise<void>;
+}
+
+async function startDaemon(service: KeyedStoreService): Promise<Daemon> {
+  const store = service.connect();
+  const options = { store, topic: SYSTEM_TOPIC, now, sleep, waitMs: 500 };
+  const follower = new KeyedFollower({ ...options, onReachable: () => {} });
+  const table = new TableStore({
+    store,
+    follower,
+    sleep,
+    service: "despacho",
+    random: Math.random,
+    onDamaged: () => {},
+  });
+  await follower.start();
+  const close = async () => {
+    table.close();
+    await follower.close();
+  };
+  return { follower, table, close };
+}
+
+/** Gives all keys to an owner unless it has them. */
+function giveAllTo(owner: string) {
+  return (table: OwnershipTable) =>
+    rangesOf(table, owner).length > 0
+      ? undefined
+      : assign(table, [{ first: 0, last: KEYS - 1, to: owner, handover: null }]);
+}
+
+/** Adds an owner of one key. */
+function giveKey(key: number, owner: string) {
+  return (table: OwnershipTable) =>
+    rangesOf(table, owner).length > 0
+      ? undefined
+      : assign(table, [{ first: key, last: key, to: owner, handover: null }]);
+}
+
+describe("table store", () => {
+  it("lets racing changes of several daemons all take effect, one after the other", async () => {
+    const service = new KeyedStoreService({ sleep });
+    const daemons = await Promise.all([1, 2, 3, 4].map(() => startDaemon(service)));
+    await Promise.all(
+      daemons.map(({ table }, index) => table.change(giveKey(index * 10, `owner-${index}`))),
+    );
+    await sleep(50);
+    for (const { table } of daemons) {
+      expect(table.table.value.epoch).to.equal(4);
+    }
+    await Promise.all(daemons.map(({ close }) => close()));
+  });
+
+  for (const fault of [AppendFault.LostAnswer, AppendFault.LostCall, AppendFault.Late]) {
+    it(`makes a change once when an append meets the fault ${fault}`, async function () {
+      const faults = [fault];
+      const service = new KeyedStoreService({
+        sleep,
+        lateMs: 300,
+        chooseFault: () => faults.shift() ?? AppendFault.None,
+      });
+      const daemon = await startDaemon(service);
+      const outcome = await daemon.table.change(giveAllTo("a"));
+      await sleep(500);
+      expect(outcome).to.not.equal(ChangeOutcome.Abandoned);
+      expect(daemon.table.table.value.epoch).to.equal(1);
+      expect(service.endOf(SYSTEM_TOPIC)).to.equal(1);
+      await daemon.close();
+    });
+  }
+
+  it("has the newest table after the history was dropped", async () => {
+    const service = new KeyedStoreService({ sleep });
+    const [writer, reader] = [await startDaemon(service), await startDaemon(service)];
+    await writer.table.change(giveAllTo("a"));
+    service.forget(SYSTEM_TOPIC);
+    await writer.table.change(giveKey(7, "b"));
+    await sleep(100);
+    expect(reader.table.table.value).to.deep.equal(writer.table.table.value);
+    await Promise.all([writer.close(), reader.close()]);
+  });
+
+  it("goes on when the store comes back", async function () {
+    const service = new KeyedStoreService({ sleep });
+    const daemon = await startDaemon(service);
+    service.isDown = true;
+    const changed = daemon.table.change(giveAllTo("a"));
+    await sleep(400);
+    service.isDown = false;
+    expect(await changed).to.equal(ChangeOutcome.Done);
+    await daemon.close();
+  });
+
+  it("never goes back to an older record", async () => {
+    const service = new KeyedStoreService({ sleep });
+    const daemon = await startDaemon(service);
+    await daemon.table.change(giveAllTo("a"));
+    const old = daemon.follower.get("table/despacho")!;
+    await daemon.table.change(giveKey(7, "b"));
+    daemon.follower.apply(old);
+    expect(rangesOf(daemon.table.table.value, "b")).to.have.length(1);
+    await daemon.close();
+  });
+});
--- /dev/null
+++ b/packages/membership_beats/src/sealing_test.ts
@@ -0,0 +1,31 @@
+import { expect } from "chai";
+import { SUPPORT_MS } from "@bulrushwood/lease_votes";
+import { isSealedBy, sealTenure } from "./mod.ts";
+
+const VOTERS = ["a", "b", "c"].map((address) => ({ address, incarnation: `${address}1` }));
+
+describe("sealing a tenure", () => {
+  it("counts a voter that started anew only once its earlier support has run out", () => {
+    const reply = { incarnation: "a2", isSealed: false };
+    expect(isSealedBy(VOTERS[0], { ...reply, uptimeMs: SUPPORT_MS - 1 })).to.equal(false);
+    expect(isSealedBy(VOTERS[0], { ...reply, uptimeMs: SUPPORT_MS + 500 })).to.equal(true);
+  });
+
+  it("does not count a voter that does not answer", () => {
+    expect(isSealedBy(VOTERS[0], undefined)).to.equal(false);
+  });
+
+  for (
+    const [sealers, ended] of [[["a"], false], [["b", "c"], true], [["a", "b", "c"], true]] as const
+  ) {
+    it(`has ${ended ? "" : "not "}ended with the seals of ${sealers.join(", ")}`, async () => {
+      const ask = (voter: string) =>
+        Promise.resolve({
+          incarnation: `${voter}1`,
+          isSealed: (sealers as readonly string[]).includes(voter),
+          uptimeMs: 60_000,
+        });
+      expect(await sealTenure("t", VOTERS, { ask })).to.equal(ended);
+    });
+  }
+});
--- a/packages/router/src/range_planner.ts
+++ b/packages/router/src/range_planner.ts
@@ -18,7 +18,7 @@
 import { type Heartbeats, sealTenure, SILENT_MS } from "@bulrushwood/membership_beats";
 import { type Candidate, type Move, rebalance, spreadEvenly } from "@bulrushwood/planner_ranges";
 import { ServerState } from "@bulrushwood/deployment";
-import { type Address, createStop, now, sleep } from "@bulrushwood/types";
+import { type Address, type Clock, createStop, type Sleep } from "@bulrushwood/types";
 import { Event, type EventLog } from "./event_log.ts";
 
 /** Time between two looks, in milliseconds. */
@@ -38,6 +38,8 @@
 export interface RangePlannerOptions {
   self: Address;
   service: string;
+  now: Clock;
+  sleep: Sleep;
   table: TableStore;
   heartbeats: Heartbeats;
   /** Whether the service has keys and this daemon reaches the store. */
@@ -62,12 +64,13 @@
   readonly #silentSince = new Map<string, number>();
   readonly #suspectedAt = new Map<string, number>();
   #hosts = "";
-  #hostsSince = now();
+  #hostsSince: number;
   #movedAt = Number.NEGATIVE_INFINITY;
   #task: Promise<void> | undefined;
 
   constructor(options: RangePlannerOptions) {
     this.#options = options;
+    this.#hostsSince = options.now();
   }
 
   /** Starts to plan. */
@@ -83,7 +86,7 @@
         const { message } = error as Error;
         this.#options.log(Event.TaskFailed, { task: "range planner", reason: message });
       }
-      await sleep(LOOK_MS, this.#stop.signal);
+      await this.#options.sleep(LOOK_MS, this.#stop.signal);
     }
   }
 
@@ -118,7 +121,7 @@
     const hosts = Object.keys(table.hosts).sort().join();
     if (hosts !== this.#hosts) {
       this.#hosts = hosts;
-      this.#hostsSince = now();
+      this.#hostsSince = this.#options.now();
     }
     this.#noteSuspected(table);
   }
@@ -133,7 +136,7 @@
       }
     }
     for (const tenure of tenures) {
-      this.#suspectedAt.set(tenure, this.#suspectedAt.get(tenure) ?? now());
+      this.#suspectedAt.set(tenure, this.#suspectedAt.get(tenure) ?? this.#options.now());
     }
   }
 
@@ -157,7 +160,7 @@
       }
     }
     for (const [address, host] of silent) {
-      const since = this.#silentSince.get(host.tenure) ?? now();
+      const since = this.#silentSince.get(host.tenure) ?? this.#options.now();
       this.#silentSince.set(host.tenure, since);
       await this.#removeSilent(address, host.tenure, { since });
     }
@@ -177,9 +180,10 @@
       ask: (voter, name) => heartbeats.seal(voter, name),
     });
     const suspectedAt = this.#suspectedAt.get(tenure);
-    const hasOutlasted = suspectedAt !== undefined && now() - suspectedAt > SUSPICION_MS;
+    const hasOutlasted = suspectedAt !== undefined &&
+      this.#options.now() - suspectedAt > SUSPICION_MS;
     if (!isSealed && !hasOutlasted) {
-      if (now() - options.since > SEAL_PATIENCE_MS) {
+      if (this.#options.now() - options.since > SEAL_PATIENCE_MS) {
         await this.#suspect(address, tenure);
       }
       return;
@@ -224,7 +228,7 @@
   async #assignFree(): Promise<void> {
     const { table, log } = this.#options;
     const isFirstStart = table.table.value.epoch === 0;
-    if (isFirstStart && now() - this.#hostsSince < SETTLE_MS) {
+    if (isFirstStart && this.#options.now() - this.#hostsSince < SETTLE_MS) {
       return;
     }
     const free = rangesOf(table.table.value, null);
@@ -247,14 +251,17 @@
   /** Lets busy servers give keys to idle ones. */
   #even(): void {
     const { table, self, giveOwn, call, log } = this.#options;
-    if (now() - this.#movedAt < COOL_DOWN_MS || rangesOf(table.table.value, null).length > 0) {
+    if (
+      this.#options.now() - this.#movedAt < COOL_DOWN_MS ||
+      rangesOf(table.table.value, null).length > 0
+    ) {
       return;
     }
     const moves = rebalance(this.#entered(table.table.value));
     if (moves.length === 0) {
       return;
     }
-    this.#movedAt = now();
+    this.#movedAt = this.#options.now();
     for (const from of new Set(moves.map((move) => move.from))) {
       const own = moves.filter((move) => move.from === from);
       const keys = own.reduce((sum, move) => sum + sizeOf(move), 0);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -199,6 +199,8 @@
     this.#planner = new RangePlanner({
       self,
       service: settings.service,
+      now,
+      sleep,
       table,
       heartbeats: this.#heartbeats,
       mayPlan: () => this.#isKeyed && !this.#isEnding && this.#hasStore,
@@ -306,6 +308,7 @@
       follower: this.#system,
       sleep,
       service,
+      random: Math.random,
       onDamaged: (reason) => this.#log(Event.TableDamaged, { service, reason }),
     });
     this.#tableStores.set(service, table);
--- a/packages/stand_ins/src/mod.ts
+++ b/packages/stand_ins/src/mod.ts
@@ -11,3 +11,4 @@
 export { AppendMode, type LogControl, LogService, type LogServiceOptions } from "./log_service.ts";
 export { Network, type NetworkHost } from "./network.ts";
 export { findFreePort } from "./ports.ts";
+export { AppendFault, type KeyedStoreOptions, KeyedStoreService } from "./keyed_store.ts";
