--- /dev/null
+++ b/packages/lease_ranges/src/granting_test.ts
@@ -0,0 +1,192 @@
+import { expect } from "chai";
+import { Result } from "true-myth";
+import { Buffer } from "node:buffer";
+import type { GrantOrder, Order, ReleaseOrder, ServerWire } from "@bulrushwood/deployment";
+import {
+  assign,
+  enterHost,
+  KeyedFollower,
+  KEYS,
+  rangeOf,
+  rangesOf,
+  SYSTEM_TOPIC,
+  TableStore,
+} from "@bulrushwood/ledger_store";
+import { SuspensionDetector } from "@bulrushwood/lease_votes";
+import { KeyedStoreService } from "@bulrushwood/stand_ins";
+import { now, sleep } from "@bulrushwood/types";
+import { Granting, KeyState, type OrderAnswer, TenureKeeper } from "./mod.ts";
+
+const SELF = "10.0.0.1:7000";
+const OTHER = "10.0.0.2:7000";
+const SERVER = { id: "s1", bornMs: 1 };
+const STATUS_OK = 200;
+
+type Sent = { kind: "grant"; order: GrantOrder } | { kind: "release"; order: ReleaseOrder };
+
+/** Carries orders as JSON, so that the fake server can read them. */
+const WIRE = {
+  grant: (order: GrantOrder) => toOrder({ kind: "grant", order }),
+  release: (order: ReleaseOrder) => toOrder({ kind: "release", order }),
+  readHandover: (headers: Record<string, string>) => headers.handover,
+  isOutdated: (status: number) => status === 409,
+} as unknown as ServerWire;
+
+function toOrder(sent: Sent): Order {
+  return { method: "POST", path: "/", headers: {}, body: Buffer.from(JSON.stringify(sent)) };
+}
+
+type Answer = (sent: Sent) => Promise<Result<OrderAnswer, Error>>;
+
+function answerOk(sent: Sent): Promise<Result<OrderAnswer, Error>> {
+  const headers = sent.kind === "release" ? { handover: "token" } : {};
+  return Promise.resolve(Result.ok({ status: STATUS_OK, headers }));
+}
+
+/** A daemon whose server owns all keys, alone among its voters. */
+async function startDaemon(answer: Answer = answerOk) {
+  const store = new KeyedStoreService({ sleep }).connect();
+  const follower = new KeyedFollower({
+    store,
+    topic: SYSTEM_TOPIC,
+    now,
+    sleep,
+    waitMs: 500,
+    onReachable: () => {},
+  });
+  await follower.start();
+  const table = new TableStore({
+    store,
+    follower,
+    sleep,
+    service: "despacho",
+    random: Math.random,
+    onDamaged: () => {},
+  });
+  const tenure = new TenureKeeper({
+    self: SELF,
+    incarnation: "i1",
+    now,
+    sleep,
+    table,
+    candidates: () => [],
+    server: () => ({ ...SERVER, slots: 4 }),
+  });
+  const sent: { at: number; sent: Sent }[] = [];
+  const granting = new Granting({
+    self: SELF,
+    now,
+    sleep,
+    table,
+    tenure,
+    suspension: new SuspensionDetector(now),
+    wire: WIRE,
+    server: () => SERVER,
+    send: (order) => {
+      const decoded = JSON.parse(order.body.toString()) as Sent;
+      sent.push({ at: now(), sent: decoded });
+      return answer(decoded);
+    },
+    grantMsMax: 10_000,
+    onSuspended: () => {},
+    onFailed: () => {},
+  });
+  tenure.start();
+  granting.start();
+  while (table.table.value.hosts[SELF] === undefined) {
+    await sleep(20);
+  }
+  const host = { ...table.table.value.hosts[SELF], tenure: "other" };
+  await table.change((current) => enterHost(current, OTHER, host));
+  await table.change((current) =>
+    assign(current, [{ first: 0, last: KEYS - 1, to: SELF, handover: "first" }])
+  );
+  await sleep(50);
+  const close = async () => {
+    await tenure.close();
+    await granting.close();
+    table.close();
+    await follower.close();
+  };
+  return { table, granting, sent, close };
+}
+
+describe("granting", () => {
+  it("grants own keys with their epoch and hand-over token, once, and never past the support", async () => {
+    const { granting, sent, close } = await startDaemon();
+    await sleep(800);
+    const grants = sent.filter(({ sent: { kind } }) => kind === "grant");
+    expect(grants.length).to.be.within(2, 4);
+    const [first, second] = grants.map(({ sent: { order } }) => order as GrantOrder);
+    expect(first).to.include({ first: 0, last: KEYS - 1, epoch: 1, handover: "first" });
+    expect(second.handover).to.equal(undefined);
+    expect(first.durationMs).to.be.below(1_300);
+    expect(granting.stateOf(77)).to.equal(KeyState.Granted);
+    await close();
+  });
+
+  it("releases keys before the store names their new owner, and hands the token over", async () => {
+    const released: string[] = [];
+    const daemon = await startDaemon(async (sent) => {
+      if (sent.kind === "release") {
+        await sleep(100);
+        released.push(rangeOf(daemon.table.table.value, 10).owner ?? "nobody");
+      }
+      return answerOk(sent);
+    });
+    const { granting, table, close } = daemon;
+    const given = granting.give(
+      () => [{ first: 10, last: 20, to: OTHER, handover: null }],
+      { leave: false, isServerGone: false },
+    );
+    expect(granting.stateOf(10)).to.equal(KeyState.Moving);
+    expect(granting.stateOf(21)).to.equal(KeyState.Granted);
+    await given;
+    expect(released).to.deep.equal([SELF]);
+    expect(rangeOf(table.table.value, 10)).to.include({ owner: OTHER, handover: "token" });
+    expect(granting.stateOf(10)).to.equal(KeyState.Elsewhere);
+    expect(granting.stateOf(21)).to.equal(KeyState.Granted);
+    await close();
+  });
+
+  it("releases all keys before it leaves, also those that nobody was chosen for", async () => {
+    const { granting, table, sent, close } = await startDaemon();
+    await granting.give(
+      () => [{ first: 0, last: 99, to: OTHER, handover: null }],
+      { leave: true, isServerGone: false },
+    );
+    const released = sent.filter(({ sent: { kind } }) => kind === "release")
+      .map(({ sent: { order } }) => [order.first, order.last]);
+    expect(released).to.deep.equal([[0, 99], [100, KEYS - 1]]);
+    expect(rangesOf(table.table.value, SELF)).to.deep.equal([]);
+    expect(rangeOf(table.table.value, 500).owner).to.equal(null);
+    await close();
+  });
+
+  it("waits until a grant has ended at a server that does not answer", async () => {
+    let isSilent = false;
+    const { granting, close } = await startDaemon((sent) =>
+      isSilent ? Promise.resolve(Result.err(new Error("no answer"))) : answerOk(sent)
+    );
+    isSilent = true;
+    const startedAt = now();
+    await granting.give(
+      () => [{ first: 0, last: KEYS - 1, to: OTHER, handover: null }],
+      { leave: false, isServerGone: true },
+    );
+    expect(now() - startedAt).to.be.above(600);
+    await close();
+  });
+
+  it("takes a new epoch where the server knows a newer one", async () => {
+    const daemon = await startDaemon((sent) =>
+      sent.kind === "grant" && sent.order.epoch < 2
+        ? Promise.resolve(Result.ok({ status: 409, headers: {} }))
+        : answerOk(sent)
+    );
+    await sleep(400);
+    expect(daemon.granting.stateOf(5)).to.equal(KeyState.Granted);
+    expect(rangeOf(daemon.table.table.value, 5).epoch).to.equal(2);
+    await daemon.close();
+  });
+});
--- /dev/null
+++ b/packages/planner_ranges/src/planner_ranges_test.ts
@@ -0,0 +1,109 @@
+import { expect } from "chai";
+import { KEYS, sizeOf } from "@bulrushwood/ledger_store";
+import { type Candidate, LoadMeter, rebalance, spread, spreadEvenly } from "./mod.ts";
+
+function candidate(address: string, fields: Partial<Candidate> = {}): Candidate {
+  return { address, slots: 12, serviceMs: 100, rate: 0, keys: 100, pieces: [], ...fields };
+}
+
+/** A server with its load in equal pieces of ten keys. */
+function loaded(address: string, first: number, rate: number): Candidate {
+  const pieces = Array.from({ length: 20 }, (_, index) => ({
+    first: first + index * 10,
+    last: first + index * 10 + 9,
+    rate: rate / 20,
+  }));
+  return candidate(address, { rate, pieces, keys: 200 });
+}
+
+describe("spreading keys", () => {
+  it("gives each of several equal servers about the same share, and all keys to somebody", () => {
+    const all = [{ first: 0, last: KEYS - 1 }];
+    const assignments = spreadEvenly(all, ["a", "b", "c"].map((address) => candidate(address)));
+    const shares = new Map<string | null, number>();
+    for (const assignment of assignments) {
+      shares.set(assignment.to, (shares.get(assignment.to) ?? 0) + sizeOf(assignment));
+    }
+    expect([...shares.keys()]).to.have.members(["a", "b", "c"]);
+    expect([...shares.values()].reduce((sum, size) => sum + size)).to.equal(KEYS);
+    expect(Math.max(...shares.values()) / Math.min(...shares.values())).to.be.below(1.1);
+  });
+
+  it("gives keys to nobody where there is no server", () => {
+    expect(spreadEvenly([{ first: 3, last: 3 }], [])).to.deep.equal([
+      { first: 3, last: 3, to: null, handover: null },
+    ]);
+  });
+
+  it("leaves a slow and a busy server alone while another has room", () => {
+    const servers = [
+      candidate("slow", { serviceMs: 1_000 }),
+      candidate("busy", { rate: 100 }),
+      candidate("free"),
+    ];
+    const [assignment] = spread([{ first: 0, last: 9, rate: 20 }], servers);
+    expect(assignment.to).to.equal("free");
+  });
+});
+
+describe("rebalancing", () => {
+  it("takes a rush on a few keys of one server apart within one plan", () => {
+    const servers = [
+      loaded("hot", 0, 110),
+      loaded("b", 1_000, 30),
+      loaded("c", 2_000, 30),
+      loaded("d", 3_000, 30),
+    ];
+    const moves = rebalance(servers);
+    const moved = moves.reduce((sum, move) => sum + sizeOf(move) / 10 * 110 / 20, 0);
+    expect(moves.every(({ from }) => from === "hot")).to.equal(true);
+    expect(new Set(moves.map(({ to }) => to)).size).to.be.above(1);
+    expect(moved).to.be.within(45, 66);
+  });
+
+  it("relieves a server that turned slow", () => {
+    const slow = { ...loaded("slow", 0, 40), serviceMs: 500 };
+    const moves = rebalance([slow, loaded("b", 1_000, 40), loaded("c", 2_000, 40)]);
+    expect(moves.length).to.be.above(0);
+    expect(moves[0].from).to.equal("slow");
+  });
+
+  it("leaves small differences and idle servers alone", () => {
+    expect(rebalance([loaded("a", 0, 64), loaded("b", 1_000, 56)])).to.deep.equal([]);
+    expect(rebalance([loaded("a", 0, 20), loaded("b", 1_000, 2)])).to.deep.equal([]);
+  });
+
+  it("gives a server that joined its share of the work", () => {
+    const moves = rebalance([
+      loaded("a", 0, 40),
+      loaded("b", 1_000, 40),
+      candidate("new", { keys: 0 }),
+    ]);
+    expect(new Set(moves.map(({ to }) => to))).to.deep.equal(new Set(["new"]));
+  });
+});
+
+describe("load meter", () => {
+  it("cuts a rush on neighbouring keys into many pieces, within the owned keys", () => {
+    const clock = { now: 0 };
+    const meter = new LoadMeter(() => clock.now);
+    for (let count = 0; count < 1_000; count++) {
+      meter.note(500 + count % 60);
+      meter.note((count * 61) % 4_000);
+    }
+    const pieces = meter.cut([{ first: 0, last: 3_999 }]);
+    const inRush = pieces.filter(({ first, last }) => first >= 490 && last <= 570);
+    expect(inRush.length).to.be.above(8);
+    expect(pieces[0].first).to.equal(0);
+    expect(pieces.at(-1)!.last).to.equal(3_999);
+  });
+
+  it("forgets within some seconds", () => {
+    const clock = { now: 0 };
+    const meter = new LoadMeter(() => clock.now);
+    meter.note(5);
+    clock.now = 6_000;
+    const rate = meter.cut([{ first: 0, last: 10 }]).reduce((sum, piece) => sum + piece.rate, 0);
+    expect(rate).to.be.below(0.01);
+  });
+});
--- /dev/null
+++ b/packages/router/src/server_client_test.ts
@@ -0,0 +1,152 @@
+import { Buffer } from "node:buffer";
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import { expect } from "chai";
+import type { ServerWire } from "@bulrushwood/deployment";
+import type { RequestHead } from "@bulrushwood/protocol";
+import { now } from "@bulrushwood/types";
+import { readHeaders } from "./headers.ts";
+import { ServerClient, ServerOutcome } from "./server_client.ts";
+
+/** Reads answers that carry the request's id and a mark in short headers. */
+const WIRE = {
+  readAnswer: (status: number, headers: Record<string, string>) => ({
+    id: headers.id,
+    isNotRun: headers["not-run"] !== undefined,
+    isMisdirected: status === 421,
+    isMarked: headers.mark !== undefined,
+    load: undefined,
+  }),
+} as unknown as ServerWire;
+
+const HEAD = {
+  id: "r1",
+  pool: "p",
+  shard: -1,
+  group: 0,
+  move: 0,
+  workClass: "c",
+  tenant: "",
+  key: "",
+  method: "GET",
+  path: "/x",
+  headers: [],
+  remainingMs: 1_000,
+  idempotencyKey: "",
+  firstAttempt: false,
+} satisfies RequestHead;
+
+type Script = (socket: Socket) => void;
+
+/** A server that answers each request on a connection by the next script. */
+async function withServer<T>(
+  scripts: Script[],
+  use: (client: ServerClient) => Promise<T>,
+): Promise<T> {
+  const sockets = new Set<Socket>();
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on("error", () => {});
+    socket.on("data", () => scripts.shift()?.(socket));
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const client = new ServerClient({
+    endpoint: { host: "127.0.0.1", port: (server.address() as AddressInfo).port },
+    wire: WIRE,
+    readHeaders: (flat) => readHeaders(flat, { dropped: new Set() }),
+  });
+  try {
+    return await use(client);
+  } finally {
+    client.close();
+    server.close();
+    sockets.forEach((socket) => socket.destroy());
+  }
+}
+
+function send(client: ServerClient, options: { id?: string; waitMs?: number; body?: Buffer } = {}) {
+  const { id = "r1", waitMs = 1_000, body } = options;
+  return client.send({
+    head: { ...HEAD, id, method: body === undefined ? "GET" : "POST" },
+    headers: [],
+    body,
+    deadline: now() + waitMs,
+    signal: new AbortController().signal,
+  });
+}
+
+function answer(id: string, body: string, extra = ""): string {
+  return `HTTP/1.1 200 OK\r\nid: ${id}\r\nmark: m\r\n${extra}content-length: ${body.length}\r\n\r\n${body}`;
+}
+
+describe("server client", () => {
+  it("passes on a whole marked answer", async () => {
+    const result = await withServer([(socket) => socket.write(answer("r1", "whole"))], send);
+    expect(result.outcome).to.equal(ServerOutcome.Answered);
+    expect(result.body?.toString()).to.equal("whole");
+  });
+
+  const unsound: [string, Script][] = [
+    ["an answer to another request", (socket) => socket.write(answer("r0", "late"))],
+    [
+      "a success without a mark",
+      (socket) => socket.write("HTTP/1.1 200 OK\r\nid: r1\r\ncontent-length: 1\r\n\r\nx"),
+    ],
+    ["an answer that is cut short", (socket) => {
+      socket.write("HTTP/1.1 200 OK\r\nid: r1\r\nmark: m\r\ncontent-length: 9\r\n\r\nshort");
+      setTimeout(() => socket.end(), 20);
+    }],
+    ["an answer without a length that is reset", (socket) => {
+      socket.write("HTTP/1.1 200 OK\r\nid: r1\r\nmark: m\r\n\r\nshort");
+      setTimeout(() => socket.resetAndDestroy(), 20);
+    }],
+    ["bytes that are no answer", (socket) => socket.write("rubbish rubbish\r\n\r\n")],
+    ["a connection that is reset", (socket) => socket.resetAndDestroy()],
+    [
+      "a refusal without a promise",
+      (socket) => socket.write("HTTP/1.1 503 No\r\nid: r1\r\ncontent-length: 0\r\n\r\n"),
+    ],
+    ["no answer before the deadline", () => {}],
+  ];
+  for (const [name, script] of unsound) {
+    it(`does not know what became of a request after ${name}`, async () => {
+      const result = await withServer([script], (client) => send(client, { waitMs: 200 }));
+      expect(result.outcome).to.equal(ServerOutcome.Unknown);
+    });
+  }
+
+  it("takes a refusal with a promise for not run", async () => {
+    const script: Script = (socket) =>
+      socket.write("HTTP/1.1 503 No\r\nid: r1\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n");
+    expect((await withServer([script], send)).outcome).to.equal(ServerOutcome.NotRun);
+  });
+
+  it("marks an answer whose end only the end of the connection shows", async () => {
+    const script: Script = (socket) =>
+      socket.end("HTTP/1.1 200 OK\r\nid: r1\r\nmark: m\r\n\r\nall");
+    const result = await withServer([script], send);
+    expect([result.outcome, result.isUnframed]).to.deep.equal([ServerOutcome.Answered, true]);
+  });
+
+  it("does not use a connection again whose answer belonged to another request", async () => {
+    const scripts: Script[] = [
+      (socket) => socket.write(answer("r0", "late") + answer("r1", "own")),
+      (socket) => socket.write(answer("r2", "second")),
+    ];
+    const second = await withServer(scripts, async (client) => {
+      await send(client);
+      return await send(client, { id: "r2" });
+    });
+    expect(second.body?.toString()).to.equal("second");
+  });
+
+  it("knows that a request was not run where no connection came about", async () => {
+    const client = new ServerClient({
+      endpoint: { host: "127.0.0.1", port: 1 },
+      wire: WIRE,
+      readHeaders: () => [],
+    });
+    const result = await send(client);
+    expect([result.outcome, result.isRefused]).to.deep.equal([ServerOutcome.NotRun, true]);
+    client.close();
+  });
+});
--- a/scripts/test.ts
+++ b/scripts/test.ts
@@ -17,12 +17,14 @@
 }
 
 function findTests(wanted: string[]): string[] {
-  const files = readdirSync("packages", { recursive: true, encoding: "utf8" });
+  const files = ["packages", "platform"].flatMap((folder) =>
+    readdirSync(folder, { recursive: true, encoding: "utf8" }).map((file) => `${folder}/${file}`)
+  );
   const tests = files.filter((file) => file.endsWith("_test.ts") && !file.includes("node_modules"));
   const chosen = tests.filter((file) =>
     wanted.length === 0 || wanted.some((part) => file.includes(part))
   );
-  return chosen.sort().map((file) => `packages/${file}`);
+  return chosen.sort();
 }
 
 /** Titles of known failures: each entry begins with `test: TITLE`. */
