Check tenures and key ranges in random schedules; release what an earlier process granted

The checker runs the real follower, table store, votes, tenures, granting, heartbeats and range planner on simulated clocks, network, store and servers.

--- /dev/null
+++ b/packages/lease_checker/src/ranges/daemon.ts
@@ -0,0 +1,215 @@
+/**
+ * One simulated daemon: the real parts that decide who owns keys, on simulated clocks, network and server.
+ */
+import { Buffer } from "node:buffer";
+import { Result } from "true-myth";
+import {
+  type GrantOrder,
+  type Order,
+  type ReleaseOrder,
+  type ServerWire,
+} from "@bulrushwood/deployment";
+import { KeyedFollower, SYSTEM_TOPIC, TableStore } from "@bulrushwood/ledger_store";
+import { Granting, type OrderAnswer, TenureKeeper } from "@bulrushwood/lease_ranges";
+import {
+  BallotBox,
+  SuspensionDetector,
+  VOTER_BLIND_MS,
+  type VoteRules,
+} from "@bulrushwood/lease_votes";
+import { Heartbeats } from "@bulrushwood/membership_beats";
+import { type Candidate, RangePlanner } from "@bulrushwood/planner_ranges";
+import type { KeyedStoreService } from "@bulrushwood/stand_ins";
+import type { Random } from "@bulrushwood/types";
+import type { ProcessClock } from "./clock.ts";
+
+const SERVICE = "service";
+const SLOTS = 4;
+
+/** Carries a call to a peer. */
+export type CarryCall = (
+  from: SimDaemon,
+  peer: string,
+  call: { method: string; payload: unknown; timeoutMs: number },
+) => Promise<Result<unknown, Error>>;
+
+/** Carries an order to the daemon's server. */
+export type CarryOrder = (
+  from: SimDaemon,
+  sent: { kind: "grant"; order: GrantOrder } | { kind: "release"; order: ReleaseOrder },
+  options: { timeoutMs: number },
+) => Promise<Result<OrderAnswer, Error>>;
+
+/** How to make a daemon. */
+export interface SimDaemonOptions {
+  address: string;
+  incarnation: string;
+  clock: ProcessClock;
+  store: KeyedStoreService;
+  reachesStore: () => boolean;
+  serverId: () => string;
+  members: string[];
+  carryCall: CarryCall;
+  carryOrder: CarryOrder;
+  rules: VoteRules;
+  random: Random;
+}
+
+const WIRE = {
+  grant: (order: GrantOrder) => toOrder({ kind: "grant", order }),
+  release: (order: ReleaseOrder) => toOrder({ kind: "release", order }),
+  readHandover: () => undefined,
+  isOutdated: (status: number) => status === 409,
+} as unknown as ServerWire;
+
+function toOrder(sent: object): Order {
+  return { method: "POST", path: "/", headers: {}, body: Buffer.from(JSON.stringify(sent)) };
+}
+
+/** One daemon. */
+export class SimDaemon {
+  readonly options: SimDaemonOptions;
+  readonly heartbeats: Heartbeats;
+  readonly granting: Granting;
+  readonly #table: TableStore;
+  readonly #follower: KeyedFollower;
+  readonly #tenure: TenureKeeper;
+  readonly #planner: RangePlanner;
+
+  constructor(options: SimDaemonOptions) {
+    this.options = options;
+    const { address, incarnation, clock, store, rules, random } = options;
+    const { now, sleep } = clock;
+    const connected = store.connect(options.reachesStore);
+    this.#follower = new KeyedFollower({
+      store: connected,
+      topic: SYSTEM_TOPIC,
+      now,
+      sleep,
+      waitMs: 2_000,
+      onReachable: () => {},
+    });
+    const table = new TableStore({
+      store: connected,
+      follower: this.#follower,
+      sleep,
+      service: SERVICE,
+      random,
+      onDamaged: () => {},
+    });
+    this.#table = table;
+    this.#tenure = new TenureKeeper({
+      self: address,
+      incarnation,
+      now,
+      sleep,
+      table,
+      candidates: () => this.#voters(),
+      server: () => ({ id: options.serverId(), bornMs: 1, slots: SLOTS }),
+      rules,
+    });
+    this.granting = new Granting({
+      self: address,
+      now,
+      sleep,
+      table,
+      tenure: this.#tenure,
+      suspension: new SuspensionDetector(now, clock.timeOfDay),
+      wire: WIRE,
+      server: () => ({ id: options.serverId(), bornMs: 1 }),
+      send: (order, limits) => options.carryOrder(this, JSON.parse(order.body.toString()), limits),
+      grantMsMax: 10_000,
+      onSuspended: () => {},
+      onFailed: () => {},
+    });
+    const ballotBox = new BallotBox({
+      now,
+      rules,
+      isOwn: (tenure) => this.#tenure.isOwn(tenure),
+      mustRefuse: (tenure) =>
+        now() - this.#follower.confirmedAt > VOTER_BLIND_MS ||
+        Object.values(table.table.value.hosts).some((host) =>
+          host.tenure === tenure && host.isSuspected
+        ),
+    });
+    this.heartbeats = new Heartbeats({
+      self: address,
+      incarnation,
+      now,
+      sleep,
+      call: (peer, method, payload, { timeoutMs }) =>
+        options.carryCall(this, peer, { method, payload, timeoutMs }),
+      ballotBox,
+      createBeat: (peer) => ({
+        address,
+        incarnation,
+        service: SERVICE,
+        dataCentre: "",
+        tenures: this.#tenure.tenuresFor(peer),
+        manifestVersion: 1,
+        isLeaving: false,
+        hasStore: this.#follower.isReachable,
+        server: null,
+      }),
+      manifestVersion: () => 1,
+      onSupport: (peer, reply, sentAt) => {
+        const support = { tenures: reply.supported, sentAt };
+        this.#tenure.noteSupport(peer, reply.incarnation, support);
+      },
+      onNewerManifest: () => {},
+    });
+    this.#planner = new RangePlanner({
+      self: address,
+      service: SERVICE,
+      now,
+      sleep,
+      table,
+      heartbeats: this.heartbeats,
+      mayPlan: () => this.#follower.isReachable,
+      candidates: () => this.#candidates(),
+      call: () => Promise.resolve(Result.ok(null)),
+      giveOwn: () => {},
+      onEvent: () => {},
+    });
+  }
+
+  /** Starts all tasks. */
+  start(): void {
+    this.#follower.start();
+    this.#tenure.start();
+    this.granting.start();
+    this.#planner.start();
+    this.options.members.forEach((member) => this.heartbeats.add(member));
+  }
+
+  /** Gives some of the own keys to another daemon. */
+  giveSome(to: string): void {
+    const [range] = this.granting.own;
+    if (range !== undefined && this.#table.table.value.hosts[to] !== undefined) {
+      const middle = (range.first + range.last) >> 1;
+      this.granting.give(
+        () => [{ first: range.first, last: middle, to, handover: null }],
+        { leave: false, isServerGone: false },
+      );
+    }
+  }
+
+  #voters() {
+    return [...this.heartbeats.peers]
+      .filter(([address]) => this.heartbeats.isHeard(address))
+      .map(([address, { beat }]) => ({ address, incarnation: beat.incarnation }));
+  }
+
+  #candidates(): Candidate[] {
+    const others = [...this.heartbeats.peers.keys()]
+      .filter((address) => this.heartbeats.isHeard(address));
+    return [this.options.address, ...others].map((address) => ({
+      address,
+      slots: SLOTS,
+      serviceMs: 0,
+      rate: 0,
+      keys: 1,
+      pieces: [],
+    }));
+  }
+}
--- /dev/null
+++ b/packages/lease_checker/src/ranges/server.ts
@@ -0,0 +1,65 @@
+/**
+ * A simulated backend server: holds grants until they run out by its own clock, which may be slow, and
+ * refuses those with an epoch below one that it knows. Orders may be carried out late.
+ */
+import type { KeySpan } from "@bulrushwood/ledger_store";
+
+/** Time that a slow clock takes for a second of true time, as a share. */
+const SLOWNESS = 1.02;
+
+/** Keys that a server holds. */
+export interface Holding extends KeySpan {
+  epoch: number;
+  /** When it ends, in true time. */
+  until: number;
+  /** Whether the order came late, which its sender is not to blame for. */
+  isLate: boolean;
+}
+
+/** One backend server. */
+export class SimServer {
+  holdings: Holding[] = [];
+  isUp = true;
+
+  /** Takes a grant that arrived at a time; false when a newer epoch is known. */
+  grant(
+    order: KeySpan & { epoch: number; durationMs: number },
+    options: { arrivedAt: number; isLate: boolean },
+  ): boolean {
+    const overlapping = this.holdings.filter((holding) => overlaps(holding, order));
+    if (overlapping.some(({ epoch }) => epoch > order.epoch)) {
+      return false;
+    }
+    const until = options.arrivedAt + order.durationMs * SLOWNESS;
+    this.#remove(order);
+    const { first, last, epoch } = order;
+    this.holdings.push({ first, last, epoch, until, isLate: options.isLate });
+    return true;
+  }
+
+  /** Takes keys back. */
+  release(span: KeySpan): void {
+    this.#remove(span);
+  }
+
+  #remove(span: KeySpan): void {
+    this.holdings = this.holdings.flatMap((holding) => {
+      if (!overlaps(holding, span)) {
+        return [holding];
+      }
+      const before = { ...holding, last: span.first - 1 };
+      const after = { ...holding, first: span.last + 1 };
+      return [before, after].filter(({ first, last }) => first <= last);
+    });
+  }
+
+  /** What it holds at a time. */
+  heldAt(time: number): Holding[] {
+    return this.isUp ? this.holdings.filter(({ until }) => until > time) : [];
+  }
+}
+
+/** Whether two spans share a key. */
+export function overlaps(left: KeySpan, right: KeySpan): boolean {
+  return left.first <= right.last && right.first <= left.last;
+}
--- a/packages/lease_ranges/src/granting.ts
+++ b/packages/lease_ranges/src/granting.ts
@@ -19,7 +19,7 @@
   removeHost,
   type TableStore,
 } from "@bulrushwood/ledger_store";
-import type { SuspensionDetector } from "@bulrushwood/lease_votes";
+import { SUPPORT_MS, type SuspensionDetector } from "@bulrushwood/lease_votes";
 import { type Address, type Clock, createStop, type Sleep } from "@bulrushwood/types";
 import type { TenureKeeper } from "./tenure_keeper.ts";
 
@@ -108,9 +108,12 @@
   /** Keys that are being given away. */
   #closing: KeySpan[] = [];
   #task: Promise<void> | undefined;
+  /** When grants that an earlier process at this address gave have ended for certain. */
+  readonly #earlierEndBy: number;
 
   constructor(options: GrantingOptions) {
     this.#options = options;
+    this.#earlierEndBy = options.now() + SUPPORT_MS * (1 + CLOCK_SLOWNESS) + GRANT_MARGIN_MS;
     this.#subscription = options.table.table.subscribe(() => {
       this.#reshape();
     });
@@ -175,7 +178,7 @@
         const known = earlier.find((grant) => grant.epoch === epoch && encloses(grant, span));
         return known !== undefined && encloses(span, known)
           ? known
-          : reshaped(known, { ...span, epoch });
+          : reshaped(known, { ...span, epoch, endsBy: this.#earlierEndBy });
       });
     });
     this.#renewAll();
@@ -370,10 +373,13 @@
 }
 
 /** A grant for some of the keys of another, or a new one. */
-function reshaped(known: Grant | undefined, shape: KeySpan & { epoch: number }): Grant {
+function reshaped(
+  known: Grant | undefined,
+  shape: KeySpan & { epoch: number; endsBy: number },
+): Grant {
   return {
     until: known?.until ?? 0,
-    endsBy: known?.endsBy ?? 0,
+    endsBy: known?.endsBy ?? shape.endsBy,
     isConfirmed: known?.isConfirmed ?? false,
     call: undefined,
     earlierCall: known?.call,
--- a/packages/lease_ranges/src/tenure_keeper.ts
+++ b/packages/lease_ranges/src/tenure_keeper.ts
@@ -11,7 +11,7 @@
   type TableStore,
 } from "@bulrushwood/ledger_store";
 import type { ServerIdentity } from "@bulrushwood/deployment";
-import { Tenure, type Voter } from "@bulrushwood/lease_votes";
+import { Tenure, type Voter, type VoteRules } from "@bulrushwood/lease_votes";
 import { type Address, type Clock, createStop, type Sleep } from "@bulrushwood/types";
 
 /** How often the tenure is looked after, in milliseconds. */
@@ -43,6 +43,7 @@
   candidates: () => Voter[];
   /** The server to enter; undefined while there is none that may own keys. */
   server: () => OwnServer | undefined;
+  rules?: VoteRules;
 }
 
 /** The tenures of one daemon. */
@@ -166,7 +167,13 @@
   async #enter(server: OwnServer): Promise<void> {
     const { self, incarnation, now, table, candidates } = this.#options;
     const voters = [{ address: self, incarnation }, ...candidates().slice(0, VOTERS - 1)];
-    const tenure = new Tenure({ tenure: randomUUID(), voters, self, now });
+    const tenure = new Tenure({
+      tenure: randomUUID(),
+      voters,
+      self,
+      now,
+      rules: this.#options.rules,
+    });
     this.#tenures.push(tenure);
     this.#changed.next();
     const { id, bornMs, slots } = server;
--- a/packages/router/src/range_planner.ts
+++ b/packages/planner_ranges/src/range_planner.ts
@@ -16,10 +16,11 @@
 } from "@bulrushwood/ledger_store";
 import { SUSPICION_MS } from "@bulrushwood/lease_votes";
 import { type Heartbeats, sealTenure, SILENT_MS } from "@bulrushwood/membership_beats";
-import { type Candidate, type Move, rebalance, spreadEvenly } from "@bulrushwood/planner_ranges";
+import type { Candidate } from "./capacity.ts";
+import { type Move, rebalance } from "./rebalance.ts";
+import { spreadEvenly } from "./spread.ts";
 import { ServerState } from "@bulrushwood/deployment";
 import { type Address, type Clock, createStop, type Sleep } from "@bulrushwood/types";
-import { Event, type EventLog } from "./event_log.ts";
 
 /** Time between two looks, in milliseconds. */
 const LOOK_MS = 250;
@@ -31,6 +32,14 @@
 const SEAL_PATIENCE_MS = 4_000;
 const GIVE_TIMEOUT_MS = 600;
 
+/** What a planner decides. */
+export enum PlannerEvent {
+  TenureSealed = "tenure-sealed",
+  KeysAssigned = "keys-assigned",
+  KeysMoved = "keys-moved",
+  Failed = "failed",
+}
+
 /** Name of the call that asks a daemon to give keys away. */
 export const GIVE_METHOD = "keys.give";
 
@@ -54,7 +63,8 @@
   ) => Promise<Result<unknown, Error>>;
   /** Gives away keys that this daemon's server owns. */
   giveOwn: (moves: Move[]) => void;
-  log: EventLog;
+  /** Told what was decided. */
+  onEvent: (event: PlannerEvent, fields: Record<string, unknown>) => void;
 }
 
 /** Plans for one service. */
@@ -84,7 +94,7 @@
         await this.#look();
       } catch (error) {
         const { message } = error as Error;
-        this.#options.log(Event.TaskFailed, { task: "range planner", reason: message });
+        this.#options.onEvent(PlannerEvent.Failed, { reason: message });
       }
       await this.#options.sleep(LOOK_MS, this.#stop.signal);
     }
@@ -171,7 +181,7 @@
     tenure: string,
     options: { since: number },
   ): Promise<void> {
-    const { heartbeats, table, log } = this.#options;
+    const { heartbeats, table, onEvent } = this.#options;
     const host = table.table.value.hosts[address];
     if (host === undefined || host.tenure !== tenure) {
       return;
@@ -188,7 +198,7 @@
       }
       return;
     }
-    log(Event.TenureSealed, { address, tenure, isSealed });
+    onEvent(PlannerEvent.TenureSealed, { address, tenure, isSealed });
     const keys = rangesOf(table.table.value, address).reduce(
       (sum, range) => sum + sizeOf(range),
       0,
@@ -196,7 +206,7 @@
     const outcome = await table.change((current) =>
       current.hosts[address]?.tenure === tenure ? this.#withoutHost(current, address) : undefined
     );
-    log(Event.KeysAssigned, { cause: "loss", from: address, keys, outcome });
+    onEvent(PlannerEvent.KeysAssigned, { cause: "loss", from: address, keys, outcome });
   }
 
   /** Begins to wait for the end of a tenure whose voters do not answer. */
@@ -226,7 +236,7 @@
   }
 
   async #assignFree(): Promise<void> {
-    const { table, log } = this.#options;
+    const { table, onEvent } = this.#options;
     const isFirstStart = table.table.value.epoch === 0;
     if (isFirstStart && this.#options.now() - this.#hostsSince < SETTLE_MS) {
       return;
@@ -244,13 +254,13 @@
     });
     if (outcome === ChangeOutcome.Done) {
       const keys = free.reduce((sum, range) => sum + sizeOf(range), 0);
-      log(Event.KeysAssigned, { cause: isFirstStart ? "first start" : "free", keys });
+      onEvent(PlannerEvent.KeysAssigned, { cause: isFirstStart ? "first start" : "free", keys });
     }
   }
 
   /** Lets busy servers give keys to idle ones. */
   #even(): void {
-    const { table, self, giveOwn, call, log } = this.#options;
+    const { table, self, giveOwn, call, onEvent } = this.#options;
     if (
       this.#options.now() - this.#movedAt < COOL_DOWN_MS ||
       rangesOf(table.table.value, null).length > 0
@@ -265,7 +275,7 @@
     for (const from of new Set(moves.map((move) => move.from))) {
       const own = moves.filter((move) => move.from === from);
       const keys = own.reduce((sum, move) => sum + sizeOf(move), 0);
-      log(Event.KeysMoved, { from, keys, to: [...new Set(own.map(({ to }) => to))] });
+      onEvent(PlannerEvent.KeysMoved, { from, keys, to: [...new Set(own.map(({ to }) => to))] });
       if (from === self) {
         giveOwn(own);
       } else {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -26,7 +26,15 @@
   readMembers,
   type ServerStatus,
 } from "@bulrushwood/membership_beats";
-import { type Candidate, type Piece, spread } from "@bulrushwood/planner_ranges";
+import {
+  type Candidate,
+  GIVE_METHOD,
+  mayOwn,
+  type Piece,
+  PlannerEvent,
+  RangePlanner,
+  spread,
+} from "@bulrushwood/planner_ranges";
 import { type IncomingExchange, type LinkError, Links } from "@bulrushwood/protocol";
 import { RetryBudget, TwoChoices } from "@bulrushwood/routing";
 import { type Address, createStop, now, sleep } from "@bulrushwood/types";
@@ -37,7 +45,6 @@
 import { readHeaders } from "./headers.ts";
 import { ManifestKeeper } from "./manifest_keeper.ts";
 import { Metrics } from "./metrics.ts";
-import { GIVE_METHOD, mayOwn, RangePlanner } from "./range_planner.ts";
 import { RECORDS_METHOD, Relay } from "./relay.ts";
 import { Runner, type ServerPressure } from "./runner.ts";
 import { ServerClient } from "./server_client.ts";
@@ -65,6 +72,13 @@
 /** How long measured load is told before it is measured again, in milliseconds. */
 const MEASURE_MS = 200;
 
+const EVENT_OF_PLANNER: Record<PlannerEvent, Event> = {
+  [PlannerEvent.TenureSealed]: Event.TenureSealed,
+  [PlannerEvent.KeysAssigned]: Event.KeysAssigned,
+  [PlannerEvent.KeysMoved]: Event.KeysMoved,
+  [PlannerEvent.Failed]: Event.TaskFailed,
+};
+
 const givePayload = z.object({
   moves: z.array(z.object({ first: z.number(), last: z.number(), to: z.string() })),
 });
@@ -207,7 +221,7 @@
       candidates: () => this.#candidates(),
       call,
       giveOwn: (moves) => this.#giveMoves(moves),
-      log,
+      onEvent: (event, fields) => log(EVENT_OF_PLANNER[event], fields),
     });
   }
 
