--- a/packages/admission/src/gate.ts
+++ b/packages/admission/src/gate.ts
@@ -1,7 +1,8 @@
 /**
- * Decides which waiting request the backend server runs next, and refuses early what cannot be answered in
- * time. Answers overload: more urgent work goes first; among equals, what can still meet its target goes
- * before what cannot, so that one burst does not make everything behind it late.
+ * Decides which waiting request the backend server runs next, and refuses at once what it will not run in
+ * time. Answers overload: more urgent work goes first, and the queue is kept so short that what is let in
+ * can still meet its target, since a refused caller is better off to come back than to wait in vain. What
+ * can no longer meet its target is let in while the server has room for it.
  */
 import { Result } from "true-myth";
 import type { Clock } from "@bulrushwood/types";
@@ -14,6 +15,10 @@
 const ASSUMED_SERVICE_MS = 120;
 /** A request is given up once less than this share of a usual service time is left for it. */
 const HOPELESS_SHARE = 0.5;
+/** A request counts as late if its answer is expected so much after its target, as a share of a service time. */
+const LATENESS_SHARE = 0.25;
+/** Late requests are let in while they wait at most this share of a service time. */
+const SPARE_WAIT_SHARE = 0.5;
 /** How often waiting requests are looked through for hopeless ones, in milliseconds. */
 const SWEEP_MS = 40;
 /** Shortest time after which a refused caller should come back, in milliseconds. */
@@ -85,12 +90,19 @@
       return Promise.resolve(Result.ok(this.#occupy(now())));
     }
     const waitMs = this.#expectedWaitMs(entrant);
-    if (now() + waitMs + this.#expectedServiceMs > entrant.deadline) {
+    const answeredAt = now() + waitMs + this.#expectedServiceMs;
+    const isLate = answeredAt > entrant.targetAt + this.#expectedServiceMs * LATENESS_SHARE;
+    if (answeredAt > entrant.deadline || (isLate && waitMs > this.#spareWaitMs)) {
       return Promise.resolve(this.#refuse(waitMs));
     }
     return this.#wait(entrant);
   }
 
+  /** Wait up to which requests are let in that will miss their target. */
+  get #spareWaitMs(): number {
+    return this.#expectedServiceMs * SPARE_WAIT_SHARE;
+  }
+
   /** How long the requests that go first keep the slots busy, in milliseconds. */
   #expectedWaitMs(entrant: Entrant): number {
     const { now, limit } = this.#options;
--- a/packages/lease_ranges/src/tenure_keeper.ts
+++ b/packages/lease_ranges/src/tenure_keeper.ts
@@ -20,8 +20,11 @@
 const VOTER_PATIENCE_MS = 1_600;
 /** A new tenure waits so long for better voters than it can have now, in milliseconds. */
 const FEW_VOTERS_PATIENCE_MS = 1_000;
-/** Voters of a tenure: this daemon and six others, so that three may be lost together. */
-const VOTERS = 7;
+/**
+ * Voters of a tenure, this daemon among them. Where a part of all instances is cut off, the rest must be a
+ * majority of nearly every set of voters, or the keys of those that are cut off could not pass on.
+ */
+const VOTERS = 15;
 /** Voters that may be lost before a tenure is begun anew without delay. */
 const LOST_VOTERS_MAX = 1;
 /** A tenure that lost fewer voters, or could have more, is begun anew after this, in milliseconds. */
--- a/packages/membership_beats/src/sealing.ts
+++ b/packages/membership_beats/src/sealing.ts
@@ -29,8 +29,14 @@
   voters: Voter[],
   options: { ask: AskSeal },
 ): Promise<boolean> {
-  const replies = await Promise.all(
-    voters.map(async (voter) => isSealedBy(voter, await options.ask(voter.address, tenure))),
-  );
-  return replies.filter(Boolean).length >= sealsOf(voters.length);
+  let missing = sealsOf(voters.length);
+  return await new Promise((resolve) => {
+    const asked = voters.map(async (voter) => {
+      if (isSealedBy(voter, await options.ask(voter.address, tenure)) && --missing === 0) {
+        // Voters that are out of reach need not be waited for.
+        resolve(true);
+      }
+    });
+    Promise.all(asked).then(() => resolve(missing <= 0));
+  });
 }
--- a/packages/planner_ranges/src/range_planner.ts
+++ b/packages/planner_ranges/src/range_planner.ts
@@ -169,11 +169,11 @@
         this.#silentSince.delete(tenure);
       }
     }
-    for (const [address, host] of silent) {
+    await Promise.all(silent.map(([address, host]) => {
       const since = this.#silentSince.get(host.tenure) ?? this.#options.now();
       this.#silentSince.set(host.tenure, since);
-      await this.#removeSilent(address, host.tenure, { since });
-    }
+      return this.#removeSilent(address, host.tenure, { since });
+    }));
   }
 
   async #removeSilent(
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -42,6 +42,8 @@
   readonly #server: Server;
   #routes: ManifestRoutes | undefined;
   #routesOf: Manifest | undefined;
+  /** The longest time that callers of each route gave, in milliseconds. */
+  #longestWaits = new Map<string, number>();
   #open = 0;
 
   private constructor(options: CallerServerOptions) {
@@ -128,7 +130,7 @@
       head: { ...head, remainingMs: waitMs },
       route,
       body,
-      arrivedAt,
+      targetAt: arrivedAt + route.targetMs - this.#triedBeforeMs(route, deadlineMs ?? waitMs),
       deadline: arrivedAt + waitMs,
       signal: gone.signal,
     });
@@ -141,10 +143,22 @@
     if (this.#routes === undefined || this.#routesOf !== manifest) {
       this.#routes = new ManifestRoutes(manifest);
       this.#routesOf = manifest;
+      this.#longestWaits.clear();
     }
     return this.#routes;
   }
 
+  /**
+   * For how long a caller has tried before, in milliseconds. Callers that come back after a refusal give
+   * what is left of their time, and their target counts from their first try.
+   */
+  #triedBeforeMs(route: Route, deadlineMs: number): number {
+    const longest = Math.max(deadlineMs, this.#longestWaits.get(route.name) ?? 0);
+    this.#longestWaits.set(route.name, longest);
+    const triedMs = longest - deadlineMs;
+    return triedMs <= route.targetMs ? triedMs : 0;
+  }
+
   #toHead(
     request: IncomingMessage,
     options: { id: string; route: Route; service: string; key: number | undefined },
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -76,8 +76,9 @@
   head: RequestHead;
   route: Route;
   body: Buffer | undefined;
-  arrivedAt: number;
-  /** On this process's clock, in milliseconds. */
+  /** When the answer should be there, on this process's clock in milliseconds. */
+  targetAt: number;
+  /** When nobody waits for the answer any more, on this process's clock in milliseconds. */
   deadline: number;
   signal: AbortSignal;
 }
@@ -196,7 +197,7 @@
     const head = {
       ...request.head,
       remainingMs: Math.max(1, request.deadline - at),
-      targetMs: Math.max(0, request.arrivedAt + request.route.targetMs - at),
+      targetMs: Math.max(0, request.targetAt - at),
     };
     if (address === self) {
       return await serve(head, request.body, request.signal);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -57,6 +57,8 @@
 const SYSTEM_WAIT_MS = 4_000;
 /** Time beyond a read's wait after which the store counts as out of reach, in milliseconds. */
 const STORE_GRACE_MS = 700;
+/** Length of the random name of one life of a daemon; only lives at one address must differ. */
+const INCARNATION_CHARACTERS = 8;
 /** How often the server beside this daemon is looked after, in milliseconds. */
 const SERVER_LOOK_MS = 120;
 /** Time after the signal to stop in which callers learn of it by the readiness check, in milliseconds. */
@@ -96,7 +98,7 @@
   readonly #adapter: Adapter;
   readonly #log: EventLog;
   readonly #self: Address;
-  readonly #incarnation = randomUUID();
+  readonly #incarnation = randomUUID().slice(0, INCARNATION_CHARACTERS);
   readonly #stop = createStop();
   readonly #metrics = new Metrics();
   readonly #store: Store;
