--- a/packages/bench/src/slopes.ts
+++ b/packages/bench/src/slopes.ts
@@ -108,7 +108,14 @@
   const body = Buffer.alloc(200, "x");
   const headers = [{ name: "content-type", value: "application/json" }];
   const head = { status: 200, headers };
-  const request: Frame = { kind: FrameKind.Request, stream: 7, head: HEAD, body, end: true };
+  const request: Frame = {
+    kind: FrameKind.Request,
+    stream: 7,
+    head: HEAD,
+    body,
+    end: true,
+    sentAt: 0,
+  };
   const response: Frame = { kind: FrameKind.Response, stream: 7, head, body, end: true };
   const rows = [
     measureFrame("renewal with two bids", renewal()),
--- a/packages/protocol/src/codec.ts
+++ b/packages/protocol/src/codec.ts
@@ -86,6 +86,7 @@
     head: (value) => hasFields(value, requestHead),
     body: optional(isBytes),
     end: isBoolean,
+    sentAt: isNumber,
   },
   [FrameKind.Response]: {
     stream: isNumber,
--- a/packages/protocol/src/frames.ts
+++ b/packages/protocol/src/frames.ts
@@ -133,6 +133,8 @@
   body?: Buffer;
   /** Whether the body is complete. */
   end: boolean;
+  /** When the frame was queued, on the sender's monotonic clock in milliseconds. */
+  sentAt: number;
 }
 
 /** Answers the request of a stream. */
--- a/packages/protocol/src/link.ts
+++ b/packages/protocol/src/link.ts
@@ -69,6 +69,8 @@
   /** Since when something is expected of the peer. */
   #waitingSince: number | undefined;
   #error: LinkError | undefined;
+  /** Least difference between the arrival of a request and its sending, by the two ends' clocks. */
+  #leastOffsetMs = Number.POSITIVE_INFINITY;
   #peer: Address;
   #settleReady!: (result: Result<Link, LinkError>) => void;
   /** Resolves once the peer has said hello, or the link has failed. */
@@ -193,6 +195,7 @@
       head,
       body: options.body,
       end: options.end,
+      sentAt: performance.now(),
     });
     return exchange;
   }
@@ -283,7 +286,8 @@
   }
 
   #takeRequest(frame: RequestFrame): void {
-    const { stream, head } = frame;
+    const { stream } = frame;
+    const head = this.#age(frame);
     const exchange = new IncomingExchange({
       stream,
       send: (reply) => this.send(reply),
@@ -294,6 +298,22 @@
     this.#handlers.onRequest(exchange, this.#peer);
   }
 
+  /**
+   * Takes the time that a request was held up on its way from the time left for it. The clocks of the two
+   * ends differ by a constant, which the fastest request so far shows.
+   */
+  #age(frame: RequestFrame): RequestHead {
+    const offsetMs = performance.now() - frame.sentAt;
+    this.#leastOffsetMs = Math.min(this.#leastOffsetMs, offsetMs);
+    const heldUpMs = offsetMs - this.#leastOffsetMs;
+    const { head } = frame;
+    return {
+      ...head,
+      remainingMs: head.remainingMs - heldUpMs,
+      targetMs: head.targetMs === undefined ? undefined : head.targetMs - heldUpMs,
+    };
+  }
+
   #takeResponse(frame: ResponseFrame): void {
     const head = frame.head;
     this.#outgoing.get(frame.stream)?.takeHead(head, frame.body, frame.end);
--- /dev/null
+++ b/packages/protocol/src/link_age_test.ts
@@ -0,0 +1,59 @@
+import type { Buffer } from "node:buffer";
+import { EventEmitter } from "node:events";
+import { expect } from "chai";
+import type { WebSocket } from "ws";
+import { Codec } from "./codec.ts";
+import { type Frame, FrameKind, PROTOCOL_VERSION, type RequestHead } from "./frames.ts";
+import { Link } from "./link.ts";
+
+const HEAD: RequestHead = {
+  id: "r1",
+  pool: "p",
+  shard: -1,
+  group: 0,
+  move: 0,
+  workClass: "c",
+  tenant: "",
+  key: "",
+  method: "GET",
+  path: "/",
+  headers: [],
+  remainingMs: 400,
+  idempotencyKey: "",
+  firstAttempt: false,
+  targetMs: 120,
+};
+
+/** A socket that only receives. */
+class FakeSocket extends EventEmitter {
+  send(_message: Buffer): void {}
+  terminate(): void {}
+}
+
+describe("link: requests that were held up", () => {
+  it("takes the time on the way from the time left, whatever the clocks of the two ends show", () => {
+    const socket = new FakeSocket();
+    const heads: RequestHead[] = [];
+    const link = new Link({
+      socket: socket as unknown as WebSocket,
+      self: "a",
+      handlers: {
+        onCall: () => Promise.resolve(null),
+        onRequest: ({ head }) => heads.push(head),
+        onMalformed: () => {},
+      },
+    });
+    const peer = new Codec();
+    const receive = (frames: Frame[]) => socket.emit("message", peer.encode(frames));
+    receive([{ kind: FrameKind.Hello, version: PROTOCOL_VERSION, address: "b" }]);
+    const clockOffsetMs = 1_000_000;
+    for (const heldUpMs of [0, 250]) {
+      const sentAt = performance.now() - heldUpMs + clockOffsetMs;
+      receive([{ kind: FrameKind.Request, stream: heldUpMs, head: HEAD, end: true, sentAt }]);
+    }
+    expect(heads[0].remainingMs).to.be.closeTo(400, 20);
+    expect(heads[1].remainingMs).to.be.closeTo(150, 20);
+    expect(heads[1].targetMs).to.be.closeTo(-130, 20);
+    link.close();
+  });
+});
--- a/packages/protocol/src/protocol_test.ts
+++ b/packages/protocol/src/protocol_test.ts
@@ -36,7 +36,14 @@
   it("reads back what it writes, message after message", () => {
     const [left, right] = [new Codec(), new Codec()];
     const frames: Frame[] = [
-      { kind: FrameKind.Request, stream: 1, head: HEAD, body: Buffer.from("body"), end: true },
+      {
+        kind: FrameKind.Request,
+        stream: 1,
+        head: HEAD,
+        body: Buffer.from("body"),
+        end: true,
+        sentAt: 5,
+      },
       { kind: FrameKind.Credit, stream: 1, ofRequest: true, bytes: 10 },
     ];
     for (let round = 0; round < 3; round++) {
@@ -56,7 +63,7 @@
     expect(faultOf([{ kind: FrameKind.Credit, stream: 1, ofRequest: true, bytes: "many" }]))
       .to.contain("field bytes of a Credit frame");
     const head = { ...HEAD, headers: [{ name: "a" }] };
-    expect(faultOf([{ kind: FrameKind.Request, stream: 1, head, end: true }]))
+    expect(faultOf([{ kind: FrameKind.Request, stream: 1, head, end: true, sentAt: 5 }]))
       .to.contain("field head of a Request frame");
   });
 
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -2,7 +2,9 @@
  * The daemon on a deployment whose servers own ranges of keys: puts the parts together, and starts and
  * stops them.
  */
+import type { Buffer } from "node:buffer";
 import { randomUUID } from "node:crypto";
+import { setImmediate } from "node:timers/promises";
 import type { Result } from "true-myth";
 import { z } from "zod";
 import {
@@ -620,7 +622,12 @@
 
   #takeRequest(exchange: IncomingExchange): void {
     const { head, signal } = exchange;
-    serveExchange(exchange, (body) => this.#runner.serve(head, body, signal)).catch(
+    const serve = async (body: Buffer | undefined) => {
+      // What arrived together with the request may cancel it.
+      await setImmediate();
+      return await this.#runner.serve(head, body, signal);
+    };
+    serveExchange(exchange, serve).catch(
       (error: Error) => {
         this.#log(Event.TaskFailed, { task: "peer request", id: head.id, reason: error.message });
         exchange.breakOff();
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -91,6 +91,12 @@
   async serve(head: RequestHead, body: Buffer | undefined, signal: AbortSignal): Promise<Answer> {
     const arrivedAt = now();
     const deadline = arrivedAt + head.remainingMs;
+    if (signal.aborted) {
+      return notRun(Reason.Cancelled, "The caller left before the request ran");
+    }
+    if (head.remainingMs <= 0) {
+      return notRun(Reason.DeadlinePassed, "The request was held up on its way past its deadline");
+    }
     this.#arrivals++;
     if (head.shard >= 0) {
       this.#meter.note(head.shard);
--- a/packages/router/src/server_client.ts
+++ b/packages/router/src/server_client.ts
@@ -171,17 +171,19 @@
     const status = message.statusCode ?? 0;
     const answer = wire.readAnswer(status, message.headers);
     const { load } = answer;
+    const isRefusal = answer.isMisdirected || answer.isNotRun;
+    // A late answer to an earlier request may come where this one's is due, also a refusal.
+    if (answer.id !== call.head.id && !(isRefusal && answer.id === undefined)) {
+      return noAnswer(ServerOutcome.Unknown, `an answer to request ${answer.id ?? "without id"}`);
+    }
     if (answer.isMisdirected) {
       return { ...noAnswer(ServerOutcome.Misdirected, `status ${status}`), load };
     }
     if (answer.isNotRun) {
       return { ...noAnswer(ServerOutcome.NotRun, `refused with status ${status}`), load };
     }
-    if (answer.id !== undefined && answer.id !== call.head.id) {
-      return noAnswer(ServerOutcome.Unknown, `an answer to request ${answer.id}`);
-    }
     const isSuccess = status >= 200 && status < 300;
-    if (isSuccess && (!answer.isMarked || answer.id === undefined)) {
+    if (isSuccess && !answer.isMarked) {
       return noAnswer(ServerOutcome.Unknown, "a success that is not the server's");
     }
     if (PROMISING.has(status)) {
--- a/packages/router/src/server_client_test.ts
+++ b/packages/router/src/server_client_test.ts
@@ -87,6 +87,15 @@
 
   const unsound: [string, Script][] = [
     ["an answer to another request", (socket) => socket.write(answer("r0", "late"))],
+    [
+      "a refusal of another request",
+      (socket) =>
+        socket.write("HTTP/1.1 503 No\r\nid: r0\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n"),
+    ],
+    [
+      "a failure that names no request",
+      (socket) => socket.write("HTTP/1.1 500 No\r\nmark: m\r\ncontent-length: 0\r\n\r\n"),
+    ],
     [
       "a success without a mark",
       (socket) => socket.write("HTTP/1.1 200 OK\r\nid: r1\r\ncontent-length: 1\r\n\r\nx"),
