Begin tenures with the voters that are heard; try again where a server sheds; let in what is a little late

Cause (worst windows after all daemons were killed): a daemon waited a second for fifteen voters where there are ten.

--- a/packages/admission/src/gate.ts
+++ b/packages/admission/src/gate.ts
@@ -16,9 +16,9 @@
 /** A request is given up once less than this share of a usual service time is left for it. */
 const HOPELESS_SHARE = 0.5;
 /** A request counts as late if its answer is expected so much after its target, as a share of a service time. */
-const LATENESS_SHARE = 0.25;
+const LATENESS_SHARE = 1;
 /** Late requests are let in while they wait at most this share of a service time. */
-const SPARE_WAIT_SHARE = 0.5;
+const SPARE_WAIT_SHARE = 1;
 /** How often waiting requests are looked through for hopeless ones, in milliseconds. */
 const SWEEP_MS = 40;
 /** Shortest time after which a refused caller should come back, in milliseconds. */
--- a/packages/admission/src/gate_test.ts
+++ b/packages/admission/src/gate_test.ts
@@ -73,6 +73,7 @@
     const deadline = clock.now + 5_000;
     await gate.enter(entrant({ deadline, targetAt }));
     gate.enter(entrant({ deadline, targetAt }));
+    gate.enter(entrant({ deadline, targetAt }));
     const refused = await gate.enter(entrant({ deadline, targetAt }));
     expect(refused.isErr && refused.error.kind).to.equal(AdmissionErrorKind.Overloaded);
     gate.close();
--- a/packages/lease_ranges/src/tenure_keeper.ts
+++ b/packages/lease_ranges/src/tenure_keeper.ts
@@ -25,6 +25,8 @@
  * majority of nearly every set of voters, or the keys of those that are cut off could not pass on.
  */
 const VOTERS = 15;
+/** Voters with which a tenure is begun at once; it is begun anew with more when they are heard. */
+const GOOD_VOTERS = 5;
 /** Voters that may be lost before a tenure is begun anew without delay. */
 const LOST_VOTERS_MAX = 1;
 /** A tenure that lost fewer voters, or could have more, is begun anew after this, in milliseconds. */
@@ -142,7 +144,7 @@
   #hasVoters(): boolean {
     const { now, candidates } = this.#options;
     this.#wantsSince ??= now();
-    return candidates().length >= VOTERS - 1 ||
+    return candidates().length >= GOOD_VOTERS - 1 ||
       now() - this.#wantsSince > FEW_VOTERS_PATIENCE_MS;
   }
 
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -137,6 +137,9 @@
   /** Whether a request that got no answer at a key's owner may be tried again. */
   #mayFollow(request: Dispatch, answer: Answer): boolean {
     const { outcome, reason } = answer.head;
+    if (outcome === Outcome.NotRun && reason === Reason.ServerRefused) {
+      return this.#options.budgetOf(request.head.pool).take();
+    }
     if (outcome === Outcome.NotRun) {
       return reason === Reason.NotHolder || reason === Reason.LinkBroken ||
         reason === Reason.Draining;
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -61,6 +61,10 @@
 const STORE_GRACE_MS = 700;
 /** Length of the random name of one life of a daemon; only lives at one address must differ. */
 const INCARNATION_CHARACTERS = 8;
+/** Part of the allowed retries that is used; the rest is for requests that meet a change of owner. */
+const RETRY_SHARE_USED = 0.7;
+/** Retries that each daemon may save up for one service; all daemons together may not exceed the allowance. */
+const SAVED_RETRIES_MAX = 5;
 /** How often the server beside this daemon is looked after, in milliseconds. */
 const SERVER_LOOK_MS = 120;
 /** Time after the signal to stop in which callers learn of it by the readiness check, in milliseconds. */
@@ -374,7 +378,10 @@
   }
 
   #budgetOf(service: string): RetryBudget {
-    const known = this.#budgets.get(service) ?? new RetryBudget();
+    const known = this.#budgets.get(service) ?? new RetryBudget({
+      perRequest: this.#settings.bounds.retryShare * RETRY_SHARE_USED,
+      savedMax: SAVED_RETRIES_MAX,
+    });
     this.#budgets.set(service, known);
     return known;
   }
