--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -130,6 +130,7 @@
   #isEnding = false;
   #isGiving = false;
   #isReachable = true;
+  #serverName = "";
   #measuredAt = Number.NEGATIVE_INFINITY;
   #pressure: ServerPressure & { pieces: Piece[] } = {
     rate: 0,
@@ -279,6 +280,7 @@
         .forEach(({ name }) => this.#tableOf(name));
     });
     this.#system.changes.subscribe(() => this.#addMembers());
+    this.#watch.changes.subscribe(() => this.#noteServer());
     this.#addGauges();
     const member = {
       address: this.#self,
@@ -505,6 +507,17 @@
     return { address, slots, rate, serviceMs, pieces, keys };
   }
 
+  /** Logs each new life or state of the server. */
+  #noteServer(): void {
+    const { report, leavingSince } = this.#watch;
+    const state = leavingSince === undefined ? ServerState.Ready : ServerState.Draining;
+    const name = `${report?.id}@${report?.bornMs} ${state}`;
+    if (name !== this.#serverName) {
+      this.#serverName = name;
+      this.#log(Event.ServerReported, { server: report?.id, bornMs: report?.bornMs, state });
+    }
+  }
+
   #addMembers(): void {
     for (const address of readMembers(this.#system).keys()) {
       this.#heartbeats.add(address);
@@ -680,4 +693,25 @@
     }
     this.#log(Event.Stopped, { afterMs: Math.round(now() - startedAt) });
   }
+
+  /** Ends at once: breaks off all that is under way. */
+  async close(): Promise<void> {
+    this.#isEnding = true;
+    this.#stop.abort();
+    this.#sides.forEach((side) => side.close());
+    await this.#callers.close({ timeoutMs: 0 });
+    await this.#links.close();
+    await Promise.all([
+      this.#heartbeats.close(),
+      this.#planner.close(),
+      this.#granting.close(),
+      this.#tenure.close(),
+      this.#manifests.close(),
+      this.#system.close(),
+    ]);
+    this.#manifest.close();
+    this.#tableStores.forEach((table) => table.close());
+    this.#client.close();
+    this.#store.close();
+  }
 }
