--- a/scripts/capacity.ts
+++ b/scripts/capacity.ts
@@ -268,6 +268,12 @@
   } million requests a second, ${PLAN.configurationChangesPerDay} changes of configuration, ${PLAN.restartsPerDay}
 restarts and ${PLAN.failuresPerDay} failures a day. All figures come from one machine of 8 cores with small stand-ins.
 
+They are of the daemon on the product's own wires. The daemon on the users' platform
+([design](design/platform.md)) has not been measured at this size; from its design: heartbeats go between
+all pairs, some 3 a second each way, so 890 daemons would send 2,700 messages a second each, which is far
+above the goal and has to become voters and planner only; the ownership table grows with daemons times
+voters, and is written whole at each change.
+
 ## Control
 
 ${table(controlLines())}
