--- a/packages/lease/src/keeper.ts
+++ b/packages/lease/src/keeper.ts
@@ -4,9 +4,9 @@
  * tells, for each shard, whether this daemon may serve it now.
  */
 import { type Observable, Subject, take } from "rxjs";
-import { Result } from "true-myth";
 import {
   type Address,
+  type CallPeer,
   type Clock,
   createStop,
   type Group,
@@ -47,14 +47,6 @@
 /** Longest time that a voter keeps a seal request open before it refuses, as a share of the lease. */
 const SEAL_HOLD_SHARE = 0.4;
 
-/** Calls a method of a peer; fails when the peer does not answer in time. */
-export type CallPeer = (
-  peer: Address,
-  method: string,
-  payload: unknown,
-  options: { timeoutMs: number },
-) => Promise<Result<unknown, Error>>;
-
 /** What a keeper needs. Times are in milliseconds. */
 export interface KeeperOptions {
   ledger: Ledger;
--- a/packages/lease/src/mod.ts
+++ b/packages/lease/src/mod.ts
@@ -1,7 +1,7 @@
 /**
  * Who may serve which shard, and until when: votes, succession, surrender, seals.
  */
-export { type CallPeer, Keeper, type KeeperOptions, type Permit, ServeState } from "./keeper.ts";
+export { Keeper, type KeeperOptions, type Permit, ServeState } from "./keeper.ts";
 export { LeaseMethod } from "./messages.ts";
 export { ALL_RULES, type Rules } from "./rules.ts";
 export { Tenure } from "./tenure.ts";
--- a/packages/membership_beats/src/heartbeats.ts
+++ b/packages/membership_beats/src/heartbeats.ts
@@ -3,8 +3,13 @@
  * voters for support, and show which peers are silent.
  */
 import { Subject } from "rxjs";
-import type { Result } from "true-myth";
-import { type Address, type Clock, createStop, type Sleep } from "@bulrushwood/types";
+import {
+  type Address,
+  type CallPeer,
+  type Clock,
+  createStop,
+  type Sleep,
+} from "@bulrushwood/types";
 import type { BallotBox } from "@bulrushwood/lease_votes";
 import {
   type Beat,
@@ -27,14 +32,6 @@
 const LONG_SILENT_MS = 8_000;
 const CALL_TIMEOUT_MS = 900;
 
-/** Calls a method of a peer; fails when the peer does not answer in time. */
-export type CallPeer = (
-  peer: Address,
-  method: string,
-  payload: unknown,
-  options: { timeoutMs: number },
-) => Promise<Result<unknown, Error>>;
-
 /** What is known of a peer. */
 export interface Peer {
   beat: Beat;
--- a/packages/membership_beats/src/mod.ts
+++ b/packages/membership_beats/src/mod.ts
@@ -8,13 +8,6 @@
   type ServerLoadReport,
   type ServerStatus,
 } from "./beat.ts";
-export {
-  BEAT_MS,
-  type CallPeer,
-  Heartbeats,
-  type HeartbeatsOptions,
-  type Peer,
-  SILENT_MS,
-} from "./heartbeats.ts";
+export { BEAT_MS, Heartbeats, type HeartbeatsOptions, type Peer, SILENT_MS } from "./heartbeats.ts";
 export { enterMember, type Member, parseMember, readMembers } from "./members.ts";
 export { type AskSeal, isSealedBy, sealTenure } from "./sealing.ts";
--- a/packages/planner_ranges/src/range_planner.ts
+++ b/packages/planner_ranges/src/range_planner.ts
@@ -4,7 +4,6 @@
  * do no harm: the store takes one change for each state of the table, and only the owner or the voters can
  * take keys from an owner.
  */
-import type { Result } from "true-myth";
 import {
   assign,
   ChangeOutcome,
@@ -20,7 +19,13 @@
 import { type Move, rebalance } from "./rebalance.ts";
 import { spreadEvenly } from "./spread.ts";
 import { ServerState } from "@bulrushwood/deployment";
-import { type Address, type Clock, createStop, type Sleep } from "@bulrushwood/types";
+import {
+  type Address,
+  type CallPeer,
+  type Clock,
+  createStop,
+  type Sleep,
+} from "@bulrushwood/types";
 
 /** Time between two looks, in milliseconds. */
 const LOOK_MS = 250;
@@ -55,12 +60,7 @@
   mayPlan: () => boolean;
   /** Servers that may get keys, this daemon's among them. */
   candidates: () => Candidate[];
-  call: (
-    peer: Address,
-    method: string,
-    payload: unknown,
-    options: { timeoutMs: number },
-  ) => Promise<Result<unknown, Error>>;
+  call: CallPeer;
   /** Gives away keys that this daemon's server owns. */
   giveOwn: (moves: Move[]) => void;
   /** Told what was decided. */
--- a/packages/router/src/relay.ts
+++ b/packages/router/src/relay.ts
@@ -2,10 +2,9 @@
  * Passes records of the store from daemon to daemon, for those that do not reach the store themselves.
  */
 import { Buffer } from "node:buffer";
-import type { Result } from "true-myth";
 import { z } from "zod";
 import type { KeyedFollower } from "@bulrushwood/ledger_store";
-import type { Address } from "@bulrushwood/types";
+import type { Address, CallPeer } from "@bulrushwood/types";
 
 /** Name of the call that asks for records. */
 export const RECORDS_METHOD = "store.records";
@@ -22,12 +21,7 @@
 export interface RelayOptions {
   /** Followers in the same order in all daemons. */
   followers: KeyedFollower[];
-  call: (
-    peer: Address,
-    method: string,
-    payload: unknown,
-    options: { timeoutMs: number },
-  ) => Promise<Result<unknown, Error>>;
+  call: CallPeer;
 }
 
 /** Asks peers for records, and answers them. */
--- a/packages/types/src/mod.ts
+++ b/packages/types/src/mod.ts
@@ -50,5 +50,6 @@
   Loss = "loss",
   HotKey = "hot-key",
 }
+export type { CallPeer } from "./call_peer.ts";
 export { createStop, now, sleep } from "./time.ts";
 export { createRandom, type Random } from "./random.ts";
