Do not say not run of a request whose earlier attempt may have run

Cause (found by reading): a safe request that got no answer was sent again; when that attempt was shed, the caller was told 503, which promises that it never ran. The test failed before and passes now.

--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -86,6 +86,8 @@
 /** Brings requests to servers. */
 export class Dispatcher {
   readonly #options: DispatcherOptions;
+  /** Requests of which an attempt ended without an answer. */
+  readonly #uncertain = new WeakSet<Dispatch>();
 
   constructor(options: DispatcherOptions) {
     this.#options = options;
@@ -95,7 +97,16 @@
   async dispatch(request: Dispatch): Promise<Answer> {
     this.#options.budgetOf(request.head.pool).noteRequest();
     const isKeyed = request.head.shard >= 0;
-    return isKeyed ? await this.#toOwner(request) : await this.#toAny(request);
+    const answer = isKeyed ? await this.#toOwner(request) : await this.#toAny(request);
+    return this.#withEarlierAttempts(request, answer);
+  }
+
+  /** A later attempt that was not run says nothing of an earlier one that may have run. */
+  #withEarlierAttempts(request: Dispatch, answer: Answer): Answer {
+    const { outcome, detail = "" } = answer.head;
+    return outcome === Outcome.NotRun && this.#uncertain.has(request)
+      ? unknown(Reason.ServerFailed, `An earlier attempt may have run. The last one: ${detail}`)
+      : answer;
   }
 
   /** Follows a key to its owner. */
@@ -149,6 +160,7 @@
 
   /** Whether a request that may have run may run again. */
   #mayRepeat(request: Dispatch): boolean {
+    this.#uncertain.add(request);
     const { head, route } = request;
     const isTimely = now() + route.targetMs * RESEND_SHARE < request.deadline;
     const mayRepeat = route.kind === RouteKind.Idempotent && route.attemptsMax > 1 && isTimely &&
