Reach the store through peers while an instance is cut off from it

Asked to give keys, each released them at its server and could not write the change, so its keys were served by nobody until the cut healed: 785 logged refusals 'does not hold the key', 1,040 callers left, in 8 s. A server that left meanwhile could not pass its keys on either. Ruled out: lost tenures (none was sealed; the daemons heard each other), the planner choosing silent servers (they were heard). Change: calls that the store does not answer go to a peer that reaches it; a conditional append takes effect at most once whoever sends it. Heartbeats tell how far each daemon knows the store's topics, and one that is behind asks for just what it lacks. The checker of tenures and ranges plays with relayed calls. The new router test fails without peers to ask (seen).

--- a/packages/lease_checker/src/ranges/daemon.ts
+++ b/packages/lease_checker/src/ranges/daemon.ts
@@ -8,8 +8,15 @@
   type Order,
   type ReleaseOrder,
   type ServerWire,
+  type Store,
 } from "@bulrushwood/deployment";
-import { KeyedFollower, SYSTEM_TOPIC, TableStore } from "@bulrushwood/ledger_store";
+import {
+  answerStoreCall,
+  KeyedFollower,
+  RelayedStore,
+  SYSTEM_TOPIC,
+  TableStore,
+} from "@bulrushwood/ledger_store";
 import { Granting, type OrderAnswer, TenureKeeper } from "@bulrushwood/lease_ranges";
 import {
   BallotBox,
@@ -75,12 +82,23 @@
   readonly #follower: KeyedFollower;
   readonly #tenure: TenureKeeper;
   readonly #planner: RangePlanner;
+  readonly #directStore: Store;
+  readonly #relayed: RelayedStore;
 
   constructor(options: SimDaemonOptions) {
     this.options = options;
     const { address, incarnation, clock, store, rules, random } = options;
     const { now, sleep } = clock;
-    const connected = store.connect(options.reachesStore);
+    this.#directStore = store.connect(options.reachesStore);
+    const connected = new RelayedStore({
+      direct: this.#directStore,
+      now,
+      peers: () => this.#storePeers(),
+      call: (peer, method, payload, { timeoutMs }) =>
+        options.carryCall(this, peer, { method, payload, timeoutMs }),
+      onDirect: () => {},
+    });
+    this.#relayed = connected;
     this.#follower = new KeyedFollower({
       store: connected,
       topic: SYSTEM_TOPIC,
@@ -146,17 +164,17 @@
         service: SERVICE,
         dataCentre: "",
         tenures: this.#tenure.tenuresFor(peer),
-        manifestVersion: 1,
+        storeEnds: [this.#follower.end],
         isLeaving: false,
-        hasStore: this.#follower.isReachable,
+        hasStore: this.#follower.isReachable && this.#relayed.isDirect,
         server: null,
       }),
-      manifestVersion: () => 1,
+      storeEnds: () => [this.#follower.end],
       onSupport: (peer, reply, sentAt) => {
         const support = { tenures: reply.supported, sentAt };
         this.#tenure.noteSupport(peer, reply.incarnation, support);
       },
-      onNewerManifest: () => {},
+      onBehind: () => {},
     });
     this.#planner = new RangePlanner({
       self: address,
@@ -182,6 +200,18 @@
     this.options.members.forEach((member) => this.heartbeats.add(member));
   }
 
+  /** Answers a peer's call. */
+  answer(method: string, payload: unknown): unknown {
+    return answerStoreCall(this.#directStore, method, payload) ??
+      this.heartbeats.answer(method, payload);
+  }
+
+  #storePeers(): string[] {
+    return [...this.heartbeats.peers]
+      .filter(([address, { beat }]) => beat.hasStore && this.heartbeats.isHeard(address))
+      .map(([address]) => address);
+  }
+
   /** Gives some of the own keys to another daemon. */
   giveSome(to: string): void {
     const [range] = this.granting.own;
--- a/packages/lease_checker/src/ranges/run.ts
+++ b/packages/lease_checker/src/ranges/run.ts
@@ -2,6 +2,7 @@
  * Runs daemons through a random schedule of faults, and looks after each event whether two servers hold a
  * key at the same time, or a server got a key with an epoch that is not above all earlier ones.
  */
+import { pack, unpack } from "msgpackr";
 import { Result } from "true-myth";
 import { KEYS, type KeySpan, overlaps } from "@bulrushwood/ledger_store";
 import type { OrderAnswer } from "@bulrushwood/lease_ranges";
@@ -133,14 +134,14 @@
       while (!target.clock.isRunning) {
         await network.sleep(20);
       }
-      const answer = this.#find(peer).daemon.heartbeats.answer(method, structuredClone(payload));
+      const answer = await this.#find(peer).daemon.answer(method, unpack(pack(payload)));
       await network.sleep(1 + this.#random() * CALL_MS_MAX);
       if (isCut()) {
         return await lost;
       }
       // A process takes an answer only once it runs again.
       await clock.sleep(0);
-      return Result.ok<unknown, Error>(answer);
+      return Result.ok<unknown, Error>(unpack(pack(answer)));
     })();
     return await Promise.race([carried, lost]);
   };
--- a/packages/ledger_store/src/keyed_follower.ts
+++ b/packages/ledger_store/src/keyed_follower.ts
@@ -155,6 +155,12 @@
     this.apply(item);
   }
 
+  /** Takes over what a peer knows: all newest records from this follower's end to the peer's. */
+  adopt(items: Item[], end: Offset): void {
+    items.forEach((item) => this.apply(item));
+    this.#end = Math.max(this.#end, end);
+  }
+
   /** Reads the newest records again at once, where what is known here may be old. */
   refresh(): void {
     this.#interrupt.abort();
--- a/packages/ledger_store/src/mod.ts
+++ b/packages/ledger_store/src/mod.ts
@@ -22,6 +22,12 @@
   sizeOf,
   type VoterName,
 } from "./ownership_table.ts";
+export {
+  answerStoreCall,
+  RelayedStore,
+  type RelayedStoreOptions,
+  StoreMethod,
+} from "./relayed_store.ts";
 export {
   type Change,
   ChangeOutcome,
--- a/packages/membership_beats/src/beat.ts
+++ b/packages/membership_beats/src/beat.ts
@@ -37,10 +37,11 @@
   dataCentre: z.string(),
   /** Tenures that the receiver is asked to support. */
   tenures: z.array(z.string()),
-  manifestVersion: z.number(),
+  /** Offsets after the last records that the sender knows, one for each topic that daemons follow. */
+  storeEnds: z.array(z.number()),
   /** Whether the sender is about to end. */
   isLeaving: z.boolean(),
-  /** Whether the sender reaches the store. */
+  /** Whether the sender reaches the store itself. */
   hasStore: z.boolean(),
   /** The backend server beside the sender; null where there is none. */
   server: serverStatusSchema.nullable(),
@@ -51,7 +52,7 @@
   incarnation: z.string(),
   /** Tenures that the answering daemon supports. */
   supported: z.array(z.string()),
-  manifestVersion: z.number(),
+  storeEnds: z.array(z.number()),
 });
 
 /** Schema of a request to seal a tenure. */
--- a/packages/membership_beats/src/heartbeats.ts
+++ b/packages/membership_beats/src/heartbeats.ts
@@ -8,6 +8,7 @@
   type CallPeer,
   type Clock,
   createStop,
+  type Offset,
   type Sleep,
 } from "@bulrushwood/types";
 import type { BallotBox } from "@bulrushwood/lease_votes";
@@ -31,6 +32,8 @@
 /** After this silence a peer is asked less often, in milliseconds. */
 const LONG_SILENT_MS = 8_000;
 const CALL_TIMEOUT_MS = 900;
+/** A peer that knows more records is asked for them after this, in milliseconds; reads are mostly faster. */
+const CATCH_UP_MS = 120;
 
 /** What is known of a peer. */
 export interface Peer {
@@ -49,11 +52,12 @@
   ballotBox: BallotBox;
   /** Makes the heartbeat for one peer. */
   createBeat: (peer: Address) => Beat;
-  manifestVersion: () => number;
+  /** Offsets after the last records that are known here, one for each topic that daemons follow. */
+  storeEnds: () => Offset[];
   /** Told of support that a voter gave; `sentAt` is when it was asked. */
   onSupport: (peer: Address, reply: BeatReply, sentAt: number) => void;
-  /** Told when a peer knows a newer manifest. */
-  onNewerManifest: (peer: Address, version: number) => void;
+  /** Told when a peer has known more records for some time. */
+  onBehind: (peer: Address) => void;
 }
 
 /** Heartbeats of one daemon. */
@@ -64,6 +68,7 @@
   readonly #heardAt = new Map<Address, number>();
   readonly #stop = createStop();
   readonly #startedAt: number;
+  #isCatchingUp = false;
   readonly #changes = new Subject<Address>();
 
   constructor(options: HeartbeatsOptions) {
@@ -122,7 +127,7 @@
     }
     this.#heardAt.set(peer, now());
     this.#options.onSupport(peer, reply.data, sentAt);
-    this.#compareManifest(peer, reply.data.manifestVersion);
+    this.#compareEnds(peer, reply.data.storeEnds);
   }
 
   /** Sends a heartbeat to all peers now, for news that should not wait. */
@@ -134,9 +139,20 @@
     }
   }
 
-  #compareManifest(peer: Address, version: number): void {
-    if (version > this.#options.manifestVersion()) {
-      this.#options.onNewerManifest(peer, version);
+  #isBehind(ends: Offset[]): boolean {
+    const own = this.#options.storeEnds();
+    return ends.some((end, topic) => end > (own[topic] ?? 0));
+  }
+
+  async #compareEnds(peer: Address, ends: Offset[]): Promise<void> {
+    if (this.#isCatchingUp || !this.#isBehind(ends)) {
+      return;
+    }
+    this.#isCatchingUp = true;
+    await this.#options.sleep(CATCH_UP_MS, this.#stop.signal);
+    this.#isCatchingUp = false;
+    if (this.#isBehind(ends) && !this.#stop.signal.aborted) {
+      this.#options.onBehind(peer);
     }
   }
 
@@ -153,14 +169,14 @@
   }
 
   #answerBeat(beat: Beat): BeatReply {
-    const { incarnation, now, ballotBox, manifestVersion } = this.#options;
+    const { incarnation, now, ballotBox, storeEnds } = this.#options;
     this.add(beat.address);
     this.#heardAt.set(beat.address, now());
     this.#peers.set(beat.address, { beat, heardAt: now() });
-    this.#compareManifest(beat.address, beat.manifestVersion);
+    this.#compareEnds(beat.address, beat.storeEnds);
     this.#changes.next(beat.address);
     const supported = beat.tenures.filter((tenure) => ballotBox.support(tenure));
-    return { incarnation, supported, manifestVersion: manifestVersion() };
+    return { incarnation, supported, storeEnds: storeEnds() };
   }
 
   #answerSeal(tenure: string): SealReply {
--- a/packages/router/src/event_log.ts
+++ b/packages/router/src/event_log.ts
@@ -13,6 +13,7 @@
   Stopped = "stopped",
   SettingsReloaded = "settings-reloaded",
   StoreReachable = "store-reachable",
+  StoreRelayed = "store-relayed",
   StoreLost = "store-lost",
   ManifestApplied = "manifest-applied",
   ManifestRefused = "manifest-refused",
--- a/packages/router/src/relay.ts
+++ b/packages/router/src/relay.ts
@@ -10,11 +10,17 @@
 export const RECORDS_METHOD = "store.records";
 const TIMEOUT_MS = 800;
 
+const offset = z.number().int().nonnegative();
+/** Ends of the asking daemon's followers. */
+const questionSchema = z.array(offset);
+/** Of each follower, the newest records that the asking daemon lacks, and the offset after all of them. */
 const recordsSchema = z.array(z.object({
-  follower: z.number().int().nonnegative(),
-  key: z.string(),
-  value: z.custom<Buffer>((value) => Buffer.isBuffer(value)),
-  offset: z.number().int().nonnegative(),
+  items: z.array(z.object({
+    key: z.string(),
+    value: z.custom<Buffer>((value) => Buffer.isBuffer(value)),
+    offset,
+  })),
+  end: offset,
 }));
 
 /** What a relay needs. */
@@ -33,11 +39,18 @@
     this.#options = options;
   }
 
-  /** All newest records that are known here. */
-  answer(): z.infer<typeof recordsSchema> {
-    return this.#options.followers.flatMap((follower, index) =>
-      [...follower.items].map(({ key, value, offset }) => ({ follower: index, key, value, offset }))
-    );
+  /** Offsets after the last records that are known here. */
+  get ends(): number[] {
+    return this.#options.followers.map(({ end }) => end);
+  }
+
+  /** The newest records that are known here, from the offsets on that a peer names. */
+  answer(payload: unknown): z.infer<typeof recordsSchema> {
+    const from = questionSchema.parse(payload);
+    return this.#options.followers.map(({ items, end }, index) => ({
+      items: [...items].filter(({ offset }) => offset >= (from[index] ?? 0)),
+      end,
+    }));
   }
 
   /** Takes over what a peer knows; one question at a time. */
@@ -47,11 +60,11 @@
     }
     this.#isAsking = true;
     const { call, followers } = this.#options;
-    const called = await call(peer, RECORDS_METHOD, null, { timeoutMs: TIMEOUT_MS });
+    const called = await call(peer, RECORDS_METHOD, this.ends, { timeoutMs: TIMEOUT_MS });
     this.#isAsking = false;
     const records = recordsSchema.safeParse(called.isOk ? called.value : undefined);
     if (records.success) {
-      records.data.forEach(({ follower, ...item }) => followers[follower]?.apply(item));
+      records.data.forEach(({ items, end }, index) => followers[index]?.adopt(items, end));
     }
   }
 }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -16,10 +16,12 @@
   type Store,
 } from "@bulrushwood/deployment";
 import {
+  answerStoreCall,
   countKeys,
   KeyedFollower,
   rangeOf,
   rangesOf,
+  RelayedStore,
   SYSTEM_TOPIC,
   TableStore,
 } from "@bulrushwood/ledger_store";
@@ -116,7 +118,9 @@
   readonly #incarnation = randomUUID().slice(0, INCARNATION_CHARACTERS);
   readonly #stop = createStop();
   readonly #metrics = new Metrics();
-  readonly #store: Store;
+  /** The store as only this instance reaches it; peers' calls go there. */
+  readonly #directStore: Store;
+  readonly #store: RelayedStore;
   readonly #manifests: KeyedFollower;
   readonly #system: KeyedFollower;
   readonly #manifest: ManifestKeeper;
@@ -156,11 +160,18 @@
     this.#log = log;
     const { peers } = settings.listen;
     this.#self = `${peers.host}:${peers.port}`;
-    this.#store = adapter.openStore(settings);
+    const call = this.#call.bind(this);
+    this.#directStore = adapter.openStore(settings);
+    this.#store = new RelayedStore({
+      direct: this.#directStore,
+      now,
+      call,
+      peers: () => this.#storePeers(),
+      onDirect: (isDirect, reason) => log(Event.StoreRelayed, { isRelayed: !isDirect, reason }),
+    });
     this.#manifests = this.#follow(adapter.manifestPlace.topic, MANIFEST_WAIT_MS);
     this.#system = this.#follow(SYSTEM_TOPIC, SYSTEM_WAIT_MS);
     this.#manifest = new ManifestKeeper({ follower: this.#manifests, adapter, log });
-    const call = this.#call.bind(this);
     const followers = [this.#manifests, this.#system];
     this.#relay = new Relay({ followers, call });
     this.#watch = new ServerWatch({ ...settings, now });
@@ -212,12 +223,12 @@
       call,
       ballotBox: this.#ballotBox,
       createBeat: (peer) => this.#createBeat(peer),
-      manifestVersion: () => this.#manifest.version,
+      storeEnds: () => this.#relay.ends,
       onSupport: (peer, reply, sentAt) => {
         const options = { tenures: reply.supported, sentAt };
         this.#tenure.noteSupport(peer, reply.incarnation, options);
       },
-      onNewerManifest: (peer) => this.#relay.ask(peer),
+      onBehind: (peer) => this.#relay.ask(peer),
     });
     this.#runner = new Runner({
       watch: this.#watch,
@@ -405,6 +416,15 @@
     return this.#system.isReachable && sinceMs < SYSTEM_WAIT_MS + STORE_GRACE_MS;
   }
 
+  /** Peers that reach the store, from a random one on, so that their load is even. */
+  #storePeers(): Address[] {
+    const peers = [...this.#heartbeats.peers]
+      .filter(([address, { beat }]) => beat.hasStore && this.#heartbeats.isHeard(address))
+      .map(([address]) => address);
+    const start = Math.floor(Math.random() * peers.length);
+    return [...peers.slice(start), ...peers.slice(0, start)];
+  }
+
   get #isKeyed(): boolean {
     return this.#manifest.manifest?.services.get(this.#settings.service)?.isKeyed ?? false;
   }
@@ -473,9 +493,9 @@
       service,
       dataCentre,
       tenures: this.#tenure.tenuresFor(peer),
-      manifestVersion: this.#manifest.version,
+      storeEnds: this.#relay.ends,
       isLeaving: this.#isEnding,
-      hasStore: this.#hasStore,
+      hasStore: this.#hasStore && this.#store.isDirect,
       server: this.#status({ withPieces }),
     };
   }
@@ -621,12 +641,13 @@
           this.#giveMoves(givePayload.parse(payload).moves);
           return Promise.resolve(null);
         case RECORDS_METHOD:
-          return Promise.resolve(this.#relay.answer());
+          return Promise.resolve(this.#relay.answer(payload));
         default: {
-          const answer = this.#heartbeats.answer(method, payload);
+          const answer = answerStoreCall(this.#directStore, method, payload) ??
+            this.#heartbeats.answer(method, payload);
           return answer === undefined
             ? Promise.reject(new Error(`No method is called ${method}`))
-            : Promise.resolve(answer);
+            : Promise.resolve<unknown>(answer);
         }
       }
     } catch (error) {
--- a/packages/router/src/router_test.ts
+++ b/packages/router/src/router_test.ts
@@ -21,6 +21,8 @@
 const SERVICE = "despacho";
 const KEYS = 65_536;
 const START_MS_MAX = 15_000;
+/** A key is served again within this after its server is lost, so also when it leaves. */
+const LEAVE_MS_MAX = 2_000;
 
 /** A backend server that runs requests only for keys that it holds. */
 class FakeServer {
@@ -140,11 +142,11 @@
   return { method: "POST", path, headers: {}, body: Buffer.from(JSON.stringify(order)) };
 }
 
-function createAdapter(store: KeyedStoreService): Adapter {
+function createAdapter(store: KeyedStoreService, isReachable: () => boolean): Adapter {
   return {
     settingsPath: () => undefined,
     readSettings: () => Result.err(new Error("not used")),
-    openStore: () => store.connect(),
+    openStore: () => store.connect(isReachable),
     manifestPlace: { topic: "manifest", key: "manifest" },
     readManifest: () => Result.ok(MANIFEST),
     callers: {
@@ -164,6 +166,8 @@
   router: Router;
   server: FakeServer;
   callers: number;
+  /** Cuts the instance off from the store. */
+  cutStore: () => void;
   stopReports: () => void;
 }
 
@@ -172,8 +176,9 @@
   await server.listen();
   const ports = await Promise.all([1, 2, 3, 4, 5].map(() => findFreePort()));
   const [callers, ready, reports, peers, metrics] = ports.map((port) => ({ host: HOST, port }));
+  let isCut = false;
   const router = await Router.start({
-    adapter: createAdapter(store),
+    adapter: createAdapter(store, () => !isCut),
     log: () => {},
     settings: {
       instance: `i${index}`,
@@ -213,7 +218,9 @@
   };
   report();
   const timer = setInterval(report, 300);
-  return { router, server, callers: callers.port, stopReports: () => clearInterval(timer) };
+  const cutStore = () => isCut = true;
+  const stopReports = () => clearInterval(timer);
+  return { router, server, callers: callers.port, cutStore, stopReports };
 }
 
 let nextId = 0;
@@ -297,6 +304,18 @@
     lost.server.close();
   });
 
+  it("pass the keys of a daemon on that leaves while it is cut off from the store", async () => {
+    const instances = await startThree();
+    const [leaving, ...others] = instances;
+    leaving.cutStore();
+    const startedAt = now();
+    const left = leaving.router.leave();
+    await untilServed(others, others[0]);
+    expect(now() - startedAt, "as with the store in reach").to.be.below(LEAVE_MS_MAX);
+    await left;
+    await closeAll(instances);
+  });
+
   it("answer every request while one of them leaves, and run none twice", async () => {
     const instances = await startThree();
     const [leaving, ...others] = instances;
