Bound waits by the target, choose servers by their told load, move keys in smaller steps

Changes: waits last while the target can be met, longer only for callers that came back; the chooser counts what servers tell of queue and speed; the age of running work counts for the service time; no moves for load after slow changes, from servers that have just started, or of keys that moved within 4 s; released keys pass on without waiting for others. Passing released keys on singly, rest and cold servers are not measured yet.

--- a/packages/admission/src/gate.ts
+++ b/packages/admission/src/gate.ts
@@ -11,6 +11,8 @@
 
 /** Weight of the newest service time in the running mean. */
 const SERVICE_WEIGHT = 0.08;
+/** Requests that run are on average this share of their whole time old; older ones show a slow server. */
+const USUAL_AGE_SHARE = 0.8;
 /** Service time that is assumed before the first is seen, in milliseconds. */
 const ASSUMED_SERVICE_MS = 120;
 /** A request is given up once less than this share of a usual service time is left for it. */
@@ -53,7 +55,8 @@
 export class Gate {
   readonly #options: GateOptions;
   #waiters: Waiter[] = [];
-  #running = 0;
+  /** When each request that runs now began. */
+  readonly #runningSince = new Set<{ at: number }>();
   #serviceMs = 0;
   #sweep: NodeJS.Timeout | undefined;
 
@@ -63,7 +66,7 @@
 
   /** Requests that run now. */
   get running(): number {
-    return this.#running;
+    return this.#runningSince.size;
   }
 
   /** Requests that wait now. */
@@ -71,13 +74,25 @@
     return this.#waiters.length;
   }
 
-  /** Mean time from slot to release, in milliseconds; 0 before the first. */
+  /**
+   * Mean time from slot to release, in milliseconds; 0 before the first. A server that turns slow answers
+   * nothing new for a while, so the age of what it runs counts as well.
+   */
   get serviceMs(): number {
-    return this.#serviceMs;
+    return this.#serviceMs === 0
+      ? 0
+      : Math.max(this.#serviceMs, this.#meanAgeMs() / USUAL_AGE_SHARE);
+  }
+
+  #meanAgeMs(): number {
+    const now = this.#options.now();
+    let sum = 0;
+    this.#runningSince.forEach(({ at }) => sum += now - at);
+    return this.running === 0 ? 0 : sum / this.running;
   }
 
   get #expectedServiceMs(): number {
-    return this.#serviceMs > 0 ? this.#serviceMs : ASSUMED_SERVICE_MS;
+    return this.serviceMs > 0 ? this.serviceMs : ASSUMED_SERVICE_MS;
   }
 
   /** Waits for a slot; refuses at once what cannot be answered in time. */
@@ -86,7 +101,7 @@
     if (entrant.signal.aborted) {
       return Promise.resolve(cancelled());
     }
-    if (this.#running < limit() && this.#waiters.length === 0) {
+    if (this.running < limit() && this.#waiters.length === 0) {
       return Promise.resolve(Result.ok(this.#occupy(now())));
     }
     const waitMs = this.#expectedWaitMs(entrant);
@@ -169,14 +184,12 @@
   #occupy(since: number): Slot {
     const { now } = this.#options;
     const startedAt = now();
-    let isOpen = true;
-    this.#running++;
+    const run = { at: startedAt };
+    this.#runningSince.add(run);
     const release = () => {
-      if (!isOpen) {
+      if (!this.#runningSince.delete(run)) {
         return;
       }
-      isOpen = false;
-      this.#running--;
       this.#noteService(now() - startedAt);
       this.#fill();
     };
@@ -192,7 +205,7 @@
   #fill(): void {
     const { now, limit } = this.#options;
     this.#sweepHopeless();
-    while (this.#running < limit() && this.#waiters.length > 0) {
+    while (this.running < limit() && this.#waiters.length > 0) {
       const at = now();
       const next = this.#waiters.reduce((first, waiter) =>
         this.#goesBefore(first.entrant, waiter.entrant, at) ? first : waiter
--- a/packages/admission/src/gate_test.ts
+++ b/packages/admission/src/gate_test.ts
@@ -48,6 +48,21 @@
     gate.close();
   });
 
+  it("notices a server that turned slow before it answers again", async () => {
+    const clock = { now: 0 };
+    const gate = createGate(clock, 2);
+    await teach(gate, clock);
+    const startedAt = clock.now;
+    await gate.enter(entrant({ deadline: startedAt + 10_000 }));
+    await gate.enter(entrant({ deadline: startedAt + 10_000 }));
+    clock.now += 600;
+    const refused = await gate.enter(
+      entrant({ targetAt: clock.now + 300, deadline: clock.now + 500 }),
+    );
+    expect(refused.isErr && refused.error.kind).to.equal(AdmissionErrorKind.Overloaded);
+    gate.close();
+  });
+
   it("prefers a request that can still meet its target to one that cannot", async () => {
     const clock = { now: 0 };
     const gate = createGate(clock);
--- a/packages/lease_checker/src/ranges/daemon.ts
+++ b/packages/lease_checker/src/ranges/daemon.ts
@@ -110,6 +110,7 @@
     const table = new TableStore({
       store: connected,
       follower: this.#follower,
+      now,
       sleep,
       service: SERVICE,
       random,
@@ -238,6 +239,8 @@
       slots: SLOTS,
       serviceMs: 0,
       rate: 0,
+      waiting: 0,
+      isCold: false,
       keys: 1,
       pieces: [],
     }));
--- a/packages/lease_ranges/src/granting.ts
+++ b/packages/lease_ranges/src/granting.ts
@@ -253,7 +253,8 @@
 
   /**
    * Gives keys away. With `leave` all own keys are given, those that `choose` left out to nobody, and the
-   * daemon is taken out of the table. Resolves once the store has the change.
+   * daemon is taken out of the table. Keys whose work has ended pass on without waiting for the others.
+   * Resolves once the store has all changes.
    */
   async give(
     choose: (own: Range[]) => Assignment[],
@@ -266,14 +267,30 @@
     const grants = this.#grants;
     this.#closing.push(...assignments);
     this.#reshape();
-    const handed = await Promise.all(assignments.map((assignment) => {
+    const released = new Map<KeySpan, Assignment>();
+    const outcomes = await Promise.all(assignments.map(async (assignment) => {
       const covering = grants.filter((grant) => overlaps(grant, assignment));
-      return this.#release(assignment, covering, options);
+      released.set(assignment, await this.#release(assignment, covering, options));
+      return await this.#passOn(released, options);
     }));
-    const outcome = await this.#options.table.change((table) =>
-      this.#handOver(table, handed, options)
-    );
-    this.#closing = this.#closing.filter((span) => !assignments.includes(span as Assignment));
+    if (outcomes.length === 0) {
+      return await this.#passOn(released, options);
+    }
+    return outcomes.includes(ChangeOutcome.Done) ? ChangeOutcome.Done : outcomes[0];
+  }
+
+  /** Writes new owners of all that is released by then; until that is done nothing of it is granted again. */
+  async #passOn(
+    released: Map<KeySpan, Assignment>,
+    options: { leave: boolean },
+  ): Promise<ChangeOutcome> {
+    let written: KeySpan[] = [];
+    const outcome = await this.#options.table.change((table) => {
+      written = [...released.keys()];
+      return this.#handOver(table, [...released.values()], options);
+    });
+    written.forEach((span) => released.delete(span));
+    this.#closing = this.#closing.filter((span) => !written.includes(span));
     this.#reshape();
     return outcome;
   }
--- a/packages/lease_ranges/src/granting_test.ts
+++ b/packages/lease_ranges/src/granting_test.ts
@@ -4,6 +4,7 @@
 import type { GrantOrder, Order, ReleaseOrder, ServerWire } from "@bulrushwood/deployment";
 import {
   assign,
+  ChangeOutcome,
   enterHost,
   KeyedFollower,
   KEYS,
@@ -58,6 +59,7 @@
   const table = new TableStore({
     store,
     follower,
+    now,
     sleep,
     service: "despacho",
     random: Math.random,
@@ -163,6 +165,28 @@
     await close();
   });
 
+  it("passes keys on whose work has ended while work for others still runs", async () => {
+    const { granting, table, close } = await startDaemon(async (sent) => {
+      await sleep(sent.kind === "release" && sent.order.first === 100 ? 500 : 0);
+      return answerOk(sent);
+    });
+    const given = granting.give(
+      () => [
+        { first: 0, last: 9, to: OTHER, handover: null },
+        { first: 100, last: 109, to: OTHER, handover: null },
+      ],
+      { leave: false, isServerGone: false },
+    );
+    await sleep(250);
+    expect(rangeOf(table.table.value, 0).owner).to.equal(OTHER);
+    expect(rangeOf(table.table.value, 100).owner).to.equal(SELF);
+    expect(granting.stateOf(100)).to.equal(KeyState.Moving);
+    expect(await given).to.equal(ChangeOutcome.Done);
+    expect(rangeOf(table.table.value, 100)).to.include({ owner: OTHER, handover: "token" });
+    expect(granting.stateOf(50)).to.equal(KeyState.Granted);
+    await close();
+  });
+
   it("waits until a grant has ended at a server that does not answer", async () => {
     let isSilent = false;
     const { granting, close } = await startDaemon((sent) =>
--- a/packages/ledger_store/src/table_store.ts
+++ b/packages/ledger_store/src/table_store.ts
@@ -6,7 +6,7 @@
 import { randomUUID } from "node:crypto";
 import { BehaviorSubject } from "rxjs";
 import { type Store, StoreErrorKind } from "@bulrushwood/deployment";
-import type { Offset, Sleep } from "@bulrushwood/types";
+import type { Clock, Offset, Sleep } from "@bulrushwood/types";
 import type { KeyedFollower } from "./keyed_follower.ts";
 import { emptyTable, formatTable, type OwnershipTable, parseTable } from "./ownership_table.ts";
 
@@ -16,6 +16,10 @@
 const TABLE_KEY_PREFIX = "table/";
 /** Time limit of one append, in milliseconds; several times a slow store's answer. */
 const APPEND_TIMEOUT_MS = 1_000;
+/** A change that took longer shows a slow store, in milliseconds; a quick one takes some tens. */
+const SLOW_CHANGE_MS = 250;
+/** The store counts as slow for so long after a slow change, in milliseconds. */
+const SLOW_MEMORY_MS = 3_000;
 /** Pause before an append is tried again, in milliseconds. */
 const RETRY_MS = 150;
 
@@ -23,6 +27,7 @@
 export interface TableStoreOptions {
   store: Store;
   follower: KeyedFollower;
+  now: Clock;
   sleep: Sleep;
   service: string;
   onDamaged: (reason: string) => void;
@@ -48,6 +53,7 @@
   readonly #table = new BehaviorSubject<OwnershipTable>(emptyTable());
   readonly #subscription;
   #lastChange: Promise<unknown> = Promise.resolve();
+  #slowAt = Number.NEGATIVE_INFINITY;
 
   constructor(options: TableStoreOptions) {
     this.#options = options;
@@ -71,6 +77,11 @@
     return this.#table;
   }
 
+  /** Whether changes take so long that keys should only move where they must. */
+  get isSlow(): boolean {
+    return this.#options.now() - this.#slowAt < SLOW_MEMORY_MS;
+  }
+
   #take(value: Buffer): void {
     const parsed = parseTable(value);
     if (parsed.isErr) {
@@ -91,6 +102,8 @@
   }
 
   async #change(change: Change, options: { signal?: AbortSignal }): Promise<ChangeOutcome> {
+    const { now } = this.#options;
+    const startedAt = now();
     while (!options.signal?.aborted) {
       const expectedEnd = this.#options.follower.end;
       const changed = change(this.#table.value);
@@ -98,7 +111,11 @@
         return ChangeOutcome.Needless;
       }
       const written = { ...changed, write: randomUUID() };
-      if (await this.#append(written, expectedEnd)) {
+      const isWritten = await this.#append(written, expectedEnd);
+      if (now() - startedAt > SLOW_CHANGE_MS) {
+        this.#slowAt = now();
+      }
+      if (isWritten) {
         return ChangeOutcome.Done;
       }
       await this.#options.sleep(RETRY_MS * this.#options.random());
--- a/packages/ledger_store/src/table_store_test.ts
+++ b/packages/ledger_store/src/table_store_test.ts
@@ -25,6 +25,7 @@
   const table = new TableStore({
     store,
     follower,
+    now,
     sleep,
     service: "despacho",
     random: Math.random,
--- a/packages/membership_beats/src/beat.ts
+++ b/packages/membership_beats/src/beat.ts
@@ -24,6 +24,8 @@
   bornMs: z.number(),
   slots: z.number(),
   state: z.enum(ServerState),
+  /** Whether it has just started and is still slow for that reason. */
+  isCold: z.boolean(),
   /** Whether the daemon reaches the server. */
   isReachable: z.boolean(),
   load: serverLoadSchema,
--- a/packages/planner_ranges/src/capacity.ts
+++ b/packages/planner_ranges/src/capacity.ts
@@ -18,6 +18,10 @@
   serviceMs: number;
   /** Requests a second for its keys. */
   rate: number;
+  /** Requests that wait for it. */
+  waiting: number;
+  /** Whether it has just started and is still slow for that reason. */
+  isCold: boolean;
   /** Number of keys that it owns. */
   keys: number;
   /** Its keys in pieces of about equal load. */
--- a/packages/planner_ranges/src/range_planner.ts
+++ b/packages/planner_ranges/src/range_planner.ts
@@ -8,6 +8,8 @@
   assign,
   ChangeOutcome,
   countKeys,
+  type KeySpan,
+  overlaps,
   type OwnershipTable,
   rangesOf,
   removeHost,
@@ -33,6 +35,8 @@
 const SETTLE_MS = 1_000;
 /** Load that moved shows in the reports after this, in milliseconds. */
 const COOL_DOWN_MS = 1_300;
+/** Keys that moved stay where they are for so long, in milliseconds; their load shows by then. */
+const REST_MS = 4_000;
 /** Sealing is tried for so long before the slow way is begun, in milliseconds. */
 const SEAL_PATIENCE_MS = 4_000;
 const GIVE_TIMEOUT_MS = 600;
@@ -76,6 +80,8 @@
   #hosts = "";
   #hostsSince: number;
   #movedAt = Number.NEGATIVE_INFINITY;
+  /** Keys that moved lately. */
+  #resting: (KeySpan & { until: number })[] = [];
   #task: Promise<void> | undefined;
 
   constructor(options: RangePlannerOptions) {
@@ -259,16 +265,25 @@
   #even(): void {
     const { table, self, giveOwn, call, onEvent } = this.#options;
     if (
-      this.#options.now() - this.#movedAt < COOL_DOWN_MS ||
+      this.#options.now() - this.#movedAt < COOL_DOWN_MS || table.isSlow ||
       rangesOf(table.table.value, null).length > 0
     ) {
       return;
     }
-    const moves = rebalance(this.#entered(table.table.value));
+    const now = this.#options.now();
+    this.#resting = this.#resting.filter(({ until }) => until > now);
+    const candidates = this.#entered(table.table.value).map((candidate) => ({
+      ...candidate,
+      pieces: candidate.pieces.filter((piece) =>
+        !this.#resting.some((span) => overlaps(span, piece))
+      ),
+    }));
+    const moves = rebalance(candidates);
     if (moves.length === 0) {
       return;
     }
-    this.#movedAt = this.#options.now();
+    this.#movedAt = now;
+    this.#resting.push(...moves.map(({ first, last }) => ({ first, last, until: now + REST_MS })));
     for (const from of new Set(moves.map((move) => move.from))) {
       const own = moves.filter((move) => move.from === from);
       const keys = countKeys(own);
--- a/packages/planner_ranges/src/rebalance.ts
+++ b/packages/planner_ranges/src/rebalance.ts
@@ -2,16 +2,24 @@
  * Evens load between servers that differ in speed, and takes a rush on neighbouring keys apart: a server
  * that is asked for more than its share gives pieces of its keys to those with room. Answers rushes that
  * last some seconds and servers that turn slow; leaves small differences alone, since a key that moves is
- * not served for a moment.
+ * not served for a moment. A server that has just started is slow for a few seconds, which passes sooner
+ * than moves would help. Where all are overloaded, only a large difference is worth an interruption.
  */
 import type { KeySpan } from "@bulrushwood/ledger_store";
 import type { Address } from "@bulrushwood/types";
 import { type Candidate, capacities, type Piece } from "./capacity.ts";
 
-/** A server gives keys once its utilisation is so much above the mean, as a share of a server. */
+/**
+ * A server gives keys once its utilisation is so much above the mean, as a share of a server, or of the
+ * mean where that is more than a server.
+ */
 const EXCESS_MIN = 0.12;
+/** The same where the mean is more than a server can do: then all refuse, wherever keys are. */
+const OVERLOAD_EXCESS_MIN = 0.5;
 /** Below this utilisation a server is left as it is: its requests hardly wait. */
 const BUSY_MIN = 0.5;
+/** A server where so many requests wait is busy, as a share of its slots, whatever the rate seen so far. */
+const QUEUE_MIN = 0.25;
 /** A move that evens less than this is not worth its interruption, as a share of a server. */
 const GAIN_MIN = 0.04;
 /** A server without keys gets some even when no one is busy, if the mean utilisation is above this. */
@@ -46,11 +54,16 @@
     capacity: capacityOf(candidate.address),
     room: (mean - utilisation(candidate)) * capacityOf(candidate.address),
   })).filter(({ room, capacity: whole }) => room > GAIN_MIN * whole);
+  const excessMin = mean > 1 ? OVERLOAD_EXCESS_MIN * mean : EXCESS_MIN;
   const hasIdle = mean > IDLE_MEAN_MIN && candidates.some(({ keys }) => keys === 0);
   const donors = candidates
     .filter((candidate) => {
+      if (candidate.isCold) {
+        return false;
+      }
       const excess = utilisation(candidate) - mean;
-      const isBusy = utilisation(candidate) > BUSY_MIN && excess > EXCESS_MIN;
+      const isQueueing = candidate.waiting > candidate.slots * QUEUE_MIN;
+      const isBusy = (isQueueing || utilisation(candidate) > BUSY_MIN) && excess > excessMin;
       return isBusy || (hasIdle && excess > 0);
     })
     .sort((left, right) => utilisation(right) - utilisation(left));
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -12,7 +12,7 @@
   Reason,
   type RequestHead,
 } from "@bulrushwood/protocol";
-import { type Answer, notRun, type RetryBudget, unknown } from "@bulrushwood/routing";
+import { type Answer, notRun, patienceOf, type RetryBudget, unknown } from "@bulrushwood/routing";
 import { type Address, now, Outcome } from "@bulrushwood/types";
 import { Event, type EventLog } from "./event_log.ts";
 import { openExchange, readAnswer } from "./exchange.ts";
@@ -25,6 +25,8 @@
 const OUT_OF_REACH_MS = 1_000;
 /** An owner that is silent for longer is not followed soon, so nobody waits for it, in milliseconds. */
 const LOST_MS = 3_000;
+/** A server usually takes this share of the target; the rest is for waiting. */
+const SERVICE_SHARE = 0.35;
 /** Pause before an owner that was out of reach is tried again, in milliseconds. */
 const REACH_RETRY_MS = 60;
 /** When a caller should come back whose key has no owner in reach, in milliseconds. */
@@ -113,7 +115,12 @@
   async #toOwner(request: Dispatch): Promise<Answer> {
     const { owners } = this.#options;
     const { pool, shard } = request.head;
-    const waitUntil = Math.min(request.deadline, now() + OWNER_WAIT_MS);
+    const patienceMs = patienceOf({
+      targetMs: request.targetAt - now(),
+      remainingMs: request.deadline - now(),
+      serviceMs: request.route.targetMs * SERVICE_SHARE,
+    });
+    const waitUntil = now() + Math.min(OWNER_WAIT_MS, patienceMs);
     let answer = notRun(Reason.NoHolder, "Nobody owns the key now", OWNER_RETRY_AFTER_MS);
     let hops = 0;
     while (hops < OWNER_HOPS_MAX && !request.signal.aborted) {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -49,7 +49,7 @@
   spread,
 } from "@bulrushwood/planner_ranges";
 import { type IncomingExchange, type LinkError, Links } from "@bulrushwood/protocol";
-import { RetryBudget, TwoChoices } from "@bulrushwood/routing";
+import { RetryBudget, type ServerLoad, TwoChoices } from "@bulrushwood/routing";
 import { type Address, createStop, now, sleep } from "@bulrushwood/types";
 import { CallerServer } from "./caller_server.ts";
 import { Dispatcher } from "./dispatcher.ts";
@@ -134,7 +134,11 @@
   readonly #heartbeats: Heartbeats;
   readonly #runner: Runner;
   readonly #planner: RangePlanner;
-  readonly #choices = new TwoChoices({ now, random: Math.random });
+  readonly #choices = new TwoChoices({
+    now,
+    random: Math.random,
+    loadOf: (server) => this.#loadOf(server),
+  });
   readonly #budgets = new Map<string, RetryBudget>();
   readonly #sides: SideServer[] = [];
   readonly #tasks: Promise<void>[] = [];
@@ -350,6 +354,7 @@
     const table = new TableStore({
       store: this.#store,
       follower: this.#system,
+      now,
       sleep,
       service,
       random: Math.random,
@@ -410,6 +415,20 @@
     return servers;
   }
 
+  /** The load of the server beside a daemon. */
+  #loadOf(address: Address): ServerLoad | undefined {
+    const isOwn = address === this.#self;
+    const status = isOwn
+      ? this.#status({ withPieces: false })
+      : this.#heartbeats.peers.get(address)?.beat.server;
+    if (status === null || status === undefined) {
+      return undefined;
+    }
+    // What waits here is known exactly; peers tell it with each heartbeat.
+    const { running, waiting } = isOwn ? this.#runner : status.load;
+    return { running, waiting, slots: status.slots, serviceMs: status.load.serviceMs };
+  }
+
   /** Whether the store answers; a read that stays open too long shows sooner than its time limit. */
   get #hasStore(): boolean {
     const sinceMs = now() - this.#system.confirmedAt;
@@ -479,6 +498,7 @@
       bornMs: report.bornMs,
       slots: report.slots,
       state: leavingSince === undefined ? ServerState.Ready : ServerState.Draining,
+      isCold: this.#watch.isCold,
       isReachable,
       load: { rate, serviceMs, running, waiting, pieces: options.withPieces ? pieces : [] },
     };
@@ -514,10 +534,12 @@
     );
   }
 
-  #toCandidate(address: Address, { slots, load }: ServerStatus): Candidate {
-    const { rate, serviceMs, pieces } = load;
+  #toCandidate(address: Address, { slots, isCold, load }: ServerStatus): Candidate {
+    const { serviceMs, waiting, pieces } = load;
+    // The rate of the pieces follows a rush sooner than the smoothed one.
+    const rate = pieces.length > 0 ? pieces.reduce((sum, piece) => sum + piece.rate, 0) : load.rate;
     const keys = countKeys(rangesOf(this.#tableOf(this.#settings.service).table.value, address));
-    return { address, slots, rate, serviceMs, pieces, keys };
+    return { address, slots, rate, serviceMs, waiting, isCold, pieces, keys };
   }
 
   /** Logs each new life or state of the server. */
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -8,7 +8,7 @@
 import { type Granting, KeyState } from "@bulrushwood/lease_ranges";
 import { LoadMeter } from "@bulrushwood/planner_ranges";
 import { Reason, type RequestHead } from "@bulrushwood/protocol";
-import { type Answer, notRun, unknown } from "@bulrushwood/routing";
+import { type Answer, notRun, patienceOf, unknown } from "@bulrushwood/routing";
 import { now } from "@bulrushwood/types";
 import { Event, type EventLog } from "./event_log.ts";
 import { toFlatHeaders } from "./headers.ts";
@@ -66,9 +66,19 @@
     });
   }
 
+  /** Requests at the server. */
+  get running(): number {
+    return this.#gate.running;
+  }
+
+  /** Requests that wait for a slot of the server. */
+  get waiting(): number {
+    return this.#gate.waiting;
+  }
+
   /** Requests at the server or waiting for it. */
   get open(): number {
-    return this.#gate.running + this.#gate.waiting;
+    return this.running + this.waiting;
   }
 
   /** Requests by key. */
@@ -100,7 +110,7 @@
     this.#arrivals++;
     if (head.shard >= 0) {
       this.#meter.note(head.shard);
-      if (!(await this.#awaitKey(head.shard, deadline, signal))) {
+      if (!(await this.#awaitKey(head, signal))) {
         return notRun(Reason.NotHolder, "This daemon does not hold the key", MOVING_RETRY_MS);
       }
     }
@@ -124,20 +134,25 @@
   }
 
   /** Waits, for a bounded time, while the key may come to be served here. */
-  async #awaitKey(key: number, deadline: number, signal: AbortSignal): Promise<boolean> {
+  async #awaitKey(head: RequestHead, signal: AbortSignal): Promise<boolean> {
     const { granting } = this.#options;
-    const until = Math.min(deadline, now() + KEY_WAIT_MS);
-    while (now() < until && !signal.aborted) {
+    const { shard: key, remainingMs, targetMs = remainingMs } = head;
+    const patienceMs = patienceOf({ targetMs, remainingMs, serviceMs: this.#gate.serviceMs });
+    const until = now() + Math.min(KEY_WAIT_MS, patienceMs);
+    while (!signal.aborted) {
       switch (granting.stateOf(key)) {
         case KeyState.Granted:
           return true;
         case KeyState.Elsewhere:
           return false;
         default:
+          if (now() >= until) {
+            return false;
+          }
           await granting.waitForChange(until - now());
       }
     }
-    return granting.stateOf(key) === KeyState.Granted;
+    return false;
   }
 
   /** Whether the server may still get requests. */
--- a/packages/router/src/server_watch.ts
+++ b/packages/router/src/server_watch.ts
@@ -28,6 +28,7 @@
   #heardAt = Number.NEGATIVE_INFINITY;
   #refusedAt = Number.NEGATIVE_INFINITY;
   #leavingSince: number | undefined;
+  #coldUntil = Number.NEGATIVE_INFINITY;
 
   constructor(options: ServerWatchOptions) {
     this.#options = options;
@@ -53,6 +54,11 @@
     return this.#leavingSince;
   }
 
+  /** Whether the server has just started and is still slow for that reason. */
+  get isCold(): boolean {
+    return this.#options.now() < this.#coldUntil;
+  }
+
   /** Whether the server has been heard lately. */
   get isReachable(): boolean {
     const { now, reportEveryMs } = this.#options;
@@ -74,6 +80,7 @@
     const isLeaving = report.state !== ServerState.Ready;
     this.#report = report;
     this.#heardAt = this.#options.now();
+    this.#coldUntil = this.#heardAt + report.coldMs;
     if (isNewLife) {
       this.#leavingSince = undefined;
     }
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -13,7 +13,8 @@
 export { createShardOf, type ShardOf } from "./key_hash.ts";
 export { chooseShare, ManifestRoutes } from "./manifest_routes.ts";
 export { OwnerFinder, type Owners } from "./owners.ts";
+export { patienceOf, type PatienceOptions } from "./patience.ts";
 export { RequestRecords, RequestState } from "./request_records.ts";
 export { RetryBudget } from "./retry_budget.ts";
 export { type RouteMatch, RouteTable } from "./route_table.ts";
-export { TwoChoices } from "./two_choices.ts";
+export { type ServerLoad, TwoChoices } from "./two_choices.ts";
--- a/packages/routing/src/routing_test.ts
+++ b/packages/routing/src/routing_test.ts
@@ -206,6 +206,24 @@
     expect(chosen).to.include("bad");
   });
 
+  it("prefers a server that tells a short queue to one that turned slow", () => {
+    const loads = {
+      slow: { running: 9, waiting: 6, slots: 9, serviceMs: 360 },
+      busy: { running: 9, waiting: 4, slots: 9, serviceMs: 40 },
+      free: { running: 3, waiting: 0, slots: 9, serviceMs: 40 },
+    };
+    const choices = new TwoChoices({
+      now: () => 0,
+      random: Math.random,
+      loadOf: (server) => loads[server as keyof typeof loads],
+    });
+    for (let index = 0; index < 50; index++) {
+      expect(choices.choose(["slow", "busy"])[0]).to.equal("busy");
+      expect(choices.choose(["slow", "free"])[0]).to.equal("free");
+      expect(choices.choose(["busy", "free"])[0]).to.equal("free");
+    }
+  });
+
   it("sets a silent server with requests in flight aside", () => {
     let time = 0;
     const choices = new TwoChoices({ now: () => time, random: Math.random });
--- a/packages/routing/src/two_choices.ts
+++ b/packages/routing/src/two_choices.ts
@@ -1,6 +1,7 @@
 /**
- * Chooses a backend server of a pool without keys: two at random, and of these the one with fewer of our
- * own requests in flight, weighed by how fast it answered lately.
+ * Chooses a backend server of a pool without keys: two at random, and of these the one that will answer
+ * sooner. Where servers tell their load, that decides, since other daemons' requests wait there as well;
+ * else it is the fewer of our own requests in flight, weighed by how fast the server answered lately.
  */
 import type { Address, Clock } from "@bulrushwood/types";
 
@@ -15,6 +16,19 @@
 /** Silence is also measured against the server's usual latency, times this. */
 const SILENCE_FACTOR = 8;
 
+/** Added to the expected time of a busy server, as a share of its service time when all slots are in use. */
+const BUSY_SHARE = 0.5;
+
+/** The load of a backend server, as it was told some tenths of a second ago. */
+export interface ServerLoad {
+  running: number;
+  waiting: number;
+  /** Requests that it runs at once. */
+  slots: number;
+  /** Mean time that it takes for one request, in milliseconds; 0 while unknown. */
+  serviceMs: number;
+}
+
 interface Standing {
   inFlight: number;
   latencyMs: number;
@@ -29,6 +43,8 @@
   now: Clock;
   /** A random number from 0 to 1. */
   random: () => number;
+  /** The load that a server tells; undefined where it tells none. */
+  loadOf?: (server: Address) => ServerLoad | undefined;
 }
 
 /** What is seen of the servers of pools without keys. */
@@ -74,6 +90,10 @@
 
   #cost(server: Address): number {
     const standing = this.#standingOf(server);
+    const load = this.#options.loadOf?.(server);
+    if (load !== undefined && load.serviceMs > 0) {
+      return expectedMs(load, standing.inFlight);
+    }
     return (standing.inFlight + 1) * (standing.latencyMs + 1);
   }
 
@@ -112,3 +132,12 @@
     };
   }
 }
+
+/** When a server will have answered one request more, in milliseconds. */
+function expectedMs(load: ServerLoad, inFlight: number): number {
+  const slots = Math.max(1, load.slots);
+  const ahead = Math.max(inFlight, load.running + load.waiting);
+  const queued = Math.max(0, ahead + 1 - slots) / slots;
+  const busy = Math.min(1, ahead / slots);
+  return load.serviceMs * (1 + queued + BUSY_SHARE * busy);
+}
