Wait for unanswered grants before keys pass on, also where a later grant was answered

The daemon took the answer for both, released the keys, and the first grant reached the server after the next owner had the keys with a higher epoch. Trace: a grant of 8.81 s without an answer, one of 9.27 s answered, keys given at 9.37 s, the first one taken at 9.62 s. Change: each order that can still have an effect is remembered until its own end, whatever became of the keys here, instead of a comparison of two times that an answered renewal made look harmless. The new test fails before (74 ms waited of 1,225).

--- a/packages/lease_ranges/src/granting.ts
+++ b/packages/lease_ranges/src/granting.ts
@@ -36,8 +36,6 @@
 const ORDER_TIMEOUT_MS = 400;
 /** Pause before an order is sent again, in milliseconds. */
 const ORDER_RETRY_MS = 60;
-/** A last grant that was sent later than the confirmed one by this was not answered, in milliseconds. */
-const UNANSWERED_GAP_MS = 300;
 const STATUS_OK = 200;
 
 /** What the server answered to an order. */
@@ -88,14 +86,19 @@
   epoch: number;
   /** When a confirmed grant ends. */
   until: number;
-  /** When any grant that was sent has ended at the server for certain. */
-  endsBy: number;
   /** Whether the server has confirmed a grant. */
   isConfirmed: boolean;
   /** The call that is under way. */
   call: Promise<void> | undefined;
-  /** A call for more keys that was under way when the grant took its present shape. */
-  earlierCall: Promise<void> | undefined;
+}
+
+/** One order to grant keys. The server may carry it out late unless it has answered. */
+interface SentGrant extends KeySpan {
+  /** When it has ended at the server for certain, by this process's clock. */
+  endsBy: number;
+  isAnswered: boolean;
+  /** Resolves when it is answered or its time limit has passed. */
+  done: Promise<unknown>;
 }
 
 /** The grants of one daemon. */
@@ -103,6 +106,8 @@
   readonly #options: GrantingOptions;
   /** One for each run of own keys that are not being given away, in order of key. */
   #grants: Grant[] = [];
+  /** Orders that can still have an effect at the server, whatever became of the keys here since. */
+  #sent: SentGrant[] = [];
   readonly #changed = new Subject<void>();
   readonly #stop = createStop();
   readonly #subscription;
@@ -174,7 +179,7 @@
         const known = earlier.find((grant) => grant.epoch === epoch && encloses(grant, span));
         return known !== undefined && encloses(span, known)
           ? known
-          : reshaped(known, { ...span, epoch, endsBy: this.#earlierEndBy });
+          : reshaped(known, { ...span, epoch });
       });
     });
     this.#renewAll();
@@ -228,9 +233,12 @@
       handover: grant.isConfirmed ? undefined : handover ?? undefined,
     });
     const until = now() + durationMs;
-    // Counted before the answer: a grant that is not answered may still be carried out.
-    grant.endsBy = until + durationMs * CLOCK_SLOWNESS + GRANT_MARGIN_MS;
-    const answered = await send(order, { timeoutMs: ORDER_TIMEOUT_MS });
+    const answering = send(order, { timeoutMs: ORDER_TIMEOUT_MS });
+    const endsBy = until + durationMs * CLOCK_SLOWNESS + GRANT_MARGIN_MS;
+    const sent: SentGrant = { first, last, endsBy, isAnswered: false, done: answering };
+    this.#sent = this.#sent.filter((earlier) => earlier.endsBy > now()).concat(sent);
+    const answered = await answering;
+    sent.isAnswered = answered.isOk;
     if (answered.isOk && answered.value.status === STATUS_OK) {
       const isFirst = !grant.isConfirmed;
       grant.until = until;
@@ -264,13 +272,11 @@
     const rest = this.own.flatMap((range) => without(range, chosen));
     const others = options.leave ? rest.map((span) => ({ ...span, to: null, handover: null })) : [];
     const assignments = this.#withinOwn([...chosen, ...others]);
-    const grants = this.#grants;
     this.#closing.push(...assignments);
     this.#reshape();
     const released = new Map<KeySpan, Assignment>();
     const outcomes = await Promise.all(assignments.map(async (assignment) => {
-      const covering = grants.filter((grant) => overlaps(grant, assignment));
-      released.set(assignment, await this.#release(assignment, covering, options));
+      released.set(assignment, await this.#release(assignment, options));
       return await this.#passOn(released, options);
     }));
     if (outcomes.length === 0) {
@@ -330,13 +336,13 @@
   /** Takes keys back from the server; waits until it cannot run work for them any more. */
   async #release(
     assignment: Assignment,
-    grants: Grant[],
     options: { isServerGone: boolean },
   ): Promise<Assignment> {
     const { wire, send, now, sleep, onFailed, table } = this.#options;
-    await Promise.all(grants.flatMap(({ call, earlierCall }) => [call, earlierCall]));
+    const sent = this.#sent.filter((grant) => overlaps(grant, assignment));
+    await Promise.all(sent.map(({ done }) => done));
     const { first, last } = assignment;
-    const endsBy = Math.max(0, ...grants.map((grant) => grant.endsBy));
+    const endsBy = Math.max(this.#earlierEndBy, ...sent.map((grant) => grant.endsBy));
     if (options.isServerGone) {
       await sleep(Math.max(0, endsBy - now()));
       return { ...assignment, handover: null };
@@ -346,7 +352,7 @@
     while (now() < endsBy) {
       const answered = await send(order, { timeoutMs: Math.max(1, endsBy - now()) });
       if (answered.isOk && answered.value.status === STATUS_OK) {
-        await this.#awaitUnanswered(grants);
+        await this.#awaitUnanswered(sent);
         return { ...assignment, handover: wire.readHandover(answered.value.headers) ?? null };
       }
       const reason = answered.isOk ? `status ${answered.value.status}` : answered.error.message;
@@ -356,11 +362,15 @@
     return { ...assignment, handover: null };
   }
 
-  /** A grant that was not answered may take effect after the release; it ends by its own time. */
-  async #awaitUnanswered(grants: Grant[]): Promise<void> {
+  /**
+   * A grant that was not answered may take effect after the release, also where a later one was answered;
+   * it ends by its own time.
+   */
+  async #awaitUnanswered(sent: SentGrant[]): Promise<void> {
     const { now, sleep } = this.#options;
-    const late = grants.filter((grant) => grant.endsBy - grant.until > UNANSWERED_GAP_MS);
-    const endsBy = Math.max(0, ...late.map((grant) => grant.endsBy));
+    const late = sent.filter(({ isAnswered }) => !isAnswered);
+    // Which grants of an earlier process were answered is not known.
+    const endsBy = Math.max(this.#earlierEndBy, ...late.map((grant) => grant.endsBy));
     await sleep(Math.max(0, endsBy - now()));
   }
 
@@ -381,14 +391,12 @@
 /** A grant for some of the keys of another, or a new one. */
 function reshaped(
   known: Grant | undefined,
-  shape: KeySpan & { epoch: number; endsBy: number },
+  shape: KeySpan & { epoch: number },
 ): Grant {
   return {
     until: known?.until ?? 0,
-    endsBy: known?.endsBy ?? shape.endsBy,
     isConfirmed: known?.isConfirmed ?? false,
     call: undefined,
-    earlierCall: known?.call,
     first: shape.first,
     last: shape.last,
     epoch: shape.epoch,
--- a/packages/lease_ranges/src/granting_test.ts
+++ b/packages/lease_ranges/src/granting_test.ts
@@ -22,6 +22,8 @@
 const OTHER = "10.0.0.2:7000";
 const SERVER = { id: "s1", bornMs: 1 };
 const STATUS_OK = 200;
+/** After this no grant of an earlier process can hold, so that nothing waits for it. */
+const EARLIER_GRANTS_MS = 1_500;
 
 type Sent = { kind: "grant"; order: GrantOrder } | { kind: "release"; order: ReleaseOrder };
 
@@ -170,6 +172,7 @@
       await sleep(sent.kind === "release" && sent.order.first === 100 ? 500 : 0);
       return answerOk(sent);
     });
+    await sleep(EARLIER_GRANTS_MS);
     const given = granting.give(
       () => [
         { first: 0, last: 9, to: OTHER, handover: null },
@@ -202,6 +205,26 @@
     await close();
   });
 
+  it("waits until an unanswered grant has ended before keys pass on, though a later one was answered", async () => {
+    let grants = 0;
+    const { granting, sent, close } = await startDaemon((order) =>
+      order.kind === "grant" && ++grants === 2
+        ? Promise.resolve(Result.err(new Error("no answer")))
+        : answerOk(order)
+    );
+    while (grants < 3) {
+      await sleep(10);
+    }
+    await granting.give(
+      () => [{ first: 0, last: KEYS - 1, to: OTHER, handover: null }],
+      { leave: false, isServerGone: false },
+    );
+    const unanswered = sent.filter(({ sent: { kind } }) => kind === "grant")[1];
+    const { durationMs } = unanswered.sent.order as GrantOrder;
+    expect(now() - unanswered.at).to.be.above(durationMs);
+    await close();
+  });
+
   it("takes a new epoch where the server knows a newer one", async () => {
     const daemon = await startDaemon((sent) =>
       sent.kind === "grant" && sent.order.epoch < 2
