Admit by the service time of each kind of work; a read that was given up is no outage

Change: service time by kind of work, with a slowness common to all; short work may be as late as usual work. Refusals tell priority and target of their route.

--- a/packages/admission/src/gate.ts
+++ b/packages/admission/src/gate.ts
@@ -9,17 +9,19 @@
 import type { Slot } from "./admission.ts";
 import { AdmissionError, AdmissionErrorKind } from "./errors.ts";
 
-/** Weight of the newest service time in the running mean. */
+/** Weight of the newest service time in the running means. */
 const SERVICE_WEIGHT = 0.08;
+/** Kinds of work whose service time is remembered; the longest known is forgotten first. */
+const WORK_CLASSES_MAX = 500;
 /** Requests that run are on average this share of their whole time old; older ones show a slow server. */
 const USUAL_AGE_SHARE = 0.8;
 /** Service time that is assumed before the first is seen, in milliseconds. */
 const ASSUMED_SERVICE_MS = 120;
 /** A request is given up once less than this share of a usual service time is left for it. */
 const HOPELESS_SHARE = 0.5;
-/** A request counts as late if its answer is expected so much after its target, as a share of a service time. */
+/** A request counts as late if its answer is expected so much after its target, as a share of usual service. */
 const LATENESS_SHARE = 1;
-/** Late requests are let in while they wait at most this share of a service time. */
+/** Late requests are let in while they wait at most this share of the usual service time. */
 const SPARE_WAIT_SHARE = 1;
 /** How often waiting requests are looked through for hopeless ones, in milliseconds. */
 const SWEEP_MS = 40;
@@ -28,6 +30,8 @@
 
 /** A request that asks for a slot. Times are on this process's clock, in milliseconds. */
 export interface Entrant {
+  /** Kind of work; each kind has a service time of its own. */
+  workClass: string;
   /** 0 is the most urgent. */
   priority: number;
   /** When its answer should be there. */
@@ -45,6 +49,12 @@
   random: () => number;
 }
 
+/** A request that runs now. */
+interface Run {
+  workClass: string;
+  startedAt: number;
+}
+
 interface Waiter {
   entrant: Entrant;
   since: number;
@@ -55,8 +65,9 @@
 export class Gate {
   readonly #options: GateOptions;
   #waiters: Waiter[] = [];
-  /** When each request that runs now began. */
-  readonly #runningSince = new Set<{ at: number }>();
+  readonly #runs = new Set<Run>();
+  /** Mean service time of each kind of work, in milliseconds. */
+  readonly #serviceMsOf = new Map<string, number>();
   #serviceMs = 0;
   #sweep: NodeJS.Timeout | undefined;
 
@@ -66,7 +77,7 @@
 
   /** Requests that run now. */
   get running(): number {
-    return this.#runningSince.size;
+    return this.#runs.size;
   }
 
   /** Requests that wait now. */
@@ -87,14 +98,21 @@
   #meanAgeMs(): number {
     const now = this.#options.now();
     let sum = 0;
-    this.#runningSince.forEach(({ at }) => sum += now - at);
+    this.#runs.forEach(({ startedAt }) => sum += now - startedAt);
     return this.running === 0 ? 0 : sum / this.running;
   }
 
-  get #expectedServiceMs(): number {
+  get #meanServiceMs(): number {
     return this.serviceMs > 0 ? this.serviceMs : ASSUMED_SERVICE_MS;
   }
 
+  /** Expected service time of one kind of work; grows with that of all when the server turns slow. */
+  #serviceMsFor(workClass: string): number {
+    const known = this.#serviceMsOf.get(workClass);
+    const slowness = this.#serviceMs > 0 ? this.serviceMs / this.#serviceMs : 1;
+    return known === undefined ? this.#meanServiceMs : known * slowness;
+  }
+
   /** Waits for a slot; refuses at once what cannot be answered in time. */
   enter(entrant: Entrant): Promise<Result<Slot, AdmissionError>> {
     const { now, limit } = this.#options;
@@ -102,29 +120,28 @@
       return Promise.resolve(cancelled());
     }
     if (this.running < limit() && this.#waiters.length === 0) {
-      return Promise.resolve(Result.ok(this.#occupy(now())));
+      return Promise.resolve(Result.ok(this.#occupy(entrant.workClass, now())));
     }
     const waitMs = this.#expectedWaitMs(entrant);
-    const answeredAt = now() + waitMs + this.#expectedServiceMs;
-    const isLate = answeredAt > entrant.targetAt + this.#expectedServiceMs * LATENESS_SHARE;
-    if (answeredAt > entrant.deadline || (isLate && waitMs > this.#spareWaitMs)) {
+    const serviceMs = this.#serviceMsFor(entrant.workClass);
+    const answeredAt = now() + waitMs + serviceMs;
+    // Short work costs others little, so it may be as late as usual work.
+    const usualMs = Math.max(serviceMs, this.#meanServiceMs);
+    const isLate = answeredAt > entrant.targetAt + usualMs * LATENESS_SHARE;
+    if (answeredAt > entrant.deadline || (isLate && waitMs > usualMs * SPARE_WAIT_SHARE)) {
       return Promise.resolve(this.#refuse(waitMs));
     }
     return this.#wait(entrant);
   }
 
-  /** Wait up to which requests are let in that will miss their target. */
-  get #spareWaitMs(): number {
-    return this.#expectedServiceMs * SPARE_WAIT_SHARE;
-  }
-
-  /** How long the requests that go first keep the slots busy, in milliseconds. */
+  /** How long the requests that go first, and the next one that ends, keep the slots busy, in milliseconds. */
   #expectedWaitMs(entrant: Entrant): number {
     const { now, limit } = this.#options;
-    const before = this.#waiters.filter((waiter) =>
-      this.#goesBefore(waiter.entrant, entrant, now())
-    );
-    return (before.length + 1) * this.#expectedServiceMs / Math.max(1, limit());
+    const at = now();
+    const workMs = this.#waiters
+      .filter((waiter) => this.#goesBefore(waiter.entrant, entrant, at))
+      .reduce((sum, waiter) => sum + this.#serviceMsFor(waiter.entrant.workClass), 0);
+    return (workMs + this.#meanServiceMs) / Math.max(1, limit());
   }
 
   /** Whether one request should run before another. */
@@ -132,7 +149,8 @@
     if (one.priority !== other.priority) {
       return one.priority < other.priority;
     }
-    const canMeet = (entrant: Entrant) => entrant.targetAt >= now + this.#expectedServiceMs;
+    const canMeet = ({ targetAt, workClass }: Entrant) =>
+      targetAt >= now + this.#serviceMsFor(workClass);
     const oneCan = canMeet(one);
     return oneCan === canMeet(other) ? one.targetAt <= other.targetAt : oneCan;
   }
@@ -174,31 +192,37 @@
   }
 
   #sweepHopeless(): void {
-    const latest = this.#options.now() + this.#expectedServiceMs * HOPELESS_SHARE;
-    for (const waiter of this.#waiters.filter(({ entrant }) => entrant.deadline < latest)) {
+    const now = this.#options.now();
+    const isHopeless = ({ entrant: { deadline, workClass } }: Waiter) =>
+      deadline < now + this.#serviceMsFor(workClass) * HOPELESS_SHARE;
+    for (const waiter of this.#waiters.filter(isHopeless)) {
       this.#remove(waiter);
       waiter.settle(this.#refuse(this.#expectedWaitMs(waiter.entrant)));
     }
   }
 
-  #occupy(since: number): Slot {
+  #occupy(workClass: string, since: number): Slot {
     const { now } = this.#options;
     const startedAt = now();
-    const run = { at: startedAt };
-    this.#runningSince.add(run);
+    const run = { workClass, startedAt };
+    this.#runs.add(run);
     const release = () => {
-      if (!this.#runningSince.delete(run)) {
+      if (!this.#runs.delete(run)) {
         return;
       }
-      this.#noteService(now() - startedAt);
+      this.#noteService(workClass, now() - startedAt);
       this.#fill();
     };
     return { waitedMs: startedAt - since, release };
   }
 
-  #noteService(ms: number): void {
-    const weight = this.#serviceMs > 0 ? SERVICE_WEIGHT : 1;
-    this.#serviceMs += weight * (ms - this.#serviceMs);
+  #noteService(workClass: string, ms: number): void {
+    this.#serviceMs = weighIn(this.#serviceMs, ms);
+    this.#serviceMsOf.set(workClass, weighIn(this.#serviceMsOf.get(workClass) ?? 0, ms));
+    if (this.#serviceMsOf.size > WORK_CLASSES_MAX) {
+      const [longestKnown] = this.#serviceMsOf.keys();
+      this.#serviceMsOf.delete(longestKnown);
+    }
   }
 
   /** Lets waiting requests run while there is room. */
@@ -211,7 +235,7 @@
         this.#goesBefore(first.entrant, waiter.entrant, at) ? first : waiter
       );
       this.#remove(next);
-      next.settle(Result.ok(this.#occupy(next.since)));
+      next.settle(Result.ok(this.#occupy(next.entrant.workClass, next.since)));
     }
   }
 
@@ -224,6 +248,11 @@
   }
 }
 
+/** Running mean; the first value counts as it is. */
+function weighIn(mean: number, value: number): number {
+  return mean > 0 ? mean + SERVICE_WEIGHT * (value - mean) : value;
+}
+
 function cancelled(): Result<Slot, AdmissionError> {
   return Result.err(new AdmissionError(AdmissionErrorKind.Cancelled, "The request was cancelled"));
 }
--- a/packages/admission/src/gate_test.ts
+++ b/packages/admission/src/gate_test.ts
@@ -8,7 +8,14 @@
 }
 
 function entrant(fields: Partial<Entrant> = {}): Entrant {
-  return { priority: 1, targetAt: 500, deadline: 1_000, signal: NEVER, ...fields };
+  return {
+    workClass: "quote",
+    priority: 1,
+    targetAt: 500,
+    deadline: 1_000,
+    signal: NEVER,
+    ...fields,
+  };
 }
 
 /** Teaches a gate that a request takes 100 ms. */
@@ -63,6 +70,27 @@
     gate.close();
   });
 
+  it("lets short work in beside long work, by the time that each kind takes", async () => {
+    const clock = { now: 0 };
+    const gate = createGate(clock, 2);
+    for (let count = 0; count < 120; count++) {
+      const isLong = count % 2 === 0;
+      const workClass = isLong ? "upload" : "check";
+      const slot = (await gate.enter(entrant({ workClass }))).unwrapOr(undefined!);
+      clock.now += isLong ? 400 : 20;
+      slot.release();
+    }
+    await gate.enter(entrant({ workClass: "upload" }));
+    const running = (await gate.enter(entrant({ workClass: "upload" }))).unwrapOr(undefined!);
+    const limits = { targetAt: clock.now + 150, deadline: clock.now + 350 };
+    const check = gate.enter(entrant({ workClass: "check", priority: 0, ...limits }));
+    const upload = await gate.enter(entrant({ workClass: "upload", priority: 0, ...limits }));
+    expect(upload.isErr && upload.error.kind).to.equal(AdmissionErrorKind.Overloaded);
+    running.release();
+    expect((await check).isOk).to.equal(true);
+    gate.close();
+  });
+
   it("prefers a request that can still meet its target to one that cannot", async () => {
     const clock = { now: 0 };
     const gate = createGate(clock);
--- a/packages/ledger_store/src/relayed_store.ts
+++ b/packages/ledger_store/src/relayed_store.ts
@@ -73,6 +73,8 @@
   payload: unknown;
   timeoutMs: number;
   answer: z.ZodType<T>;
+  /** Ends the call; then its failure says nothing of the store. */
+  signal?: AbortSignal;
 }
 
 /** The store, reached by this instance or by a peer. */
@@ -134,6 +136,7 @@
       payload: { topic, from, waitMs: options.waitMs },
       timeoutMs: options.waitMs + READ_GRACE_MS,
       answer: read,
+      signal,
     });
     return await untilAborted(performed, signal);
   }
@@ -161,6 +164,9 @@
     let failed = new StoreError(StoreErrorKind.Unavailable, "The store is out of reach here");
     if (this.#isDirectDue()) {
       const answered = await call.direct();
+      if (call.signal?.aborted) {
+        return answered;
+      }
       if (answered.isOk || !isOutage(answered.error)) {
         this.#noteAnswer();
         return answered;
--- a/packages/ledger_store/src/relayed_store_test.ts
+++ b/packages/ledger_store/src/relayed_store_test.ts
@@ -94,6 +94,19 @@
     expect(read.unwrapOr(undefined!).items).to.have.length(1);
   });
 
+  it("does not take a read that was given up for an outage", async () => {
+    const service = new KeyedStoreService({ sleep });
+    const { store, state } = createCut(service, service.connect());
+    state.isCut = false;
+    const giveUp = new AbortController();
+    const reading = store.read(TOPIC, 0, { waitMs: 1_000, signal: giveUp.signal });
+    await sleep(20);
+    giveUp.abort();
+    expect((await reading).isErr).to.equal(true);
+    await sleep(20);
+    expect([store.isDirect, state.relayed]).to.deep.equal([true, 0]);
+  });
+
   it("fails as unavailable when neither this instance nor a peer reaches the store", async () => {
     const service = new KeyedStoreService({ sleep });
     const { store } = createCut(service, service.connect(() => false));
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -195,7 +195,8 @@
       this.#options.log(Event.CallerLeft, fields);
     } else if (outcome !== undefined) {
       const event = outcome === Outcome.NotRun ? Event.RequestRefused : Event.RequestLost;
-      this.#options.log(event, { ...fields, outcome, reason, detail, retryAfterMs });
+      const inputs = { priority: route.priority, targetMs: route.targetMs };
+      this.#options.log(event, { ...fields, ...inputs, outcome, reason, detail, retryAfterMs });
     }
   }
 
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -118,6 +118,7 @@
       return notRun(Reason.Draining, "The backend server here takes no new work", MOVING_RETRY_MS);
     }
     const admitted = await this.#gate.enter({
+      workClass: head.workClass,
       priority: head.priority ?? 0,
       targetAt: arrivedAt + (head.targetMs ?? head.remainingMs),
       deadline,
