Split the router: the view of servers and the giving of keys are modules of their own; tests of the runner

Router had grown to some 700 lines with four jobs. What is known of servers (load, candidates, voters, peers that reach the store) is now in server_view.ts, looking after the server and giving its keys away in key_giver.ts; behaviour stays as it was.

--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -20,36 +20,16 @@
   countKeys,
   KeyedFollower,
   rangeOf,
-  rangesOf,
   RelayedStore,
   SYSTEM_TOPIC,
   TableStore,
 } from "@bulrushwood/ledger_store";
 import { Granting, type OwnServer, TenureKeeper } from "@bulrushwood/lease_ranges";
-import {
-  BallotBox,
-  SuspensionDetector,
-  type Voter,
-  VOTER_BLIND_MS,
-} from "@bulrushwood/lease_votes";
-import {
-  type Beat,
-  enterMember,
-  Heartbeats,
-  readMember,
-  type ServerStatus,
-} from "@bulrushwood/membership_beats";
-import {
-  type Candidate,
-  GIVE_METHOD,
-  mayOwn,
-  type Piece,
-  PlannerEvent,
-  RangePlanner,
-  spread,
-} from "@bulrushwood/planner_ranges";
+import { BallotBox, SuspensionDetector, VOTER_BLIND_MS } from "@bulrushwood/lease_votes";
+import { type Beat, enterMember, Heartbeats, readMember } from "@bulrushwood/membership_beats";
+import { GIVE_METHOD, PlannerEvent, RangePlanner } from "@bulrushwood/planner_ranges";
 import { type IncomingExchange, type LinkError, Links } from "@bulrushwood/protocol";
-import { RetryBudget, type ServerLoad, TwoChoices } from "@bulrushwood/routing";
+import { RetryBudget, TwoChoices } from "@bulrushwood/routing";
 import { type Address, createStop, now, sleep } from "@bulrushwood/types";
 import { CallerServer } from "./caller_server.ts";
 import { Dispatcher } from "./dispatcher.ts";
@@ -57,10 +37,12 @@
 import { serveExchange } from "./exchange.ts";
 import { readHeaders } from "./headers.ts";
 import { ManifestKeeper } from "./manifest_keeper.ts";
+import { KeyGiver } from "./key_giver.ts";
 import { Metrics } from "./metrics.ts";
 import { RECORDS_METHOD, Relay } from "./relay.ts";
-import { Runner, type ServerPressure } from "./runner.ts";
+import { Runner } from "./runner.ts";
 import { ServerClient } from "./server_client.ts";
+import { ServerView } from "./server_view.ts";
 import { ServerWatch } from "./server_watch.ts";
 import { answerReady, answerReports, SideServer } from "./side_servers.ts";
 
@@ -76,20 +58,14 @@
 const RETRY_SHARE_USED = 0.7;
 /** Retries that each daemon may save up for one service; all daemons together may not exceed the allowance. */
 const SAVED_RETRIES_MAX = 5;
-/** How often the server beside this daemon is looked after, in milliseconds. */
-const SERVER_LOOK_MS = 120;
 /** Time after the signal to stop in which callers learn of it by the readiness check, in milliseconds. */
 const LINGER_MS = 2_600;
 /** The daemon ends so long before it would be killed, in milliseconds. */
 const END_MARGIN_MS = 600;
-/** Pause before keys are given away again, in milliseconds. */
-const GIVE_AGAIN_MS = 50;
 /** How often a daemon that ends looks whether the last requests are done, in milliseconds. */
 const END_CHECK_MS = 20;
 /** The last requests of a daemon that ends may take so long, in milliseconds. */
 const LAST_REQUESTS_MS = 1_600;
-/** How long measured load is told before it is measured again, in milliseconds. */
-const MEASURE_MS = 200;
 
 const EVENT_OF_PLANNER: Record<PlannerEvent, Event> = {
   [PlannerEvent.TenureSealed]: Event.TenureSealed,
@@ -133,11 +109,13 @@
   readonly #ballotBox: BallotBox;
   readonly #heartbeats: Heartbeats;
   readonly #runner: Runner;
+  readonly #view: ServerView;
+  readonly #giver: KeyGiver;
   readonly #planner: RangePlanner;
   readonly #choices = new TwoChoices({
     now,
     random: Math.random,
-    loadOf: (server) => this.#loadOf(server),
+    loadOf: (server) => this.#view.loadOf(server),
   });
   readonly #budgets = new Map<string, RetryBudget>();
   readonly #sides: SideServer[] = [];
@@ -145,17 +123,7 @@
   #links!: Links;
   #callers!: CallerServer;
   #isEnding = false;
-  #isGiving = false;
-  #isReachable = true;
   #serverName = "";
-  #measuredAt = Number.NEGATIVE_INFINITY;
-  #pressure: ServerPressure & { pieces: Piece[] } = {
-    rate: 0,
-    serviceMs: 0,
-    running: 0,
-    waiting: 0,
-    pieces: [],
-  };
 
   private constructor(options: RouterOptions) {
     const { settings, adapter, log } = options;
@@ -170,7 +138,7 @@
       direct: this.#directStore,
       now,
       call,
-      peers: () => this.#storePeers(),
+      peers: () => this.#view.storePeers(),
       onDirect: (isDirect, reason) => log(Event.StoreRelayed, { isRelayed: !isDirect, reason }),
     });
     this.#manifests = this.#follow(adapter.manifestPlace.topic, MANIFEST_WAIT_MS);
@@ -194,7 +162,7 @@
       now,
       sleep,
       table,
-      candidates: () => this.#voters(),
+      candidates: () => this.#view.voters(),
       server: () => this.#ownServer(),
     });
     this.#granting = new Granting({
@@ -243,6 +211,29 @@
       log,
       onResult: (head, result, ms) => this.#metrics.noteServer(head, result, ms),
     });
+    this.#view = new ServerView({
+      self,
+      settings,
+      heartbeats: this.#heartbeats,
+      watch: this.#watch,
+      runner: this.#runner,
+      granting: this.#granting,
+      table: () => table.table.value,
+      isKeyed: () => this.#isKeyed,
+      isEnding: () => this.#isEnding,
+    });
+    this.#giver = new KeyGiver({
+      self,
+      watch: this.#watch,
+      granting: this.#granting,
+      meter: this.#runner.meter,
+      table: () => table.table.value,
+      candidates: () => this.#view.candidates(),
+      probe: () => this.#probe(),
+      tellPeers: () => this.#heartbeats.hurry(),
+      isEnding: () => this.#isEnding,
+      log,
+    });
     this.#planner = new RangePlanner({
       self,
       service: settings.service,
@@ -251,9 +242,9 @@
       table,
       heartbeats: this.#heartbeats,
       mayPlan: () => this.#isKeyed && !this.#isEnding && this.#hasStore,
-      candidates: () => this.#candidates(),
+      candidates: () => this.#view.candidates(),
       call,
-      giveOwn: (moves) => this.#giveMoves(moves),
+      giveOwn: (moves) => this.#giver.giveMoves(moves),
       onEvent: (event, fields) => log(EVENT_OF_PLANNER[event], fields),
     });
   }
@@ -318,8 +309,8 @@
       this.#manifests.start(),
       this.#system.start(),
       enterMember(this.#store, member, { sleep, signal }),
-      this.#lookAfterServer(),
     );
+    this.#giver.start();
     this.#tenure.start();
     this.#granting.start();
     this.#planner.start();
@@ -377,7 +368,7 @@
         silentMs: (address) => this.#heartbeats.silentMs(address),
       },
       choice: {
-        choose: (service) => this.#choices.choose(this.#serversOf(service)),
+        choose: (service) => this.#choices.choose(this.#view.serversOf(service)),
         begin: (address) => this.#choices.begin(address),
       },
       budgetOf: (service) => this.#budgetOf(service),
@@ -399,75 +390,22 @@
     return known;
   }
 
-  /** Daemons beside servers of a service that take work now. */
-  #serversOf(service: string): Address[] {
-    const servers: Address[] = [];
-    for (const [address, { beat }] of this.#heartbeats.peers) {
-      const isUsable = beat.service === service && !beat.isLeaving && mayOwn(beat.server) &&
-        this.#heartbeats.isHeard(address);
-      if (isUsable) {
-        servers.push(address);
-      }
-    }
-    if (service === this.#settings.service && this.#watch.ready !== undefined) {
-      servers.push(this.#self);
-    }
-    return servers;
-  }
-
-  /** The load of the server beside a daemon. */
-  #loadOf(address: Address): ServerLoad | undefined {
-    const isOwn = address === this.#self;
-    const status = isOwn
-      ? this.#status({ withPieces: false })
-      : this.#heartbeats.peers.get(address)?.beat.server;
-    if (status === null || status === undefined) {
-      return undefined;
-    }
-    // What waits here is known exactly; peers tell it with each heartbeat.
-    const { running, waiting } = isOwn ? this.#runner : status.load;
-    return { running, waiting, slots: status.slots, serviceMs: status.load.serviceMs };
-  }
-
   /** Whether the store answers; a read that stays open too long shows sooner than its time limit. */
   get #hasStore(): boolean {
     const sinceMs = now() - this.#system.confirmedAt;
     return this.#system.isReachable && sinceMs < SYSTEM_WAIT_MS + STORE_GRACE_MS;
   }
 
-  /** Peers that reach the store, from a random one on, so that their load is even. */
-  #storePeers(): Address[] {
-    const peers = [...this.#heartbeats.peers]
-      .filter(([address, { beat }]) => beat.hasStore && this.#heartbeats.isHeard(address))
-      .map(([address]) => address);
-    const start = Math.floor(Math.random() * peers.length);
-    return [...peers.slice(start), ...peers.slice(0, start)];
-  }
-
   get #isKeyed(): boolean {
     return this.#manifest.manifest?.services.get(this.#settings.service)?.isKeyed ?? false;
   }
 
   /** The server that may be entered as an owner of keys. */
   #ownServer(): OwnServer | undefined {
-    const isOut = this.#isEnding || this.#isGiving || !this.#isKeyed;
+    const isOut = this.#isEnding || this.#giver.isGiving || !this.#isKeyed;
     return isOut ? undefined : this.#watch.ready;
   }
 
-  /** Daemons that could vote: those in other data centres first. */
-  #voters(): Voter[] {
-    const { dataCentre } = this.#settings;
-    const heard = [...this.#heartbeats.peers]
-      .filter(([address, { beat }]) => this.#heartbeats.isHeard(address) && !beat.isLeaving);
-    const rank = (address: Address, other: string) =>
-      `${other === dataCentre ? 1 : 0}${address > this.#self ? 0 : 1}${address}`;
-    return heard
-      .sort((left, right) =>
-        rank(left[0], left[1].beat.dataCentre) < rank(right[0], right[1].beat.dataCentre) ? -1 : 1
-      )
-      .map(([address, { beat }]) => ({ address, incarnation: beat.incarnation }));
-  }
-
   /** A voter refuses what the store suspects, and everything while it cannot know what that is. */
   #mustRefuse(tenure: string): boolean {
     if (now() - this.#system.confirmedAt > VOTER_BLIND_MS) {
@@ -478,32 +416,6 @@
     );
   }
 
-  #measure(): ServerPressure & { pieces: Piece[] } {
-    if (now() - this.#measuredAt > MEASURE_MS) {
-      this.#measuredAt = now();
-      const pieces = this.#isKeyed ? this.#runner.meter.cut(this.#granting.own) : [];
-      this.#pressure = { ...this.#runner.measure(), pieces };
-    }
-    return this.#pressure;
-  }
-
-  #status(options: { withPieces: boolean }): ServerStatus | null {
-    const { report, leavingSince, isReachable } = this.#watch;
-    if (report === undefined) {
-      return null;
-    }
-    const { rate, serviceMs, running, waiting, pieces } = this.#measure();
-    return {
-      id: report.id,
-      bornMs: report.bornMs,
-      slots: report.slots,
-      state: leavingSince === undefined ? ServerState.Ready : ServerState.Draining,
-      isCold: this.#watch.isCold,
-      isReachable,
-      load: { rate, serviceMs, running, waiting, pieces: options.withPieces ? pieces : [] },
-    };
-  }
-
   #createBeat(peer: Address): Beat {
     const { service, dataCentre } = this.#settings;
     const withPieces = this.#heartbeats.peers.get(peer)?.beat.service === service;
@@ -516,32 +428,10 @@
       storeEnds: this.#relay.ends,
       isLeaving: this.#isEnding,
       hasStore: this.#hasStore && this.#store.isDirect,
-      server: this.#status({ withPieces }),
+      server: this.#view.status({ withPieces }),
     };
   }
 
-  /** Servers of the own service that may own keys. */
-  #candidates(): Candidate[] {
-    const { service } = this.#settings;
-    const own = this.#isEnding || this.#watch.ready === undefined
-      ? []
-      : [this.#toCandidate(this.#self, this.#status({ withPieces: true })!)];
-    const others = this.#serversOf(service).filter((address) => address !== this.#self);
-    return own.concat(
-      others.map((address) =>
-        this.#toCandidate(address, this.#heartbeats.peers.get(address)!.beat.server!)
-      ),
-    );
-  }
-
-  #toCandidate(address: Address, { slots, isCold, load }: ServerStatus): Candidate {
-    const { serviceMs, waiting, pieces } = load;
-    // The rate of the pieces follows a rush sooner than the smoothed one.
-    const rate = pieces.length > 0 ? pieces.reduce((sum, piece) => sum + piece.rate, 0) : load.rate;
-    const keys = countKeys(rangesOf(this.#tableOf(this.#settings.service).table.value, address));
-    return { address, slots, rate, serviceMs, waiting, isCold, pieces, keys };
-  }
-
   /** Logs each new life or state of the server. */
   #noteServer(): void {
     const { report, leavingSince } = this.#watch;
@@ -561,87 +451,10 @@
     }
   }
 
-  /** Gives the server's keys away once it leaves or is lost. */
-  async #lookAfterServer(): Promise<void> {
-    while (!this.#stop.signal.aborted) {
-      await this.#checkServer();
-      await sleep(SERVER_LOOK_MS, this.#stop.signal);
-    }
-  }
-
-  async #checkServer(): Promise<void> {
-    const { report, leavingSince } = this.#watch;
-    if (report === undefined || this.#isGiving || this.#isEnding) {
-      return;
-    }
-    if (leavingSince !== undefined) {
-      await this.#giveAll("the server leaves", { isServerGone: false });
-      return;
-    }
-    const isReachable = this.#watch.isReachable || await this.#probe(report.id);
-    if (isReachable !== this.#isReachable) {
-      this.#isReachable = isReachable;
-      this.#log(isReachable ? Event.ServerBack : Event.ServerLost, { server: report.id });
-    }
-    if (!isReachable) {
-      await this.#giveAll("the server is lost", { isServerGone: true });
-    }
-  }
-
-  /** A server whose reports stay away may still answer. */
-  async #probe(id: string): Promise<boolean> {
+  /** Asks the server beside this daemon whether it is well. */
+  async #probe(): Promise<string | undefined> {
     const service = this.#manifest.manifest?.services.get(this.#settings.service);
-    const answered = service === undefined
-      ? undefined
-      : await this.#client.check(service.healthPath);
-    if (answered !== id) {
-      return false;
-    }
-    this.#watch.noteAnswer();
-    return true;
-  }
-
-  /** Gives all keys to others, each to one with room, and leaves the ownership table. */
-  async #giveAll(cause: string, options: { isServerGone: boolean }): Promise<void> {
-    const table = this.#tableOf(this.#settings.service).table.value;
-    if (table.hosts[this.#self] === undefined && this.#granting.own.length === 0) {
-      return;
-    }
-    this.#isGiving = true;
-    this.#heartbeats.hurry();
-    const others = this.#candidates().filter(({ address }) =>
-      address !== this.#self && table.hosts[address] !== undefined
-    );
-    const pieces = this.#runner.meter.cut(this.#granting.own);
-    const outcome = await this.#granting.give(() => spread(pieces, others), {
-      ...options,
-      leave: true,
-    });
-    this.#log(Event.KeysGiven, { cause, outcome });
-    this.#isGiving = false;
-  }
-
-  /** Gives keys away until none is left, also those that came while others were given. */
-  async #giveAllBeforeEnd(): Promise<void> {
-    while (this.#granting.own.length > 0) {
-      if (!this.#isGiving) {
-        await this.#giveAll("the daemon stops", { isServerGone: false });
-      }
-      await sleep(GIVE_AGAIN_MS);
-    }
-  }
-
-  /** Gives some keys away, as a planner asked. */
-  #giveMoves(moves: { first: number; last: number; to: Address }[]): void {
-    if (this.#isGiving || this.#isEnding) {
-      return;
-    }
-    this.#isGiving = true;
-    const assignments = moves.map(({ first, last, to }) => ({ first, last, to, handover: null }));
-    this.#granting.give(() => assignments, { leave: false, isServerGone: false })
-      .then((outcome) => this.#log(Event.KeysGiven, { cause: "load", outcome }))
-      .catch((error: Error) => this.#log(Event.TaskFailed, { task: "give", reason: error.message }))
-      .finally(() => this.#isGiving = false);
+    return service === undefined ? undefined : await this.#client.check(service.healthPath);
   }
 
   async #call(
@@ -660,7 +473,7 @@
     try {
       switch (method) {
         case GIVE_METHOD:
-          this.#giveMoves(givePayload.parse(payload).moves);
+          this.#giver.giveMoves(givePayload.parse(payload).moves);
           return Promise.resolve(null);
         case RECORDS_METHOD:
           return Promise.resolve(this.#relay.answer(payload));
@@ -695,8 +508,8 @@
 
   #addGauges(): void {
     this.#metrics.addGauges({
-      running: () => this.#pressure.running,
-      waiting: () => this.#pressure.waiting,
+      running: () => this.#view.pressure.running,
+      waiting: () => this.#view.pressure.waiting,
       ownKeys: () => countKeys(this.#granting.own),
       supportedMs: () => Math.max(0, this.#tenure.supportedUntil - now()),
       isStoreReachable: () => this.#hasStore,
@@ -721,7 +534,7 @@
     this.#isEnding = true;
     this.#log(Event.Stopping);
     this.#heartbeats.hurry();
-    const given = this.#giveAllBeforeEnd();
+    const given = this.#giver.giveAllBeforeEnd();
     await sleep(LINGER_MS);
     const closed = this.#callers.close({ timeoutMs: endAt - now() });
     await Promise.race([Promise.all([given, closed]), sleep(endAt - LAST_REQUESTS_MS - now())]);
@@ -747,6 +560,7 @@
       this.#manifests.close(),
       this.#system.close(),
     ]);
+    this.#giver.close();
     this.#manifest.close();
     this.#tableStores.forEach((table) => table.close());
     this.#client.close();
--- /dev/null
+++ b/packages/router/src/runner_test.ts
@@ -0,0 +1,148 @@
+import { expect } from "chai";
+import {
+  type ServerReport,
+  ServerState,
+  type ServerWire,
+  type StatusReport,
+} from "@bulrushwood/deployment";
+import { type Granting, KeyState } from "@bulrushwood/lease_ranges";
+import { Reason, type RequestHead } from "@bulrushwood/protocol";
+import { now, Outcome, sleep } from "@bulrushwood/types";
+import { Runner } from "./runner.ts";
+import { type ServerClient, ServerOutcome, type ServerResult } from "./server_client.ts";
+import { ServerWatch } from "./server_watch.ts";
+
+const SERVICE = "despacho";
+const DRAIN_MS = 800;
+const NEVER = new AbortController().signal;
+
+const REPORT: ServerReport = {
+  id: "s1",
+  bornMs: 1,
+  address: "10.0.0.1:8000",
+  service: SERVICE,
+  dataCentre: "dc1",
+  slots: 1,
+  state: ServerState.Ready,
+  sequence: 1,
+  coldMs: 0,
+};
+
+const HEAD: RequestHead = {
+  id: "r1",
+  pool: SERVICE,
+  shard: 7,
+  group: 0,
+  move: 0,
+  workClass: "quote",
+  tenant: "",
+  key: "",
+  method: "GET",
+  path: "/",
+  headers: [],
+  remainingMs: 1_000,
+  targetMs: 400,
+  idempotencyKey: "",
+  firstAttempt: false,
+};
+
+const ANSWERED: ServerResult = {
+  outcome: ServerOutcome.Answered,
+  detail: "",
+  status: 200,
+  headers: [],
+  body: undefined,
+  load: undefined,
+  isRefused: false,
+  isUnframed: false,
+};
+
+function report(fields: Partial<ServerReport> = {}): StatusReport {
+  return { kind: "report", report: { ...REPORT, ...fields } };
+}
+
+/** A runner whose server notes when each request reaches it and answers after a time. */
+function createRunner(options: { workMs?: number; state?: () => KeyState } = {}) {
+  const { workMs = 0, state = () => KeyState.Granted } = options;
+  const watch = new ServerWatch({ service: SERVICE, now, reportEveryMs: 60_000 });
+  const reachedAt: number[] = [];
+  const client = {
+    send: async () => {
+      reachedAt.push(now());
+      await sleep(workMs);
+      return ANSWERED;
+    },
+  } as unknown as ServerClient;
+  const runner = new Runner({
+    watch,
+    client,
+    wire: { requestHeaders: () => [] } as unknown as ServerWire,
+    granting: {
+      stateOf: state,
+      waitForChange: (ms: number) => sleep(Math.min(ms, 20)),
+    } as unknown as Granting,
+    drainMs: DRAIN_MS,
+    log: () => {},
+    onResult: () => {},
+  });
+  return { runner, watch, reachedAt };
+}
+
+describe("runner", () => {
+  it("sends nothing to a server later than the drain bound after its leaving was taken", async () => {
+    const { runner, watch, reachedAt } = createRunner({ workMs: 60 });
+    watch.take(report());
+    watch.take(report({ state: ServerState.Draining, sequence: 2 }));
+    const leftAt = now();
+    const answers = [];
+    while (now() < leftAt + DRAIN_MS + 300) {
+      // Two at once, so that one waits for the slot while time passes.
+      answers.push(...await Promise.all([1, 2].map(() => runner.serve(HEAD, undefined, NEVER))));
+      await sleep(10);
+    }
+    expect(reachedAt.length).to.be.above(0);
+    expect(Math.max(...reachedAt)).to.be.below(leftAt + DRAIN_MS);
+    const last = answers.at(-1)!.head;
+    expect(last).to.include({ outcome: Outcome.NotRun, reason: Reason.Draining });
+  });
+
+  it("sends nothing to a server that ended before it said that it leaves", async () => {
+    const { runner, watch, reachedAt } = createRunner();
+    watch.take(report());
+    watch.take({ kind: "farewell", id: REPORT.id });
+    await sleep(DRAIN_MS);
+    expect((await runner.serve(HEAD, undefined, NEVER)).head.outcome).to.equal(Outcome.NotRun);
+    expect(reachedAt).to.deep.equal([]);
+  });
+
+  it("serves a key that arrives while its request can still meet the target", async () => {
+    const startedAt = now();
+    const state = () => now() - startedAt > 150 ? KeyState.Granted : KeyState.Pending;
+    const { runner, watch } = createRunner({ state });
+    watch.take(report());
+    expect((await runner.serve(HEAD, undefined, NEVER)).head.status).to.equal(200);
+  });
+
+  it("refuses a request for a key that does not arrive before the target has passed", async () => {
+    const { runner, watch, reachedAt } = createRunner({ state: () => KeyState.Moving });
+    watch.take(report());
+    const startedAt = now();
+    const { head } = await runner.serve(HEAD, undefined, NEVER);
+    expect(head).to.include({ outcome: Outcome.NotRun, reason: Reason.NotHolder });
+    expect(head.retryAfterMs).to.be.above(0);
+    expect(now() - startedAt).to.be.below(HEAD.targetMs! + 100);
+    expect(reachedAt).to.deep.equal([]);
+  });
+
+  it("does not send what its caller has given up meanwhile", async () => {
+    const gone = new AbortController();
+    const { runner, watch, reachedAt } = createRunner({ workMs: 100 });
+    watch.take(report());
+    const running = runner.serve(HEAD, undefined, NEVER);
+    const waiting = runner.serve(HEAD, undefined, gone.signal);
+    gone.abort();
+    expect((await waiting).head).to.include({ reason: Reason.Cancelled });
+    await running;
+    expect(reachedAt).to.have.length(1);
+  });
+});
