--- a/scripts/capacity.ts
+++ b/scripts/capacity.ts
@@ -272,7 +272,8 @@
 ([design](design/platform.md)) has not been measured at this size; from its design: heartbeats go between
 all pairs, some 3 a second each way, so 890 daemons would send 2,700 messages a second each, which is far
 above the goal and has to become voters and planner only; the ownership table grows with daemons times
-voters, and is written whole at each change.
+voters, and is written whole at each change; and each change ends the long poll of every daemon, so that a
+few daemons have to read and tell the others.
 
 ## Control
 
