Only daemons that reach the store themselves plan

Cause, found by reading: a daemon whose calls to the store go through peers counted itself as planner when its address is the lowest, while all others, which heard that it does not reach the store, chose the next one; two planners asked for different moves of the same load.

--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -241,7 +241,7 @@
       sleep,
       table,
       heartbeats: this.#heartbeats,
-      mayPlan: () => this.#isKeyed && !this.#isEnding && this.#hasStore,
+      mayPlan: () => this.#isKeyed && !this.#isEnding && this.#reachesStore,
       candidates: () => this.#view.candidates(),
       call,
       giveOwn: (moves) => this.#giver.giveMoves(moves),
@@ -396,6 +396,11 @@
     return this.#system.isReachable && sinceMs < SYSTEM_WAIT_MS + STORE_GRACE_MS;
   }
 
+  /** Whether the store answers this instance itself; only such daemons plan, so that there is one planner. */
+  get #reachesStore(): boolean {
+    return this.#hasStore && this.#store.isDirect;
+  }
+
   get #isKeyed(): boolean {
     return this.#manifest.manifest?.services.get(this.#settings.service)?.isKeyed ?? false;
   }
@@ -427,7 +432,7 @@
       tenures: this.#tenure.tenuresFor(peer),
       storeEnds: this.#relay.ends,
       isLeaving: this.#isEnding,
-      hasStore: this.#hasStore && this.#store.isDirect,
+      hasStore: this.#reachesStore,
       server: this.#view.status({ withPieces }),
     };
   }
