Use one schema for records on their way between daemons

The relay of records and the relayed store's calls each described the same record. No other user of the names of the store's calls exists, so they are no longer exported. Behaviour is as it was; the relayed store's tests and the router's pass.

--- a/packages/ledger_store/src/mod.ts
+++ b/packages/ledger_store/src/mod.ts
@@ -24,9 +24,9 @@
 } from "./ownership_table.ts";
 export {
   answerStoreCall,
+  itemSchema,
   RelayedStore,
   type RelayedStoreOptions,
-  StoreMethod,
 } from "./relayed_store.ts";
 export {
   type Change,
--- a/packages/ledger_store/src/relayed_store.ts
+++ b/packages/ledger_store/src/relayed_store.ts
@@ -26,7 +26,7 @@
 const READ_GRACE_MS = 1_500;
 
 /** Names of the calls between daemons that concern the store. */
-export enum StoreMethod {
+enum StoreMethod {
   Append = "store.append",
   Read = "store.read",
   ReadNewest = "store.read-newest",
@@ -34,7 +34,8 @@
 
 const bytes = z.custom<Buffer>((value) => Buffer.isBuffer(value));
 const offset = z.number().int().nonnegative();
-const item = z.object({ key: z.string(), value: bytes, offset });
+/** Schema of a record on its way between daemons. */
+export const itemSchema = z.object({ key: z.string(), value: bytes, offset });
 
 const appendCall = z.object({
   topic: z.string(),
@@ -51,8 +52,8 @@
 
 const failure = z.object({ kind: z.enum(StoreErrorKind), message: z.string() });
 const appended = z.object({ offset, end: offset });
-const read = z.object({ items: z.array(item), next: offset });
-const page = z.object({ items: z.array(item), after: z.string().optional(), end: offset })
+const read = z.object({ items: z.array(itemSchema), next: offset });
+const page = z.object({ items: z.array(itemSchema), after: z.string().optional(), end: offset })
   .transform(({ after, ...rest }): KeyedPage => ({ ...rest, after }));
 
 /** What a relayed store needs. */
--- a/packages/router/src/relay.ts
+++ b/packages/router/src/relay.ts
@@ -1,9 +1,8 @@
 /**
  * Passes records of the store from daemon to daemon, for those that do not reach the store themselves.
  */
-import { Buffer } from "node:buffer";
 import { z } from "zod";
-import type { KeyedFollower } from "@bulrushwood/ledger_store";
+import { itemSchema, type KeyedFollower } from "@bulrushwood/ledger_store";
 import type { Address, CallPeer } from "@bulrushwood/types";
 
 /** Name of the call that asks for records. */
@@ -15,11 +14,7 @@
 const questionSchema = z.array(offset);
 /** Of each follower, the newest records that the asking daemon lacks, and the offset after all of them. */
 const recordsSchema = z.array(z.object({
-  items: z.array(z.object({
-    key: z.string(),
-    value: z.custom<Buffer>((value) => Buffer.isBuffer(value)),
-    offset,
-  })),
+  items: z.array(itemSchema),
   end: offset,
 }));
 
