--- a/packages/router/src/dispatcher_test.ts
+++ b/packages/router/src/dispatcher_test.ts
@@ -1,9 +1,10 @@
 import { expect } from "chai";
 import { type Route, RouteKind } from "@bulrushwood/deployment";
-import { type Links, Reason, type RequestHead } from "@bulrushwood/protocol";
+import { type Links, Reason } from "@bulrushwood/protocol";
 import { type Answer, notRun, RetryBudget, unknown } from "@bulrushwood/routing";
 import { now, Outcome } from "@bulrushwood/types";
 import { Dispatcher } from "./dispatcher.ts";
+import { REQUEST_HEAD } from "./head_fixture.ts";
 
 const SELF = "10.0.0.1:7000";
 
@@ -19,23 +20,6 @@
   shares: [],
 };
 
-const HEAD: RequestHead = {
-  id: "r1",
-  pool: "p",
-  shard: 7,
-  group: 0,
-  move: 0,
-  workClass: "quote",
-  tenant: "",
-  key: "",
-  method: "GET",
-  path: "/",
-  headers: [],
-  remainingMs: 1_000,
-  idempotencyKey: "",
-  firstAttempt: false,
-};
-
 const OK: Answer = { head: { status: 200, headers: [] }, body: undefined };
 const LOST = unknown(Reason.ServerFailed, "no answer");
 const SHED = notRun(Reason.ServerRefused, "full", 100);
@@ -62,7 +46,7 @@
   });
   const startedAt = now();
   const answer = await dispatcher.dispatch({
-    head: { ...HEAD, shard },
+    head: { ...REQUEST_HEAD, shard },
     route: { ...ROUTE, kind },
     body: undefined,
     targetAt: startedAt + targetMs,
--- a/packages/router/src/runner_test.ts
+++ b/packages/router/src/runner_test.ts
@@ -6,8 +6,9 @@
   type StatusReport,
 } from "@bulrushwood/deployment";
 import { type Granting, KeyState } from "@bulrushwood/lease_ranges";
-import { Reason, type RequestHead } from "@bulrushwood/protocol";
+import { Reason } from "@bulrushwood/protocol";
 import { now, Outcome, sleep } from "@bulrushwood/types";
+import { REQUEST_HEAD } from "./head_fixture.ts";
 import { Runner } from "./runner.ts";
 import { type ServerClient, ServerOutcome, type ServerResult } from "./server_client.ts";
 import { ServerWatch } from "./server_watch.ts";
@@ -28,23 +29,8 @@
   coldMs: 0,
 };
 
-const HEAD: RequestHead = {
-  id: "r1",
-  pool: SERVICE,
-  shard: 7,
-  group: 0,
-  move: 0,
-  workClass: "quote",
-  tenant: "",
-  key: "",
-  method: "GET",
-  path: "/",
-  headers: [],
-  remainingMs: 1_000,
-  targetMs: 400,
-  idempotencyKey: "",
-  firstAttempt: false,
-};
+const TARGET_MS = 400;
+const HEAD = { ...REQUEST_HEAD, targetMs: TARGET_MS };
 
 const ANSWERED: ServerResult = {
   outcome: ServerOutcome.Answered,
@@ -130,7 +116,7 @@
     const { head } = await runner.serve(HEAD, undefined, NEVER);
     expect(head).to.include({ outcome: Outcome.NotRun, reason: Reason.NotHolder });
     expect(head.retryAfterMs).to.be.above(0);
-    expect(now() - startedAt).to.be.below(HEAD.targetMs! + 100);
+    expect(now() - startedAt).to.be.below(TARGET_MS + 100);
     expect(reachedAt).to.deep.equal([]);
   });
 
