Grant keys in the answers to status reports, where the settings say so

Granting is split from the way that grants travel: OrderChannel keeps what was there, ReportChannel grants in the answers to reports. Votes last as long as a grant must outlive the time between two reports.

--- a/packages/deployment/src/mod.ts
+++ b/packages/deployment/src/mod.ts
@@ -6,6 +6,8 @@
 export { type Manifest, type Route, RouteKind, type Service, type Share } from "./manifest.ts";
 export type {
   GrantOrder,
+  GrantRow,
+  GrantRows,
   Order,
   ReleaseOrder,
   ServerAnswer,
@@ -14,12 +16,14 @@
   ServerWire,
 } from "./server_wire.ts";
 export {
+  type HeldKeys,
+  type ReleasedKeys,
   type ServerIdentity,
   type ServerReport,
   ServerState,
   type StatusReport,
 } from "./server_report.ts";
-export type { DeploymentSettings, Endpoint } from "./settings.ts";
+export { type DeploymentSettings, type Endpoint, GrantDelivery } from "./settings.ts";
 export {
   type Appended,
   type Item,
--- a/packages/deployment/src/server_report.ts
+++ b/packages/deployment/src/server_report.ts
@@ -19,6 +19,21 @@
   bornMs: number;
 }
 
+/** Keys from `first` to `last`, both included, that a server holds or still works on. */
+export interface HeldKeys {
+  first: number;
+  last: number;
+  epoch: number;
+}
+
+/** Keys from `first` to `last`, both included, that a server let go since its last acknowledged report. */
+export interface ReleasedKeys {
+  first: number;
+  last: number;
+  /** What it hands over to their next owner; empty for nothing. */
+  handover: string;
+}
+
 /** A status report of one life of a backend server. */
 export interface ServerReport extends ServerIdentity {
   address: Address;
@@ -30,6 +45,9 @@
   sequence: number;
   /** How much longer the server is slow after its start, in milliseconds. */
   coldMs: number;
+  /** Empty where grants do not travel in reports, as is the next. */
+  held: HeldKeys[];
+  released: ReleasedKeys[];
 }
 
 /** A call on the address for reports, decoded. */
--- a/packages/deployment/src/server_wire.ts
+++ b/packages/deployment/src/server_wire.ts
@@ -57,6 +57,22 @@
   handover: string | undefined;
 }
 
+/** Keys of one answer to a status report. */
+export interface GrantRow {
+  first: number;
+  last: number;
+  epoch: number;
+  /** What the previous owner handed over; undefined for none. */
+  handover: string | undefined;
+}
+
+/** All that a server is to hold, told with the answer to a status report. */
+export interface GrantRows {
+  rows: GrantRow[];
+  /** How long the grants run from when the report was sent, in milliseconds. */
+  durationMs: number;
+}
+
 /** Takes keys from `first` to `last`, both included, back from a server. */
 export interface ReleaseOrder {
   first: number;
@@ -83,4 +99,8 @@
     path: string,
     body: Buffer,
   ): Result<StatusReport, Error>;
+  /** Body of the answer to a status report; without grants the server's run on as they are. */
+  reportAnswer(grants: GrantRows | undefined): Buffer;
+  /** Rows of grants that fit into one answer. */
+  reportRowsMax: number;
 }
--- a/packages/deployment/src/settings.ts
+++ b/packages/deployment/src/settings.ts
@@ -9,6 +9,14 @@
   port: number;
 }
 
+/** How grants reach the backend servers of a deployment. */
+export enum GrantDelivery {
+  /** As calls to the server. */
+  Orders = "orders",
+  /** In the answers to the server's status reports. */
+  Reports = "reports",
+}
+
 /** The settings of one daemon on a deployment. Times are in milliseconds. */
 export interface DeploymentSettings {
   /** Name of the instance, for logs. */
@@ -35,6 +43,7 @@
     /** Largest record that the store takes, in bytes. */
     recordBytes: number;
   };
+  grantDelivery: GrantDelivery;
   /** How often a backend server reports. */
   reportEveryMs: number;
   bounds: {
--- a/packages/lease_checker/src/ranges/daemon.ts
+++ b/packages/lease_checker/src/ranges/daemon.ts
@@ -17,9 +17,10 @@
   SYSTEM_TOPIC,
   TableStore,
 } from "@bulrushwood/ledger_store";
-import { Granting, type OrderAnswer, TenureKeeper } from "@bulrushwood/lease_ranges";
+import { Granting, type OrderAnswer, OrderChannel, TenureKeeper } from "@bulrushwood/lease_ranges";
 import {
   BallotBox,
+  SUPPORT_MS,
   SuspensionDetector,
   VOTER_BLIND_MS,
   type VoteRules,
@@ -123,6 +124,7 @@
       now,
       sleep,
       table,
+      supportMs: SUPPORT_MS,
       candidates: () => this.#voters(),
       server: () => ({ id: options.serverId(), bornMs: 1, slots: SLOTS }),
       rules,
@@ -134,15 +136,21 @@
       table,
       tenure: this.#tenure,
       suspension: new SuspensionDetector(now, clock.timeOfDay),
-      wire: WIRE,
+      supportMs: SUPPORT_MS,
+      openChannel: (context) =>
+        new OrderChannel(context, {
+          wire: WIRE,
+          send: (order, limits) =>
+            options.carryOrder(this, JSON.parse(order.body.toString()), limits),
+        }),
       server: () => ({ id: options.serverId(), bornMs: 1 }),
-      send: (order, limits) => options.carryOrder(this, JSON.parse(order.body.toString()), limits),
       grantMsMax: 10_000,
       onSuspended: () => {},
       onFailed: () => {},
     });
     const ballotBox = new BallotBox({
       now,
+      supportMs: SUPPORT_MS,
       rules,
       isOwn: (tenure) => this.#tenure.isOwn(tenure),
       mustRefuse: (tenure) =>
@@ -182,6 +190,7 @@
       service: SERVICE,
       now,
       sleep,
+      supportMs: SUPPORT_MS,
       table,
       heartbeats: this.heartbeats,
       mayPlan: () => this.#follower.isReachable,
--- a/packages/lease_ranges/src/granting.ts
+++ b/packages/lease_ranges/src/granting.ts
@@ -3,14 +3,13 @@
  * is supported, and gives keys away. A grant never runs past the support. Keys are given away in this order:
  * no new work, release at the server, then the change in the store; nobody else may change their owner.
  */
-import type { IncomingHttpHeaders } from "node:http";
 import { firstValueFrom, race, Subject, timer } from "rxjs";
-import type { Result } from "true-myth";
-import type { Order, ServerIdentity, ServerWire } from "@bulrushwood/deployment";
+import type { ServerIdentity } from "@bulrushwood/deployment";
 import {
   assign,
   type Assignment,
   ChangeOutcome,
+  encloses,
   type KeySpan,
   overlaps,
   type OwnershipTable,
@@ -19,36 +18,23 @@
   rangesOf,
   removeHost,
   type TableStore,
+  without,
 } from "@bulrushwood/ledger_store";
-import { SUPPORT_MS, type SuspensionDetector } from "@bulrushwood/lease_votes";
+import type { SuspensionDetector } from "@bulrushwood/lease_votes";
 import { type Address, type Clock, createStop, type Sleep } from "@bulrushwood/types";
+import {
+  endOfGrant,
+  type Grant,
+  type GrantChannel,
+  type GrantContext,
+  grantMsUntil,
+  type Handover,
+  type OpenGrantChannel,
+} from "./grant_channel.ts";
 import type { TenureKeeper } from "./tenure_keeper.ts";
 
 /** How often grants are renewed, in milliseconds; several times in the time of one grant. */
 const RENEW_MS = 350;
-/** A server's clock may run this much slower than ours, as a share. */
-const CLOCK_SLOWNESS = 0.02;
-/** A grant ends so long before the support that it rests on, in milliseconds; covers its way to the server. */
-const GRANT_MARGIN_MS = 50;
-/** A grant shorter than this is not worth sending, in milliseconds. */
-const GRANT_MIN_MS = 100;
-/** Time limit of an order, in milliseconds; the server is on the same instance. */
-const ORDER_TIMEOUT_MS = 400;
-/** Pause before an order is sent again, in milliseconds. */
-const ORDER_RETRY_MS = 60;
-const STATUS_OK = 200;
-
-/** What the server answered to an order. */
-export interface OrderAnswer {
-  status: number;
-  headers: IncomingHttpHeaders;
-}
-
-/** Sends an order to the server beside this daemon. */
-export type SendOrder = (
-  order: Order,
-  options: { timeoutMs: number },
-) => Promise<Result<OrderAnswer, Error>>;
 
 /** Whether a key may be served by the server beside this daemon. */
 export enum KeyState {
@@ -70,10 +56,11 @@
   table: TableStore;
   tenure: TenureKeeper;
   suspension: SuspensionDetector;
-  wire: ServerWire;
+  /** How long a vote supports a tenure, in milliseconds. */
+  supportMs: number;
+  openChannel: OpenGrantChannel;
   /** The server that takes orders now; undefined while there is none. */
   server: () => ServerIdentity | undefined;
-  send: SendOrder;
   grantMsMax: number;
   /** Told of time that the instance was suspended, in milliseconds. */
   onSuspended: (ms: number) => void;
@@ -81,50 +68,44 @@
   onFailed: (order: string, reason: string, range: KeySpan) => void;
 }
 
-/** A grant for neighbouring keys, as far as this daemon knows. Times are by this process's clock. */
-interface Grant extends KeySpan {
-  epoch: number;
-  /** When a confirmed grant ends. */
-  until: number;
-  /** Whether the server has confirmed a grant. */
-  isConfirmed: boolean;
-  /** The call that is under way. */
-  call: Promise<void> | undefined;
-}
-
-/** One order to grant keys. The server may carry it out late unless it has answered. */
-interface SentGrant extends KeySpan {
-  /** When it has ended at the server for certain, by this process's clock. */
-  endsBy: number;
-  isAnswered: boolean;
-  /** Resolves when it is answered or its time limit has passed. */
-  done: Promise<unknown>;
-}
-
 /** The grants of one daemon. */
 export class Granting {
   readonly #options: GrantingOptions;
   /** One for each run of own keys that are not being given away, in order of key. */
   #grants: Grant[] = [];
-  /** Orders that can still have an effect at the server, whatever became of the keys here since. */
-  #sent: SentGrant[] = [];
+  readonly #channel: GrantChannel;
   readonly #changed = new Subject<void>();
   readonly #stop = createStop();
   readonly #subscription;
   /** Keys that are being given away. */
   #closing: KeySpan[] = [];
   #task: Promise<void> | undefined;
-  /** When grants that an earlier process at this address gave have ended for certain. */
-  readonly #earlierEndBy: number;
 
   constructor(options: GrantingOptions) {
     this.#options = options;
-    this.#earlierEndBy = options.now() + SUPPORT_MS * (1 + CLOCK_SLOWNESS) + GRANT_MARGIN_MS;
+    this.#channel = options.openChannel(this.#createContext());
     this.#subscription = options.table.table.subscribe(() => {
       this.#reshape();
     });
   }
 
+  #createContext(): GrantContext {
+    const { now, sleep, table, supportMs, self, onFailed } = this.#options;
+    return {
+      now,
+      sleep,
+      earlierEndBy: endOfGrant(now(), supportMs),
+      grants: () => this.#grants,
+      grantableMs: () => this.#grantableMs(),
+      handoverOf: ({ first }) => rangeOf(table.table.value, first).handover ?? undefined,
+      onChanged: () => this.#changed.next(),
+      onOutdated: async (grant) => {
+        await table.change((current) => renewEpoch(current, grant, self));
+      },
+      onFailed,
+    };
+  }
+
   /** Emits when what the server may serve can have changed. */
   get changed(): Subject<void> {
     return this.#changed;
@@ -157,15 +138,11 @@
 
   async #run(): Promise<void> {
     while (!this.#stop.signal.aborted) {
-      this.#renewAll();
+      this.#channel.renew();
       await this.#options.sleep(RENEW_MS, this.#stop.signal);
     }
   }
 
-  #renewAll(): void {
-    this.#grants.forEach((grant) => this.#renew(grant));
-  }
-
   #isClosing(span: KeySpan): boolean {
     return this.#closing.some((closing) => overlaps(closing, span));
   }
@@ -182,7 +159,7 @@
           : reshaped(known, { ...span, epoch });
       });
     });
-    this.#renewAll();
+    this.#channel.renew();
     this.#changed.next();
   }
 
@@ -199,64 +176,7 @@
     if (present === undefined || present.id !== entered?.id || present.bornMs !== entered.bornMs) {
       return 0;
     }
-    const supportedMs = tenure.supportedUntil - now() - GRANT_MARGIN_MS;
-    return Math.min(grantMsMax, supportedMs / (1 + CLOCK_SLOWNESS));
-  }
-
-  #renew(grant: Grant): void {
-    if (grant.call === undefined && this.#grantableMs() >= GRANT_MIN_MS) {
-      grant.call = this.#send(grant).finally(() => grant.call = undefined);
-    }
-  }
-
-  /** Sends a grant until it is answered, or the keys take another shape. */
-  async #send(grant: Grant): Promise<void> {
-    const { sleep } = this.#options;
-    while (!this.#stop.signal.aborted && this.#grants.includes(grant)) {
-      const durationMs = this.#grantableMs();
-      if (durationMs < GRANT_MIN_MS || await this.#sendOnce(grant, durationMs)) {
-        return;
-      }
-      await sleep(ORDER_RETRY_MS, this.#stop.signal);
-    }
-  }
-
-  async #sendOnce(grant: Grant, durationMs: number): Promise<boolean> {
-    const { wire, send, now, onFailed, self, table } = this.#options;
-    const { first, last, epoch } = grant;
-    const { handover } = rangeOf(table.table.value, first);
-    const order = wire.grant({
-      first,
-      last,
-      epoch,
-      durationMs,
-      handover: grant.isConfirmed ? undefined : handover ?? undefined,
-    });
-    const until = now() + durationMs;
-    const answering = send(order, { timeoutMs: ORDER_TIMEOUT_MS });
-    const endsBy = until + durationMs * CLOCK_SLOWNESS + GRANT_MARGIN_MS;
-    const sent: SentGrant = { first, last, endsBy, isAnswered: false, done: answering };
-    this.#sent = this.#sent.filter((earlier) => earlier.endsBy > now()).concat(sent);
-    const answered = await answering;
-    sent.isAnswered = answered.isOk;
-    if (answered.isOk && answered.value.status === STATUS_OK) {
-      const isFirst = !grant.isConfirmed;
-      grant.until = until;
-      grant.isConfirmed = true;
-      if (isFirst) {
-        this.#changed.next();
-      }
-      return true;
-    }
-    onFailed(
-      "grant",
-      answered.isOk ? `status ${answered.value.status}` : answered.error.message,
-      grant,
-    );
-    if (answered.isOk && wire.isOutdated(answered.value.status)) {
-      await table.change((current) => renewEpoch(current, grant, self));
-    }
-    return false;
+    return Math.min(grantMsMax, grantMsUntil(tenure.supportedUntil, now()));
   }
 
   /**
@@ -274,9 +194,10 @@
     const assignments = this.#withinOwn([...chosen, ...others]);
     this.#closing.push(...assignments);
     this.#reshape();
-    const released = new Map<KeySpan, Assignment>();
+    const released = new Map<KeySpan, Assignment[]>();
     const outcomes = await Promise.all(assignments.map(async (assignment) => {
-      released.set(assignment, await this.#release(assignment, options));
+      const handovers = await this.#release(assignment, options);
+      released.set(assignment, handovers.map((part) => ({ ...part, to: assignment.to })));
       return await this.#passOn(released, options);
     }));
     if (outcomes.length === 0) {
@@ -287,13 +208,13 @@
 
   /** Writes new owners of all that is released by then; until that is done nothing of it is granted again. */
   async #passOn(
-    released: Map<KeySpan, Assignment>,
+    released: Map<KeySpan, Assignment[]>,
     options: { leave: boolean },
   ): Promise<ChangeOutcome> {
     let written: KeySpan[] = [];
     const outcome = await this.#options.table.change((table) => {
       written = [...released.keys()];
-      return this.#handOver(table, [...released.values()], options);
+      return this.#handOver(table, [...released.values()].flat(), options);
     });
     written.forEach((span) => released.delete(span));
     this.#closing = this.#closing.filter((span) => !written.includes(span));
@@ -335,43 +256,11 @@
 
   /** Takes keys back from the server; waits until it cannot run work for them any more. */
   async #release(
-    assignment: Assignment,
+    { first, last }: KeySpan,
     options: { isServerGone: boolean },
-  ): Promise<Assignment> {
-    const { wire, send, now, sleep, onFailed, table } = this.#options;
-    const sent = this.#sent.filter((grant) => overlaps(grant, assignment));
-    await Promise.all(sent.map(({ done }) => done));
-    const { first, last } = assignment;
-    const endsBy = Math.max(this.#earlierEndBy, ...sent.map((grant) => grant.endsBy));
-    if (options.isServerGone) {
-      await sleep(Math.max(0, endsBy - now()));
-      return { ...assignment, handover: null };
-    }
-    const { epoch } = rangeOf(table.table.value, first);
-    const order = wire.release({ first, last, epoch });
-    while (now() < endsBy) {
-      const answered = await send(order, { timeoutMs: Math.max(1, endsBy - now()) });
-      if (answered.isOk && answered.value.status === STATUS_OK) {
-        await this.#awaitUnanswered(sent);
-        return { ...assignment, handover: wire.readHandover(answered.value.headers) ?? null };
-      }
-      const reason = answered.isOk ? `status ${answered.value.status}` : answered.error.message;
-      onFailed("release", reason, assignment);
-      await sleep(ORDER_RETRY_MS);
-    }
-    return { ...assignment, handover: null };
-  }
-
-  /**
-   * A grant that was not answered may take effect after the release, also where a later one was answered;
-   * it ends by its own time.
-   */
-  async #awaitUnanswered(sent: SentGrant[]): Promise<void> {
-    const { now, sleep } = this.#options;
-    const late = sent.filter(({ isAnswered }) => !isAnswered);
-    // Which grants of an earlier process were answered is not known.
-    const endsBy = Math.max(this.#earlierEndBy, ...late.map((grant) => grant.endsBy));
-    await sleep(Math.max(0, endsBy - now()));
+  ): Promise<Handover[]> {
+    const { epoch } = rangeOf(this.#options.table.table.value, first);
+    return await this.#channel.release({ first, last, epoch }, options);
   }
 
   /** Resolves at the next change, or after a time. */
@@ -384,6 +273,7 @@
   async close(): Promise<void> {
     this.#stop.abort();
     this.#subscription.unsubscribe();
+    this.#channel.close();
     await this.#task;
   }
 }
@@ -396,31 +286,12 @@
   return {
     until: known?.until ?? 0,
     isConfirmed: known?.isConfirmed ?? false,
-    call: undefined,
     first: shape.first,
     last: shape.last,
     epoch: shape.epoch,
   };
 }
 
-function encloses(outer: KeySpan, inner: KeySpan): boolean {
-  return outer.first <= inner.first && inner.last <= outer.last;
-}
-
-/** What is left of a span without some others. */
-function without(span: KeySpan, others: KeySpan[]): KeySpan[] {
-  let rest: KeySpan[] = [{ first: span.first, last: span.last }];
-  for (const other of others) {
-    rest = rest.flatMap((piece) =>
-      !overlaps(piece, other) ? [piece] : [
-        { first: piece.first, last: other.first - 1 },
-        { first: other.last + 1, last: piece.last },
-      ].filter(({ first, last }) => first <= last)
-    );
-  }
-  return rest;
-}
-
 /** A server that knows a newer epoch for own keys gets them again with one above all. */
 function renewEpoch(
   table: OwnershipTable,
--- a/packages/lease_ranges/src/granting_test.ts
+++ b/packages/lease_ranges/src/granting_test.ts
@@ -13,10 +13,10 @@
   SYSTEM_TOPIC,
   TableStore,
 } from "@bulrushwood/ledger_store";
-import { SuspensionDetector } from "@bulrushwood/lease_votes";
+import { SUPPORT_MS, SuspensionDetector } from "@bulrushwood/lease_votes";
 import { KeyedStoreService } from "@bulrushwood/stand_ins";
 import { now, sleep } from "@bulrushwood/types";
-import { Granting, KeyState, type OrderAnswer, TenureKeeper } from "./mod.ts";
+import { Granting, KeyState, type OrderAnswer, OrderChannel, TenureKeeper } from "./mod.ts";
 
 const SELF = "10.0.0.1:7000";
 const OTHER = "10.0.0.2:7000";
@@ -73,6 +73,7 @@
     now,
     sleep,
     table,
+    supportMs: SUPPORT_MS,
     candidates: () => [],
     server: () => ({ ...SERVER, slots: 4 }),
   });
@@ -84,13 +85,17 @@
     table,
     tenure,
     suspension: new SuspensionDetector(now),
-    wire: WIRE,
+    supportMs: SUPPORT_MS,
+    openChannel: (context) =>
+      new OrderChannel(context, {
+        wire: WIRE,
+        send: (order) => {
+          const decoded = JSON.parse(order.body.toString()) as Sent;
+          sent.push({ at: now(), sent: decoded });
+          return answer(decoded);
+        },
+      }),
     server: () => SERVER,
-    send: (order) => {
-      const decoded = JSON.parse(order.body.toString()) as Sent;
-      sent.push({ at: now(), sent: decoded });
-      return answer(decoded);
-    },
     grantMsMax: 10_000,
     onSuspended: () => {},
     onFailed: () => {},
--- a/packages/lease_ranges/src/mod.ts
+++ b/packages/lease_ranges/src/mod.ts
@@ -1,11 +1,19 @@
 /**
  * The keys that the server beside one daemon owns: tenure, grants, hand-over.
  */
+export type {
+  Grant,
+  GrantChannel,
+  GrantContext,
+  Handover,
+  OpenGrantChannel,
+} from "./grant_channel.ts";
+export { Granting, type GrantingOptions, KeyState } from "./granting.ts";
 export {
-  Granting,
-  type GrantingOptions,
-  KeyState,
   type OrderAnswer,
+  OrderChannel,
+  type OrderChannelOptions,
   type SendOrder,
-} from "./granting.ts";
+} from "./order_channel.ts";
+export { ReportChannel, type ReportChannelOptions } from "./report_channel.ts";
 export { type OwnServer, TenureKeeper, type TenureKeeperOptions } from "./tenure_keeper.ts";
--- a/packages/lease_ranges/src/tenure_keeper.ts
+++ b/packages/lease_ranges/src/tenure_keeper.ts
@@ -48,6 +48,8 @@
   candidates: () => Voter[];
   /** The server to enter; undefined while there is none that may own keys. */
   server: () => OwnServer | undefined;
+  /** How long a vote supports a tenure, in milliseconds; the same in all daemons. */
+  supportMs: number;
   rules?: VoteRules;
 }
 
@@ -170,13 +172,14 @@
   }
 
   async #enter(server: OwnServer): Promise<void> {
-    const { self, incarnation, now, table, candidates } = this.#options;
+    const { self, incarnation, now, table, candidates, supportMs } = this.#options;
     const voters = [{ address: self, incarnation }, ...candidates().slice(0, VOTERS - 1)];
     const tenure = new Tenure({
       tenure: randomUUID(),
       voters,
       self,
       now,
+      supportMs,
       rules: this.#options.rules,
     });
     this.#tenures.push(tenure);
--- a/packages/lease_votes/src/ballot_box.ts
+++ b/packages/lease_votes/src/ballot_box.ts
@@ -3,11 +3,13 @@
  * in memory; a daemon that starts again is another voter, which no earlier tenure names.
  */
 import type { Clock } from "@bulrushwood/types";
-import { ALL_VOTE_RULES, SUPPORT_MS, type VoteRules } from "./rules.ts";
+import { ALL_VOTE_RULES, type VoteRules } from "./rules.ts";
 
 /** What a ballot box needs. */
 export interface BallotBoxOptions {
   now: Clock;
+  /** How long a vote supports a tenure, in milliseconds; the same in all daemons. */
+  supportMs: number;
   /** Whether the store counts the tenure as suspected, or this daemon cannot know. */
   mustRefuse: (tenure: string) => boolean;
   /** Whether a tenure is this daemon's own; it counts on its own support as long as it runs. */
@@ -27,13 +29,13 @@
     this.#rules = options.rules ?? ALL_VOTE_RULES;
   }
 
-  /** Supports a tenure for `SUPPORT_MS` from now, or refuses. */
+  /** Supports a tenure for `supportMs` from now, or refuses. */
   support(tenure: string): boolean {
     const isSealed = this.#rules.refuseSealed && this.#sealed.has(tenure);
     if (isSealed || this.#options.mustRefuse(tenure)) {
       return false;
     }
-    this.#until.set(tenure, this.#options.now() + SUPPORT_MS);
+    this.#until.set(tenure, this.#options.now() + this.#options.supportMs);
     return true;
   }
 
--- a/packages/lease_votes/src/lease_votes_test.ts
+++ b/packages/lease_votes/src/lease_votes_test.ts
@@ -12,6 +12,7 @@
 function createBox(clock: { now: number }, own = "own") {
   return new BallotBox({
     now: () => clock.now,
+    supportMs: SUPPORT_MS,
     mustRefuse: (tenure) => tenure === "suspected",
     isOwn: (tenure) => tenure === own,
   });
@@ -46,7 +47,13 @@
   const voters = ["a", "b", "c"].map((address) => ({ address, incarnation: `${address}1` }));
 
   function createTenure(clock: { now: number }) {
-    return new Tenure({ tenure: "t", voters, self: "a", now: () => clock.now });
+    return new Tenure({
+      tenure: "t",
+      voters,
+      self: "a",
+      now: () => clock.now,
+      supportMs: SUPPORT_MS,
+    });
   }
 
   it("needs a majority, and counts a vote from when it was asked for", () => {
--- a/packages/lease_votes/src/mod.ts
+++ b/packages/lease_votes/src/mod.ts
@@ -7,7 +7,7 @@
   ALL_VOTE_RULES,
   DRIFT_MARGIN_MS,
   SUPPORT_MS,
-  SUSPICION_MS,
+  suspicionMs,
   VOTER_BLIND_MS,
   type VoteRules,
 } from "./rules.ts";
--- a/packages/lease_votes/src/rules.ts
+++ b/packages/lease_votes/src/rules.ts
@@ -26,7 +26,10 @@
   noticeSuspension: true,
 };
 
-/** How long a vote supports a tenure, in milliseconds; four heartbeats, so that three may be lost. */
+/**
+ * How long a vote supports a tenure where grants are renewed at any time, in milliseconds; four heartbeats,
+ * so that three may be lost.
+ */
 export const SUPPORT_MS = 1_300;
 /** How much shorter a candidate counts support than its voter, in milliseconds; covers timers that fire late. */
 export const DRIFT_MARGIN_MS = 150;
@@ -35,5 +38,10 @@
  * store's outages, shorter than the patience of whoever waits for a tenure without voters.
  */
 export const VOTER_BLIND_MS = 12_000;
-/** After this, a suspected tenure has ended without its voters: they stopped, and their support ran out. */
-export const SUSPICION_MS = VOTER_BLIND_MS + SUPPORT_MS + 2_000;
+/** Added to the time after which voters have stopped and their support has run out, in milliseconds. */
+const SUSPICION_MARGIN_MS = 2_000;
+
+/** After this, a suspected tenure has ended without its voters, in milliseconds. */
+export function suspicionMs(supportMs: number): number {
+  return VOTER_BLIND_MS + supportMs + SUSPICION_MARGIN_MS;
+}
--- a/packages/lease_votes/src/tenure.ts
+++ b/packages/lease_votes/src/tenure.ts
@@ -3,7 +3,7 @@
  * store may name either of the two, so that both must be supported.
  */
 import type { Address, Clock } from "@bulrushwood/types";
-import { ALL_VOTE_RULES, DRIFT_MARGIN_MS, SUPPORT_MS, type VoteRules } from "./rules.ts";
+import { ALL_VOTE_RULES, DRIFT_MARGIN_MS, type VoteRules } from "./rules.ts";
 
 /** A voter as a tenure names it. */
 export interface Voter {
@@ -18,6 +18,8 @@
   voters: Voter[];
   self: Address;
   now: Clock;
+  /** How long a vote supports a tenure, in milliseconds; the same in all daemons. */
+  supportMs: number;
   rules?: VoteRules;
 }
 
@@ -55,18 +57,18 @@
     if (this.#rules.matchIncarnation && voter.incarnation !== incarnation) {
       return;
     }
-    const { now } = this.#options;
+    const { now, supportMs } = this.#options;
     const until = this.#rules.countFromSending
-      ? sentAt + SUPPORT_MS - DRIFT_MARGIN_MS
-      : now() + SUPPORT_MS;
+      ? sentAt + supportMs - DRIFT_MARGIN_MS
+      : now() + supportMs;
     this.#until.set(address, Math.max(this.#until.get(address) ?? 0, until));
   }
 
   /** Until when enough voters support the tenure; this daemon always supports its own. */
   get supportedUntil(): number {
-    const { self, now } = this.#options;
+    const { self, now, supportMs } = this.#options;
     const untils = this.voters.map(({ address }) =>
-      address === self ? now() + SUPPORT_MS : this.#until.get(address) ?? Number.NEGATIVE_INFINITY
+      address === self ? now() + supportMs : this.#until.get(address) ?? Number.NEGATIVE_INFINITY
     );
     untils.sort((left, right) => right - left);
     return untils[quorumOf(untils.length) - 1] ?? Number.NEGATIVE_INFINITY;
--- a/packages/ledger_store/src/mod.ts
+++ b/packages/ledger_store/src/mod.ts
@@ -7,6 +7,7 @@
   type Assignment,
   countKeys,
   emptyTable,
+  encloses,
   enterHost,
   formatTable,
   type Host,
@@ -21,6 +22,7 @@
   removeHost,
   sizeOf,
   type VoterName,
+  without,
 } from "./ownership_table.ts";
 export {
   answerStoreCall,
--- a/packages/ledger_store/src/ownership_table.ts
+++ b/packages/ledger_store/src/ownership_table.ts
@@ -137,6 +137,25 @@
   return left.first <= right.last && right.first <= left.last;
 }
 
+/** Whether one span has all keys of another. */
+export function encloses(outer: KeySpan, inner: KeySpan): boolean {
+  return outer.first <= inner.first && inner.last <= outer.last;
+}
+
+/** What is left of a span without some others. */
+export function without(span: KeySpan, others: KeySpan[]): KeySpan[] {
+  let rest: KeySpan[] = [{ first: span.first, last: span.last }];
+  for (const other of others) {
+    rest = rest.flatMap((piece) =>
+      !overlaps(piece, other) ? [piece] : [
+        { first: piece.first, last: other.first - 1 },
+        { first: other.last + 1, last: piece.last },
+      ].filter(({ first, last }) => first <= last)
+    );
+  }
+  return rest;
+}
+
 /** Gives keys new owners, all with one new epoch. */
 export function assign(table: OwnershipTable, assignments: Assignment[]): OwnershipTable {
   const epoch = table.epoch + 1;
--- a/packages/membership_beats/src/sealing.ts
+++ b/packages/membership_beats/src/sealing.ts
@@ -2,7 +2,7 @@
  * Finds out whether a tenure has ended for certain: so many of its voters have sealed it, or are gone,
  * that it can never again have a majority.
  */
-import { sealsOf, SUPPORT_MS, type Voter } from "@bulrushwood/lease_votes";
+import { sealsOf, type Voter } from "@bulrushwood/lease_votes";
 import type { Address } from "@bulrushwood/types";
 import type { SealReply } from "./beat.ts";
 
@@ -13,26 +13,30 @@
 export type AskSeal = (voter: Address, tenure: string) => Promise<SealReply | undefined>;
 
 /** Whether a voter's answer shows that it will never support the tenure again. */
-export function isSealedBy(voter: Voter, reply: SealReply | undefined): boolean {
+export function isSealedBy(
+  voter: Voter,
+  reply: SealReply | undefined,
+  options: { supportMs: number },
+): boolean {
   if (reply === undefined) {
     return false;
   }
   if (reply.incarnation === voter.incarnation) {
     return reply.isSealed;
   }
-  return reply.uptimeMs > SUPPORT_MS + RESTART_MARGIN_MS;
+  return reply.uptimeMs > options.supportMs + RESTART_MARGIN_MS;
 }
 
 /** Asks all voters of a tenure to seal it; true once it has ended. */
 export async function sealTenure(
   tenure: string,
   voters: Voter[],
-  options: { ask: AskSeal },
+  options: { ask: AskSeal; supportMs: number },
 ): Promise<boolean> {
   let missing = sealsOf(voters.length);
   return await new Promise((resolve) => {
     const asked = voters.map(async (voter) => {
-      if (isSealedBy(voter, await options.ask(voter.address, tenure)) && --missing === 0) {
+      if (isSealedBy(voter, await options.ask(voter.address, tenure), options) && --missing === 0) {
         // Voters that are out of reach need not be waited for.
         resolve(true);
       }
--- a/packages/membership_beats/src/sealing_test.ts
+++ b/packages/membership_beats/src/sealing_test.ts
@@ -2,17 +2,18 @@
 import { SUPPORT_MS } from "@bulrushwood/lease_votes";
 import { isSealedBy, sealTenure } from "./mod.ts";
 
+const TIMING = { supportMs: SUPPORT_MS };
 const VOTERS = ["a", "b", "c"].map((address) => ({ address, incarnation: `${address}1` }));
 
 describe("sealing a tenure", () => {
   it("counts a voter that started anew only once its earlier support has run out", () => {
     const reply = { incarnation: "a2", isSealed: false };
-    expect(isSealedBy(VOTERS[0], { ...reply, uptimeMs: SUPPORT_MS - 1 })).to.equal(false);
-    expect(isSealedBy(VOTERS[0], { ...reply, uptimeMs: SUPPORT_MS + 500 })).to.equal(true);
+    expect(isSealedBy(VOTERS[0], { ...reply, uptimeMs: SUPPORT_MS - 1 }, TIMING)).to.equal(false);
+    expect(isSealedBy(VOTERS[0], { ...reply, uptimeMs: SUPPORT_MS + 500 }, TIMING)).to.equal(true);
   });
 
   it("does not count a voter that does not answer", () => {
-    expect(isSealedBy(VOTERS[0], undefined)).to.equal(false);
+    expect(isSealedBy(VOTERS[0], undefined, TIMING)).to.equal(false);
   });
 
   for (
@@ -25,7 +26,7 @@
           isSealed: (sealers as readonly string[]).includes(voter),
           uptimeMs: 60_000,
         });
-      expect(await sealTenure("t", VOTERS, { ask })).to.equal(ended);
+      expect(await sealTenure("t", VOTERS, { ask, ...TIMING })).to.equal(ended);
     });
   }
 });
--- a/packages/planner_ranges/src/range_planner.ts
+++ b/packages/planner_ranges/src/range_planner.ts
@@ -15,7 +15,7 @@
   removeHost,
   type TableStore,
 } from "@bulrushwood/ledger_store";
-import { SUSPICION_MS } from "@bulrushwood/lease_votes";
+import { suspicionMs } from "@bulrushwood/lease_votes";
 import { type Heartbeats, sealTenure, SILENT_MS } from "@bulrushwood/membership_beats";
 import type { Candidate } from "./capacity.ts";
 import { type Move, rebalance } from "./rebalance.ts";
@@ -58,6 +58,8 @@
   service: string;
   now: Clock;
   sleep: Sleep;
+  /** How long a vote supports a tenure, in milliseconds. */
+  supportMs: number;
   table: TableStore;
   heartbeats: Heartbeats;
   /** Whether the service has keys and this daemon reaches the store. */
@@ -187,17 +189,18 @@
     tenure: string,
     options: { since: number },
   ): Promise<void> {
-    const { heartbeats, table, onEvent } = this.#options;
+    const { heartbeats, table, onEvent, supportMs } = this.#options;
     const host = table.table.value.hosts[address];
     if (host === undefined || host.tenure !== tenure) {
       return;
     }
     const isSealed = await sealTenure(tenure, host.voters, {
       ask: (voter, name) => heartbeats.seal(voter, name),
+      supportMs,
     });
     const suspectedAt = this.#suspectedAt.get(tenure);
     const hasOutlasted = suspectedAt !== undefined &&
-      this.#options.now() - suspectedAt > SUSPICION_MS;
+      this.#options.now() - suspectedAt > suspicionMs(supportMs);
     if (!isSealed && !hasOutlasted) {
       if (this.#options.now() - options.since > SEAL_PATIENCE_MS) {
         await this.#suspect(address, tenure);
--- a/packages/planner_ranges/src/range_planner_test.ts
+++ b/packages/planner_ranges/src/range_planner_test.ts
@@ -29,6 +29,7 @@
     service: SERVICE,
     now,
     sleep,
+    supportMs: 1_300,
     table: {} as TableStore,
     heartbeats: heartbeats as unknown as Heartbeats,
     mayPlan: () => options.mayPlan,
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -11,6 +11,7 @@
 import {
   type Adapter,
   type DeploymentSettings,
+  GrantDelivery,
   type Item,
   ServerState,
   type Store,
@@ -24,8 +25,20 @@
   SYSTEM_TOPIC,
   TableStore,
 } from "@bulrushwood/ledger_store";
-import { Granting, type OwnServer, TenureKeeper } from "@bulrushwood/lease_ranges";
-import { BallotBox, SuspensionDetector, VOTER_BLIND_MS } from "@bulrushwood/lease_votes";
+import {
+  type GrantContext,
+  Granting,
+  OrderChannel,
+  type OwnServer,
+  ReportChannel,
+  TenureKeeper,
+} from "@bulrushwood/lease_ranges";
+import {
+  BallotBox,
+  SUPPORT_MS,
+  SuspensionDetector,
+  VOTER_BLIND_MS,
+} from "@bulrushwood/lease_votes";
 import { type Beat, enterMember, Heartbeats, readMember } from "@bulrushwood/membership_beats";
 import { GIVE_METHOD, PlannerEvent, RangePlanner } from "@bulrushwood/planner_ranges";
 import { type IncomingExchange, type LinkError, Links } from "@bulrushwood/protocol";
@@ -52,6 +65,15 @@
 const SYSTEM_WAIT_MS = 4_000;
 /** Time beyond a read's wait after which the store counts as out of reach, in milliseconds. */
 const STORE_GRACE_MS = 700;
+/**
+ * Reports that a grant outlives where grants travel in reports: one may be lost, and the next brings the
+ * renewal.
+ */
+const GRANT_REPORTS = 2;
+/** Added to the time of those reports, in milliseconds: age of the votes at a renewal, and margins. */
+const GRANT_REPORTS_MARGIN_MS = 700;
+/** The answer to a report is kept open for news for so long, as a share of the time between two reports. */
+const REPORT_OPEN_SHARE = 0.8;
 /** Length of the random name of one life of a daemon; only lives at one address must differ. */
 const INCARNATION_CHARACTERS = 8;
 /** Part of the allowed retries that is used; the rest is for requests that meet a change of owner. */
@@ -106,6 +128,8 @@
   readonly #client: ServerClient;
   readonly #tenure: TenureKeeper;
   readonly #granting: Granting;
+  /** Set where grants travel in reports. */
+  #reportChannel: ReportChannel | undefined;
   readonly #ballotBox: BallotBox;
   readonly #heartbeats: Heartbeats;
   readonly #runner: Runner;
@@ -156,12 +180,14 @@
     const table = this.#tableOf(settings.service);
     const self = this.#self;
     const incarnation = this.#incarnation;
+    const supportMs = supportMsOf(settings);
     this.#tenure = new TenureKeeper({
       self,
       incarnation,
       now,
       sleep,
       table,
+      supportMs,
       candidates: () => this.#view.voters(),
       server: () => this.#ownServer(),
     });
@@ -172,9 +198,9 @@
       table,
       tenure: this.#tenure,
       suspension: new SuspensionDetector(now),
-      wire: adapter.servers,
+      supportMs,
+      openChannel: (context) => this.#openChannel(context),
       server: () => this.#watch.report,
-      send: (order, limits) => this.#client.order(order, limits),
       grantMsMax: settings.bounds.grantMsMax,
       onSuspended: (ms) => log(Event.Suspended, { ms: Math.round(ms) }),
       onFailed: (order, reason, { first, last }) => {
@@ -184,6 +210,7 @@
     });
     this.#ballotBox = new BallotBox({
       now,
+      supportMs,
       mustRefuse: (tenure) => this.#mustRefuse(tenure),
       isOwn: (tenure) => this.#tenure.isOwn(tenure),
     });
@@ -239,6 +266,7 @@
       service: settings.service,
       now,
       sleep,
+      supportMs,
       table,
       heartbeats: this.#heartbeats,
       mayPlan: () => this.#isKeyed && !this.#isEnding && this.#reachesStore,
@@ -261,7 +289,9 @@
     this.#log(Event.Started, { address: this.#self, incarnation: this.#incarnation, service });
     const isReady = () => this.#manifest.manifest !== undefined && !this.#isEnding;
     await this.#listenSide(listen.ready, answerReady(isReady));
-    const reports = { watch: this.#watch, log: this.#log };
+    const channel = this.#reportChannel;
+    const answer = channel && channel.answer.bind(channel);
+    const reports = { watch: this.#watch, answer, log: this.#log };
     await this.#listenSide(listen.reports, answerReports(this.#adapter.servers, reports));
     await this.#listenSide(this.#settings.metrics, async (request, response) => {
       request.resume();
@@ -316,6 +346,22 @@
     this.#planner.start();
   }
 
+  #openChannel(context: GrantContext): OrderChannel | ReportChannel {
+    const { servers } = this.#adapter;
+    const { grantDelivery, reportEveryMs } = this.#settings;
+    if (grantDelivery === GrantDelivery.Orders) {
+      return new OrderChannel(context, {
+        wire: servers,
+        send: (order, limits) => this.#client.order(order, limits),
+      });
+    }
+    this.#reportChannel = new ReportChannel(context, {
+      holdOpenMs: reportEveryMs * REPORT_OPEN_SHARE,
+      rowsMax: servers.reportRowsMax,
+    });
+    return this.#reportChannel;
+  }
+
   async #listenSide(
     endpoint: { host: string; port: number },
     handler: Parameters<typeof SideServer.listen>[1],
@@ -572,3 +618,10 @@
     this.#store.close();
   }
 }
+
+/** How long votes run: grants rest on them, and must outlive the time between two renewals. */
+function supportMsOf({ grantDelivery, reportEveryMs }: DeploymentSettings): number {
+  return grantDelivery === GrantDelivery.Orders
+    ? SUPPORT_MS
+    : reportEveryMs * GRANT_REPORTS + GRANT_REPORTS_MARGIN_MS;
+}
--- a/packages/router/src/router_test.ts
+++ b/packages/router/src/router_test.ts
@@ -4,6 +4,7 @@
 import { Result } from "true-myth";
 import {
   type Adapter,
+  GrantDelivery,
   type GrantOrder,
   type Manifest,
   type Order,
@@ -188,6 +189,7 @@
       listen: { callers, ready, reports, peers },
       metrics,
       store: { endpoint: peers, recordBytes: 1e6 },
+      grantDelivery: GrantDelivery.Orders,
       reportEveryMs: 300,
       bounds: {
         drainMs: 2_000,
--- a/packages/router/src/runner_test.ts
+++ b/packages/router/src/runner_test.ts
@@ -27,6 +27,8 @@
   state: ServerState.Ready,
   sequence: 1,
   coldMs: 0,
+  held: [],
+  released: [],
 };
 
 const TARGET_MS = 400;
--- a/packages/router/src/side_servers.ts
+++ b/packages/router/src/side_servers.ts
@@ -1,9 +1,8 @@
 /**
  * The small HTTP listeners beside the callers': readiness, status reports of the server, metrics.
  */
-import { Buffer } from "node:buffer";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { Endpoint, ServerWire } from "@bulrushwood/deployment";
+import type { Endpoint, GrantRows, ServerReport, ServerWire } from "@bulrushwood/deployment";
 import { readWhole } from "@bulrushwood/http_client";
 import { Event, type EventLog } from "./event_log.ts";
 import type { ServerWatch } from "./server_watch.ts";
@@ -53,25 +52,34 @@
   };
 }
 
-/** Takes status reports of the server beside this daemon. */
+/** Decides what the answer to a report grants. */
+export type AnswerReport = (
+  report: ServerReport,
+  options: { mayWait: boolean },
+) => Promise<{ grants: GrantRows; noteSent: () => void } | undefined>;
+
+/** Takes status reports of the server beside this daemon; without `answer` they grant nothing. */
 export function answerReports(
   wire: ServerWire,
-  options: { watch: ServerWatch; log: EventLog },
+  options: { watch: ServerWatch; answer: AnswerReport | undefined; log: EventLog },
 ): Handler {
   return async (request, response) => {
-    const body = await readWhole(request);
-    const read = wire.readReport(request.method ?? "", request.url ?? "", body);
+    const received = await readWhole(request);
+    const read = wire.readReport(request.method ?? "", request.url ?? "", received);
     if (read.isErr) {
       options.log(Event.ReportRefused, { reason: read.error.message });
       response.writeHead(400).end(`${read.error.message}\n`);
       return;
     }
-    options.watch.take(read.value);
-    const answer = Buffer.from("{}");
-    response.writeHead(200, {
-      "content-type": "application/json",
-      "content-length": answer.length,
-    });
-    response.end(answer);
+    const { watch } = options;
+    const isTaken = watch.take(read.value);
+    // A server that leaves needs its acknowledgement at once.
+    const mayWait = watch.leavingSince === undefined;
+    const answer = isTaken && read.value.kind === "report"
+      ? await options.answer?.(read.value.report, { mayWait })
+      : undefined;
+    const body = wire.reportAnswer(answer?.grants);
+    response.writeHead(200, { "content-type": "application/json", "content-length": body.length });
+    response.end(body, answer?.noteSent);
   };
 }
