Never use a connection again that gave an answer to another request

The request was sent again, and got the answer of its first run while the second one ran. At the end of an answer Node.js takes the socket from the message and gives it back to the agent, so that the code which should have closed it failed, and the connection was used again.

Now the head decides, before the end of the answer; idle connections on which bytes come are closed; bodies without end are broken off at 32 MB (before: as long as the deadline allowed, 3 to 4 GB in the test). Three of the tests were seen to fail first; that of the idle connection passed before, too.

--- a/packages/http_client/src/mod.ts
+++ b/packages/http_client/src/mod.ts
@@ -6,6 +6,9 @@
 import type { Socket } from "node:net";
 import { Result } from "true-myth";
 
+/** Longest body that is read, in bytes; far above any answer, and a fraction of a small instance's memory. */
+const BODY_BYTES_MAX = 32 * 1024 * 1024;
+
 /** What a failed call tells of its effect. */
 export enum CallErrorKind {
   /** No byte left this process. */
@@ -96,12 +99,28 @@
   });
 }
 
-/** Reads the whole body of a message; rejects when it was cut short. */
-export function readWhole(message: IncomingMessage): Promise<Buffer> {
+/**
+ * Reads the whole body of a message; rejects when it was cut short, and breaks off one that is too long, as
+ * a faulty sender may go on without end.
+ */
+export function readWhole(
+  message: IncomingMessage,
+  options: { bytesMax?: number } = {},
+): Promise<Buffer> {
+  const { bytesMax = BODY_BYTES_MAX } = options;
   return new Promise((resolve, reject) => {
     const parts: Buffer[] = [];
+    let bytes = 0;
     const fail = () => reject(new Error("the body was cut short"));
-    message.on("data", (part: Buffer) => parts.push(part));
+    message.on("data", (part: Buffer) => {
+      bytes += part.length;
+      if (bytes > bytesMax) {
+        reject(new Error(`the body has more than ${bytesMax} bytes`));
+        message.destroy();
+        return;
+      }
+      parts.push(part);
+    });
     message.on("end", () => {
       if (message.complete) {
         resolve(parts.length === 1 ? parts[0] : Buffer.concat(parts));
--- a/packages/router/src/server_client.ts
+++ b/packages/router/src/server_client.ts
@@ -75,6 +75,7 @@
 
   constructor(options: ServerClientOptions) {
     this.#options = options;
+    this.#agent.on("free", (socket: Socket) => socket.on("data", dropIdle));
   }
 
   /** Sends an order. */
@@ -135,7 +136,10 @@
     body: Buffer | undefined,
   ): Promise<ServerResult> {
     let isConnected = false;
+    let used: Socket | undefined;
     outgoing.once("socket", (socket: Socket) => {
+      used = socket;
+      socket.off("data", dropIdle);
       isConnected = !socket.connecting;
       if (socket.connecting) {
         socket.once("connect", () => isConnected = true);
@@ -151,12 +155,18 @@
       }
       outgoing.end(body);
       const message = await answered;
+      const refused = this.#refuseHead(call, message);
+      if (refused !== undefined) {
+        // What follows on this connection may be the answer to an earlier request. Node.js takes the socket
+        // from the message at its end, when the agent may give it to the next request.
+        used?.destroy();
+        return refused;
+      }
       // Node.js takes an answer without a length for complete even where its connection was reset.
       const reset = new Promise<never>((_, reject) => outgoing.on("error", reject));
-      const result = this.#judge(call, message, await Promise.race([readWhole(message), reset]));
-      if (result.outcome === ServerOutcome.Unknown || !outgoing.writableFinished) {
-        // What follows on this connection may belong to no request.
-        message.socket.destroy();
+      const result = this.#judge(message, await Promise.race([readWhole(message), reset]));
+      if (!outgoing.writableFinished) {
+        used?.destroy();
       }
       return result;
     } catch (error) {
@@ -166,29 +176,35 @@
     }
   }
 
-  #judge(call: ServerCall, message: IncomingMessage, body: Buffer): ServerResult {
-    const { wire, readHeaders } = this.#options;
+  /** Why the head of an answer shows that the answer does not count; undefined where it may. */
+  #refuseHead(call: ServerCall, message: IncomingMessage): ServerResult | undefined {
     const status = message.statusCode ?? 0;
-    const answer = wire.readAnswer(status, message.headers);
-    const { load } = answer;
+    const answer = this.#options.wire.readAnswer(status, message.headers);
     const isRefusal = answer.isMisdirected || answer.isNotRun;
     // A late answer to an earlier request may come where this one's is due, also a refusal.
     if (answer.id !== call.head.id && !(isRefusal && answer.id === undefined)) {
       return noAnswer(ServerOutcome.Unknown, `an answer to request ${answer.id ?? "without id"}`);
     }
+    const isSuccess = status >= 200 && status < 300;
+    if (isSuccess && !answer.isMarked) {
+      return noAnswer(ServerOutcome.Unknown, "a success that is not the server's");
+    }
+    return PROMISING.has(status) && !isRefusal
+      ? noAnswer(ServerOutcome.Unknown, `status ${status} without a promise`)
+      : undefined;
+  }
+
+  #judge(message: IncomingMessage, body: Buffer): ServerResult {
+    const { wire, readHeaders } = this.#options;
+    const status = message.statusCode ?? 0;
+    const answer = wire.readAnswer(status, message.headers);
+    const { load } = answer;
     if (answer.isMisdirected) {
       return { ...noAnswer(ServerOutcome.Misdirected, `status ${status}`), load };
     }
     if (answer.isNotRun) {
       return { ...noAnswer(ServerOutcome.NotRun, `refused with status ${status}`), load };
     }
-    const isSuccess = status >= 200 && status < 300;
-    if (isSuccess && !answer.isMarked) {
-      return noAnswer(ServerOutcome.Unknown, "a success that is not the server's");
-    }
-    if (PROMISING.has(status)) {
-      return noAnswer(ServerOutcome.Unknown, `status ${status} without a promise`);
-    }
     const headers = readHeaders(message.rawHeaders);
     const outcome = ServerOutcome.Answered;
     const isUnframed = message.headers["content-length"] === undefined &&
@@ -203,6 +219,11 @@
   }
 }
 
+/** Bytes on a connection that waits for no answer belong to no request, nor does what follows them. */
+function dropIdle(this: Socket): void {
+  this.destroy();
+}
+
 function noAnswer(outcome: ServerOutcome, detail: string): ServerResult {
   return {
     outcome,
--- a/packages/router/src/server_client_test.ts
+++ b/packages/router/src/server_client_test.ts
@@ -3,7 +3,7 @@
 import { expect } from "chai";
 import type { ServerWire } from "@bulrushwood/deployment";
 import type { RequestHead } from "@bulrushwood/protocol";
-import { now } from "@bulrushwood/types";
+import { now, sleep } from "@bulrushwood/types";
 import { readHeaders } from "./headers.ts";
 import { ServerClient, ServerOutcome } from "./server_client.ts";
 
@@ -148,6 +148,70 @@
     expect(second.body?.toString()).to.equal("second");
   });
 
+  it("takes no later run's answer from a connection that gave an answer to another request", async () => {
+    const own = answer("r1", "first run");
+    const scripts: Script[] = [
+      (socket) => {
+        socket.write(answer("r0", "late"));
+        setTimeout(() => socket.write(own), 40);
+      },
+      (socket) => setTimeout(() => socket.write(answer("r1", "second run")), 80),
+    ];
+    const second = await withServer(scripts, async (client) => {
+      expect((await send(client)).outcome).to.equal(ServerOutcome.Unknown);
+      return await send(client);
+    });
+    expect(second.body?.toString()).to.equal("second run");
+  });
+
+  it("drops an idle connection on which a second copy of an answer comes", async () => {
+    const scripts: Script[] = [
+      (socket) => {
+        socket.write(answer("r1", "own"));
+        setTimeout(() => socket.write(answer("r1", "own")), 40);
+      },
+      (socket) => socket.write(answer("r2", "second")),
+    ];
+    const second = await withServer(scripts, async (client) => {
+      await send(client);
+      await sleep(100);
+      return await send(client, { id: "r2" });
+    });
+    expect(second.body?.toString()).to.equal("second");
+  });
+
+  for (
+    const [name, begin] of [
+      ["a body", "HTTP/1.1 200 OK\r\nid: r1\r\nmark: m\r\n\r\n"],
+      [
+        "a body in chunks",
+        "HTTP/1.1 200 OK\r\nid: r1\r\nmark: m\r\ntransfer-encoding: chunked\r\n\r\n",
+      ],
+      ["a head", "HTTP/1.1 200 OK\r\nid: r1\r\n"],
+    ] as const
+  ) {
+    it(`closes a connection on which ${name} comes without end`, async () => {
+      const part = name === "a body in chunks"
+        ? `10000\r\n${"x".repeat(0x10000)}\r\n`
+        : `x: ${"x".repeat(0x10000)}\r\n`;
+      let sent = 0;
+      const script: Script = (socket) => {
+        const pour = () => {
+          while (!socket.destroyed && socket.write(part)) {
+            sent += part.length;
+          }
+          sent += part.length;
+        };
+        socket.on("drain", pour);
+        socket.write(begin);
+        pour();
+      };
+      const result = await withServer([script], (client) => send(client, { waitMs: 8_000 }));
+      expect(result.outcome).to.equal(ServerOutcome.Unknown);
+      expect(sent).to.be.below(100 * 1024 * 1024);
+    });
+  }
+
   it("knows that a request was not run where no connection came about", async () => {
     const client = new ServerClient({
       endpoint: { host: "127.0.0.1", port: 1 },
--- a/packages/router/src/side_servers.ts
+++ b/packages/router/src/side_servers.ts
@@ -7,6 +7,9 @@
 import { Event, type EventLog } from "./event_log.ts";
 import type { ServerWatch } from "./server_watch.ts";
 
+/** Longest status report that is read, in bytes; a server that holds many ranges sends some tens of KB. */
+const REPORT_BYTES_MAX = 1024 * 1024;
+
 /** Answers one request. */
 export type Handler = (request: IncomingMessage, response: ServerResponse) => void | Promise<void>;
 
@@ -64,7 +67,7 @@
   options: { watch: ServerWatch; answer: AnswerReport | undefined; log: EventLog },
 ): Handler {
   return async (request, response) => {
-    const received = await readWhole(request);
+    const received = await readWhole(request, { bytesMax: REPORT_BYTES_MAX });
     const read = wire.readReport(request.method ?? "", request.url ?? "", received);
     if (read.isErr) {
       options.log(Event.ReportRefused, { reason: read.error.message });
