--- a/packages/lease_checker/src/ranges/daemon.ts
+++ b/packages/lease_checker/src/ranges/daemon.ts
@@ -25,7 +25,7 @@
   VOTER_BLIND_MS,
   type VoteRules,
 } from "@bulrushwood/lease_votes";
-import { Heartbeats } from "@bulrushwood/membership_beats";
+import { type DaemonStatus, Heartbeats } from "@bulrushwood/membership_beats";
 import { type Candidate, RangePlanner } from "@bulrushwood/planner_ranges";
 import type { KeyedStoreService } from "@bulrushwood/stand_ins";
 import type { Random } from "@bulrushwood/types";
@@ -161,22 +161,23 @@
     });
     this.heartbeats = new Heartbeats({
       self: address,
+      service: SERVICE,
       incarnation,
       now,
       sleep,
       call: (peer, method, payload, { timeoutMs }) =>
         options.carryCall(this, peer, { method, payload, timeoutMs }),
       ballotBox,
+      openServices: () => new Set(),
+      keptPartners: () => this.#tenure.voters,
+      status: () => this.#status(),
       createBeat: (peer) => ({
-        address,
-        incarnation,
-        service: SERVICE,
-        dataCentre: "",
+        ...this.#status(),
         tenures: this.#tenure.tenuresFor(peer),
         storeEnds: [this.#follower.end],
-        isLeaving: false,
-        hasStore: this.#follower.isReachable && this.#relayed.isDirect,
-        server: null,
+        entry: null,
+        wantsStatus: false,
+        wantsNews: false,
       }),
       storeEnds: () => [this.#follower.end],
       onSupport: (peer, reply, sentAt) => {
@@ -201,13 +202,34 @@
     });
   }
 
+  #status(): DaemonStatus {
+    const { address, incarnation } = this.options;
+    return {
+      address,
+      incarnation,
+      service: SERVICE,
+      dataCentre: "",
+      isLeaving: false,
+      hasStore: this.#follower.isReachable && this.#relayed.isDirect,
+      server: null,
+    };
+  }
+
   /** Starts all tasks. */
   start(): void {
     this.#follower.start();
     this.#tenure.start();
     this.granting.start();
     this.#planner.start();
-    this.options.members.forEach((member) => this.heartbeats.add(member));
+    this.options.members.forEach((member) =>
+      this.heartbeats.add({
+        address: member,
+        incarnation: "",
+        service: SERVICE,
+        dataCentre: "",
+        instance: member,
+      })
+    );
   }
 
   /** Answers a peer's call. */
--- a/packages/lease_ranges/src/tenure_keeper.ts
+++ b/packages/lease_ranges/src/tenure_keeper.ts
@@ -7,6 +7,7 @@
 import {
   ChangeOutcome,
   enterHost,
+  type Host,
   type OwnershipTable,
   type TableStore,
 } from "@bulrushwood/ledger_store";
@@ -32,6 +33,13 @@
 /** A tenure that lost fewer voters, or could have more, is begun anew after this, in milliseconds. */
 const IMPROVE_AFTER_MS = 5_000;
 
+/** Length of the random name of a tenure; all tenures of one deployment must differ. */
+const TENURE_CHARACTERS = 12;
+/** An entry that another daemon writes is waited for so long before it is written here, in milliseconds. */
+const ENTRY_PATIENCE_MS = 2_500;
+/** How often a daemon looks whether it is entered, in milliseconds. */
+const ENTRY_LOOK_MS = 60;
+
 /** The server that keys are granted to. */
 export interface OwnServer extends ServerIdentity {
   slots: number;
@@ -50,6 +58,8 @@
   server: () => OwnServer | undefined;
   /** How long a vote supports a tenure, in milliseconds; the same in all daemons. */
   supportMs: number;
+  /** Whether another daemon writes entries for many; else this one writes its own. */
+  isEnteredByOther?: () => boolean;
   rules?: VoteRules;
 }
 
@@ -62,6 +72,8 @@
   #tenures: Tenure[] = [];
   #enteredAt = Number.NEGATIVE_INFINITY;
   #wantsSince: number | undefined;
+  /** What another daemon should write; undefined for nothing. */
+  #pending: { host: Host; replaces: string | null } | undefined;
   #task: Promise<void> | undefined;
 
   constructor(options: TenureKeeperOptions) {
@@ -73,6 +85,16 @@
     return this.#changed;
   }
 
+  /** An entry that another daemon should write; undefined for none. */
+  get pendingEntry(): { host: Host; replaces: string | null } | undefined {
+    return this.#pending;
+  }
+
+  /** Daemons that this one relies on. */
+  get voters(): Address[] {
+    return this.#tenures.flatMap(({ voters }) => voters.map(({ address }) => address));
+  }
+
   /** Starts to look after the tenure. */
   start(): void {
     this.#task = this.#run();
@@ -175,7 +197,7 @@
     const { self, incarnation, now, table, candidates, supportMs } = this.#options;
     const voters = [{ address: self, incarnation }, ...candidates().slice(0, VOTERS - 1)];
     const tenure = new Tenure({
-      tenure: randomUUID(),
+      tenure: randomUUID().slice(-TENURE_CHARACTERS),
       voters,
       self,
       now,
@@ -194,6 +216,7 @@
     };
     const enter = (current: OwnershipTable) =>
       current.hosts[self]?.tenure === tenure.tenure ? undefined : enterHost(current, self, host);
+    await this.#awaitEntry(host);
     const outcome = await table.change(enter, { signal: this.#stop.signal });
     if (outcome !== ChangeOutcome.Abandoned) {
       this.#tenures = [tenure];
@@ -203,6 +226,18 @@
     }
   }
 
+  /** Lets another daemon enter this one, together with others, for a bounded time. */
+  async #awaitEntry(host: Host): Promise<void> {
+    const { self, table, now, sleep, isEnteredByOther } = this.#options;
+    const until = now() + ENTRY_PATIENCE_MS;
+    const tenureNow = () => table.table.value.hosts[self]?.tenure;
+    this.#pending = { host, replaces: tenureNow() ?? null };
+    while (isEnteredByOther?.() && tenureNow() !== host.tenure && now() < until) {
+      await sleep(ENTRY_LOOK_MS, this.#stop.signal);
+    }
+    this.#pending = undefined;
+  }
+
   /** Stops entering anew; the tenure goes on while it is supported. */
   async close(): Promise<void> {
     this.#stop.abort();
--- a/packages/ledger_store/src/keyed_follower.ts
+++ b/packages/ledger_store/src/keyed_follower.ts
@@ -20,6 +20,11 @@
   sleep: Sleep;
   /** How long one read waits for a record, in milliseconds. */
   waitMs: number;
+  /**
+   * Pause after a read that brought records, in milliseconds, so that many changes of a large deployment
+   * are read together; none by default.
+   */
+  paceMs?: () => number;
   /** Told when the store stops or begins to answer. */
   onReachable: (isReachable: boolean, reason: string) => void;
 }
@@ -93,8 +98,11 @@
     }
     if (read.isOk) {
       this.#noteAnswer(sentAt);
-      read.value.items.forEach((item) => this.apply(item));
+      // Only the last record of each key matters.
+      const newest = new Map(read.value.items.map((item) => [item.key, item]));
+      newest.forEach((item) => this.apply(item));
       this.#end = Math.max(this.#end, read.value.next);
+      await this.#pace(newest.size);
       return;
     }
     if (signal.aborted || read.error.kind === StoreErrorKind.Expired) {
@@ -105,6 +113,13 @@
     await sleep(RETRY_MS, this.#stop.signal);
   }
 
+  async #pace(records: number): Promise<void> {
+    const paceMs = records === 0 ? 0 : this.#options.paceMs?.() ?? 0;
+    if (paceMs > 0) {
+      await this.#options.sleep(paceMs, this.#interrupt.signal);
+    }
+  }
+
   async #readAllNewest(): Promise<void> {
     const { now, sleep } = this.#options;
     while (!this.#stop.signal.aborted) {
--- /dev/null
+++ b/packages/ledger_store/src/keyed_follower_pace_test.ts
@@ -0,0 +1,47 @@
+import { Buffer } from "node:buffer";
+import { expect } from "chai";
+import { KeyedStoreService } from "@bulrushwood/stand_ins";
+import { now, sleep } from "@bulrushwood/types";
+import { KeyedFollower } from "./mod.ts";
+
+const TOPIC = "keyed.t";
+const PACE_MS = 120;
+
+describe("pace of following a topic", () => {
+  it("reads many changes together, and takes only the last of each key", async () => {
+    const store = new KeyedStoreService({ sleep }).connect();
+    let reads = 0;
+    const counted = {
+      ...store,
+      append: store.append.bind(store),
+      readNewest: store.readNewest.bind(store),
+      close: store.close.bind(store),
+      read: (...args: Parameters<typeof store.read>) => {
+        reads++;
+        return store.read(...args);
+      },
+    };
+    const follower = new KeyedFollower({
+      store: counted,
+      topic: TOPIC,
+      now,
+      sleep,
+      waitMs: 500,
+      onReachable: () => {},
+      paceMs: () => PACE_MS,
+    });
+    const taken: string[] = [];
+    follower.changes.subscribe(({ value }) => taken.push(value.toString()));
+    await follower.start();
+    for (let change = 0; change < 20; change++) {
+      const item = { key: "k", value: Buffer.from(String(change)) };
+      await store.append(TOPIC, item, { timeoutMs: 500 });
+      await sleep(5);
+    }
+    await sleep(2 * PACE_MS);
+    expect(follower.get("k")?.value.toString()).to.equal("19");
+    expect(reads).to.be.at.most(6);
+    expect(taken.length).to.be.at.most(5);
+    await follower.close();
+  });
+});
--- a/packages/ledger_store/src/mod.ts
+++ b/packages/ledger_store/src/mod.ts
@@ -9,13 +9,12 @@
   emptyTable,
   encloses,
   enterHost,
-  formatTable,
   type Host,
+  hostSchema,
   KEYS,
   type KeySpan,
   overlaps,
   type OwnershipTable,
-  parseTable,
   type Range,
   rangeOf,
   rangesOf,
@@ -24,6 +23,7 @@
   type VoterName,
   without,
 } from "./ownership_table.ts";
+export { formatTable, parseTable } from "./table_format.ts";
 export {
   answerStoreCall,
   itemSchema,
--- a/packages/ledger_store/src/ownership_table.ts
+++ b/packages/ledger_store/src/ownership_table.ts
@@ -4,8 +4,6 @@
  * away after its server released them. And a daemon whose tenure has ended, which its voters vouch for,
  * loses all its keys. So a daemon need not know the newest table to be sure that its keys are its own.
  */
-import { Buffer } from "node:buffer";
-import { Result } from "true-myth";
 import { z } from "zod";
 import type { Address } from "@bulrushwood/types";
 
@@ -13,7 +11,8 @@
 export const KEYS = 65_536;
 
 const voterSchema = z.object({ address: z.string(), incarnation: z.string() });
-const hostSchema = z.object({
+/** Schema of a host; its voters and server must be sound before it is entered. */
+export const hostSchema = z.object({
   /** Names one stretch of time in which the daemon at this address may extend grants. */
   tenure: z.string(),
   voters: z.array(voterSchema),
@@ -23,32 +22,29 @@
   /** Set while somebody waits for the tenure to end without its voters. */
   isSuspected: z.boolean().default(false),
 });
-const rangeSchema = z.object({
-  first: z.number().int().min(0).max(KEYS - 1),
-  last: z.number().int().min(0).max(KEYS - 1),
-  /** Address of the owner; null while nobody owns the keys. */
-  owner: z.string().nullable(),
-  epoch: z.number().int().nonnegative(),
-  /** What the last owner's server handed over; null when it could not. */
-  handover: z.string().nullable(),
-});
-const tableSchema = z.object({
-  /** Names the write, so that its writer recognises it after a lost answer. */
-  write: z.string(),
-  /** The highest epoch that was ever given. */
-  epoch: z.number().int().nonnegative(),
-  hosts: z.record(z.string(), hostSchema),
-  ranges: z.array(rangeSchema),
-});
-
 /** A daemon that another daemon relies on for its tenure. */
 export type VoterName = z.infer<typeof voterSchema>;
 /** A daemon whose backend server may own keys. */
 export type Host = z.infer<typeof hostSchema>;
 /** Neighbouring keys with one owner. */
-export type Range = z.infer<typeof rangeSchema>;
+export interface Range extends KeySpan {
+  /** Address of the owner; null while nobody owns the keys. */
+  owner: Address | null;
+  epoch: number;
+  /** What the last owner's server handed over; null when it could not. */
+  handover: string | null;
+}
+
 /** Owners of all keys of one service. */
-export type OwnershipTable = z.infer<typeof tableSchema>;
+export interface OwnershipTable {
+  /** Names the write, so that its writer recognises it after a lost answer. */
+  write: string;
+  /** The highest epoch that was ever given. */
+  epoch: number;
+  hosts: Record<Address, Host>;
+  /** Cover each key once, in order. */
+  ranges: Range[];
+}
 
 /** Keys from `first` to `last`, both included. */
 export interface KeySpan {
@@ -68,40 +64,6 @@
   return { write: "", epoch: 0, hosts: {}, ranges: [all] };
 }
 
-/** Writes a table as the store keeps it. */
-export function formatTable(table: OwnershipTable): Buffer {
-  return Buffer.from(JSON.stringify(table));
-}
-
-/** Reads a table; a damaged one is an error that names the field. */
-export function parseTable(value: Buffer): Result<OwnershipTable, Error> {
-  let document: unknown;
-  try {
-    document = JSON.parse(value.toString("utf8"));
-  } catch (error) {
-    return Result.err(new Error(`The ownership table is not JSON: ${(error as Error).message}`));
-  }
-  const parsed = tableSchema.safeParse(document);
-  if (!parsed.success) {
-    const { path, message } = parsed.error.issues[0];
-    return Result.err(new Error(`The ownership table: ${path.join(".")}: ${message}`));
-  }
-  return isPartition(parsed.data.ranges)
-    ? Result.ok(parsed.data)
-    : Result.err(new Error("The ownership table: ranges: must cover each key once, in order"));
-}
-
-function isPartition(ranges: Range[]): boolean {
-  let next = 0;
-  for (const { first, last } of ranges) {
-    if (first !== next || last < first) {
-      return false;
-    }
-    next = last + 1;
-  }
-  return next === KEYS;
-}
-
 /** The range that a key lies in. */
 export function rangeOf(table: OwnershipTable, key: number): Range {
   let low = 0;
--- a/packages/ledger_store/src/ownership_table_test.ts
+++ b/packages/ledger_store/src/ownership_table_test.ts
@@ -1,4 +1,5 @@
 import { Buffer } from "node:buffer";
+import { deflateRawSync } from "node:zlib";
 import { expect } from "chai";
 import {
   assign,
@@ -29,6 +30,12 @@
   ]);
 }
 
+/** An unpacked table, with some fields as they should not be. */
+function toDocument(fields: { epoch?: string; ranges?: string; hosts?: string }): string {
+  const { epoch = "1", ranges = "[[0,-1,0,null]]", hosts = "[]" } = fields;
+  return `{"write":"","epoch":${epoch},"voters":[],"hosts":${hosts},"owners":[],"ranges":${ranges}}`;
+}
+
 describe("ownership table", () => {
   it("finds the range of a key at its borders", () => {
     const table = tableWithTwoOwners();
@@ -84,14 +91,46 @@
   for (
     const [name, text, field] of [
       ["bytes that are no JSON", "\u0000\u0001", "JSON"],
-      ["a missing field", '{"write":"","epoch":1,"hosts":{}}', "ranges"],
-      ["a field of another type", '{"write":"","epoch":"1","hosts":{},"ranges":[]}', "epoch"],
-      ["keys without a range", '{"write":"","epoch":1,"hosts":{},"ranges":[]}', "cover each key"],
+      ["a missing field", '{"write":"","epoch":1,"voters":[],"hosts":[],"owners":[]}', "ranges"],
+      ["a field of another type", toDocument({ epoch: '"1"' }), "epoch"],
+      ["keys without a range", toDocument({ ranges: "[]" }), "cover each key"],
+      ["ranges out of order", toDocument({ ranges: "[[0,-1,0,null],[0,-1,0,null]]" }), "in order"],
+      ["an owner that is not listed", toDocument({ ranges: "[[0,0,1,null]]" }), "owner"],
+      ["a voter that is not listed", toDocument({ hosts: '[["a","t","s",1,4,0,[0]]]' }), "voter"],
     ]
   ) {
     it(`refuses ${name} and names the fault`, () => {
-      const parsed = parseTable(Buffer.from(text));
+      const parsed = parseTable(deflateRawSync(Buffer.from(text)));
       expect(parsed.isErr && parsed.error.message).to.contain(field);
     });
   }
+
+  it("refuses bytes that cannot be unpacked, or to more than a table may have", () => {
+    for (const value of [Buffer.from([255, 1]), deflateRawSync(Buffer.alloc(20 * 1024 * 1024))]) {
+      const parsed = parseTable(value);
+      expect(parsed.isErr && parsed.error.message).to.contain("unpacked");
+    }
+  });
+
+  it("writes a table of 200 owners with 15 voters each in less than 24 KB", () => {
+    const names = Array.from({ length: 200 }, (_, index) => `10.1.${index}.7:7660`);
+    const voters = (place: number) =>
+      Array.from({ length: 15 }, (_, index) => names[(place + index * 7) % names.length])
+        .map((address) => ({ address, incarnation: `${address.length}a1b2c3d` }));
+    const table = names.reduce(
+      (entered, name, place) =>
+        enterHost(entered, name, { ...HOST, tenure: `t${place}`, voters: voters(place) }),
+      emptyTable(),
+    );
+    const owned = assign(
+      table,
+      names.flatMap((to, place) =>
+        [0, 1].map((half) => {
+          const first = (place * 2 + half) * 160;
+          return { first, last: first + 159, to, handover: null };
+        })
+      ),
+    );
+    expect(formatTable(owned).length).to.be.below(24 * 1024);
+  });
 });
--- a/packages/ledger_store/src/table_store.ts
+++ b/packages/ledger_store/src/table_store.ts
@@ -8,7 +8,8 @@
 import { type Store, StoreErrorKind } from "@bulrushwood/deployment";
 import type { Clock, Offset, Sleep } from "@bulrushwood/types";
 import type { KeyedFollower } from "./keyed_follower.ts";
-import { emptyTable, formatTable, type OwnershipTable, parseTable } from "./ownership_table.ts";
+import { emptyTable, type OwnershipTable } from "./ownership_table.ts";
+import { formatTable, parseTable } from "./table_format.ts";
 
 /** Topic of all ownership tables, and of the entries of all daemons. */
 export const SYSTEM_TOPIC = "keyed.bulrushwood";
--- a/packages/membership_beats/src/beat.ts
+++ b/packages/membership_beats/src/beat.ts
@@ -3,6 +3,7 @@
  */
 import { z } from "zod";
 import { ServerState } from "@bulrushwood/deployment";
+import { hostSchema } from "@bulrushwood/ledger_store";
 
 const span = z.object({ first: z.number().int(), last: z.number().int() });
 
@@ -31,22 +32,45 @@
   load: serverLoadSchema,
 });
 
-/** Schema of a heartbeat. */
-export const beatSchema = z.object({
+/** Schema of what a daemon says of itself. */
+export const daemonStatusSchema = z.object({
   address: z.string(),
   incarnation: z.string(),
   service: z.string(),
   dataCentre: z.string(),
+  /** Whether the daemon is about to end. */
+  isLeaving: z.boolean(),
+  /** Whether the daemon reaches the store itself. */
+  hasStore: z.boolean(),
+  /** The backend server beside the daemon; null where there is none. */
+  server: serverStatusSchema.nullable(),
+});
+
+/** Schema of what a daemon tells of another. */
+export const newsSchema = daemonStatusSchema.extend({
+  /** How long ago it was heard, in milliseconds. */
+  ageMs: z.number().nonnegative(),
+});
+
+/** Schema of an entry in the ownership table that a daemon asks the planner to write. */
+export const entrySchema = z.object({
+  host: hostSchema,
+  /** Tenure that the table must name for the daemon, null for none; else the entry is outdated. */
+  replaces: z.string().nullable(),
+});
+
+/** Schema of a heartbeat. */
+export const beatSchema = daemonStatusSchema.extend({
   /** Tenures that the receiver is asked to support. */
   tenures: z.array(z.string()),
   /** Offsets after the last records that the sender knows, one for each topic that daemons follow. */
   storeEnds: z.array(z.number()),
-  /** Whether the sender is about to end. */
-  isLeaving: z.boolean(),
-  /** Whether the sender reaches the store itself. */
-  hasStore: z.boolean(),
-  /** The backend server beside the sender; null where there is none. */
-  server: serverStatusSchema.nullable(),
+  /** Entry that the receiver should write into the ownership table; null for none. */
+  entry: entrySchema.nullable(),
+  /** Whether the sender does not hear of everybody itself, so that the answer should say more. */
+  wantsStatus: z.boolean(),
+  /** Whether the answer should tell of all servers of the receiver's service. */
+  wantsNews: z.boolean(),
 });
 
 /** Schema of the answer to a heartbeat. */
@@ -55,6 +79,8 @@
   /** Tenures that the answering daemon supports. */
   supported: z.array(z.string()),
   storeEnds: z.array(z.number()),
+  /** What the answering daemon says of itself and of others; empty unless it was asked for. */
+  news: z.array(newsSchema),
 });
 
 /** Schema of a request to seal a tenure. */
@@ -69,6 +95,9 @@
 
 export type ServerLoadReport = z.infer<typeof serverLoadSchema>;
 export type ServerStatus = z.infer<typeof serverStatusSchema>;
+export type DaemonStatus = z.infer<typeof daemonStatusSchema>;
+export type News = z.infer<typeof newsSchema>;
+export type Entry = z.infer<typeof entrySchema>;
 export type Beat = z.infer<typeof beatSchema>;
 export type BeatReply = z.infer<typeof beatReplySchema>;
 export type Seal = z.infer<typeof sealSchema>;
--- a/packages/membership_beats/src/mod.ts
+++ b/packages/membership_beats/src/mod.ts
@@ -4,10 +4,13 @@
 export {
   type Beat,
   type BeatReply,
+  type DaemonStatus,
+  type Entry,
   MemberMethod,
   type ServerLoadReport,
   type ServerStatus,
 } from "./beat.ts";
-export { BEAT_MS, Heartbeats, type HeartbeatsOptions, type Peer, SILENT_MS } from "./heartbeats.ts";
+export { BEAT_MS, Heartbeats, type HeartbeatsOptions, type Peer } from "./heartbeats.ts";
 export { enterMember, type Member, parseMember, readMember } from "./members.ts";
+export { ALL_PAIRS_MAX, choosePartners, PartnerRole, rankOf } from "./partners.ts";
 export { type AskSeal, isSealedBy, sealTenure } from "./sealing.ts";
--- a/packages/planner_ranges/src/range_planner.ts
+++ b/packages/planner_ranges/src/range_planner.ts
@@ -8,6 +8,7 @@
   assign,
   ChangeOutcome,
   countKeys,
+  enterHost,
   type KeySpan,
   overlaps,
   type OwnershipTable,
@@ -16,7 +17,7 @@
   type TableStore,
 } from "@bulrushwood/ledger_store";
 import { suspicionMs } from "@bulrushwood/lease_votes";
-import { type Heartbeats, sealTenure, SILENT_MS } from "@bulrushwood/membership_beats";
+import { type Heartbeats, sealTenure } from "@bulrushwood/membership_beats";
 import type { Candidate } from "./capacity.ts";
 import { type Move, rebalance } from "./rebalance.ts";
 import { spreadEvenly } from "./spread.ts";
@@ -81,6 +82,8 @@
   readonly #suspectedAt = new Map<string, number>();
   #hosts = "";
   #hostsSince: number;
+  /** Since when this daemon plans; undefined while another one does. */
+  #plansSince: number | undefined;
   #movedAt = Number.NEGATIVE_INFINITY;
   /** Keys that moved lately. */
   #resting: (KeySpan & { until: number })[] = [];
@@ -128,8 +131,11 @@
     const table = this.#options.table.table.value;
     this.#noteHosts(table);
     if (!this.isPlanner) {
+      this.#plansSince = undefined;
       return;
     }
+    this.#plansSince ??= this.#options.now();
+    await this.#enterPending();
     await this.#removeLost(table);
     await this.#assignFree();
     this.#even();
@@ -166,7 +172,30 @@
     }
     const peer = heartbeats.peers.get(address);
     const isOther = peer !== undefined && peer.beat.service !== service;
-    return isOther || heartbeats.silentMs(address) > SILENT_MS;
+    // In a large deployment a new planner is told by all others only from now on.
+    const plansMs = heartbeats.isWithAll
+      ? Infinity
+      : this.#options.now() - (this.#plansSince ?? Infinity);
+    return isOther || Math.min(heartbeats.silentMs(address), plansMs) > heartbeats.silentLimitMs;
+  }
+
+  /** Enters daemons that asked for it, all in one change. */
+  async #enterPending(): Promise<void> {
+    const { heartbeats, table, service } = this.#options;
+    const asking = [...heartbeats.peers].filter(([address, { beat, entry }]) =>
+      beat.service === service && entry !== null && heartbeats.isHeard(address)
+    );
+    const enter = (current: OwnershipTable) =>
+      asking.reduce((entered, [address, { entry }]) => {
+        const tenure = entered.hosts[address]?.tenure ?? null;
+        return entry === null || tenure !== entry.replaces
+          ? entered
+          : enterHost(entered, address, entry.host);
+      }, current);
+    const isNeeded = (current: OwnershipTable) => enter(current) !== current;
+    if (isNeeded(table.table.value)) {
+      await table.change((current) => isNeeded(current) ? enter(current) : undefined);
+    }
   }
 
   async #removeLost(table: OwnershipTable): Promise<void> {
--- a/packages/protocol/src/link.ts
+++ b/packages/protocol/src/link.ts
@@ -358,7 +358,9 @@
       this.#fail(brokenLink(`The peer ${this.#peer} was silent for too long`));
       return;
     }
-    this.send({ kind: FrameKind.Ping, wantsReply: true });
+    if (now - this.#heardAt >= PING_EVERY_MS) {
+      this.send({ kind: FrameKind.Ping, wantsReply: true });
+    }
   }
 
   #fail(error: LinkError): void {
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -51,6 +51,8 @@
   waitForChange: (service: string, ms: number) => Promise<void>;
   /** For how long a daemon has been silent, in milliseconds. */
   silentMs: (address: Address) => number;
+  /** Told whether a daemon could be reached. */
+  noteReach: (address: Address, isReached: boolean) => void;
 }
 
 /** Chooses among the servers of a service without keys. */
@@ -214,7 +216,7 @@
 
   /** Sends a request to one daemon, which may be this one. */
   async #try(request: Dispatch, address: Address): Promise<Answer> {
-    const { self, serve, links } = this.#options;
+    const { self, serve, links, owners } = this.#options;
     const at = now();
     const head = {
       ...request.head,
@@ -225,6 +227,7 @@
       return await serve(head, request.body, request.signal);
     }
     const linked = await links.get(address);
+    owners.noteReach(address, linked.isOk);
     if (linked.isErr) {
       return notRun(Reason.LinkBroken, linked.error.message, OWNER_RETRY_AFTER_MS);
     }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -39,7 +39,14 @@
   SuspensionDetector,
   VOTER_BLIND_MS,
 } from "@bulrushwood/lease_votes";
-import { type Beat, enterMember, Heartbeats, readMember } from "@bulrushwood/membership_beats";
+import {
+  type Beat,
+  type DaemonStatus,
+  enterMember,
+  Heartbeats,
+  PartnerRole,
+  readMember,
+} from "@bulrushwood/membership_beats";
 import { GIVE_METHOD, PlannerEvent, RangePlanner } from "@bulrushwood/planner_ranges";
 import { type IncomingExchange, type LinkError, Links } from "@bulrushwood/protocol";
 import { RetryBudget, TwoChoices } from "@bulrushwood/routing";
@@ -63,6 +70,8 @@
 const MANIFEST_WAIT_MS = 10_000;
 /** How long a read of the system's own topic waits, in milliseconds; a voter must know that it is up to date. */
 const SYSTEM_WAIT_MS = 4_000;
+/** Pause between reads of the system's own topic in a large deployment, in milliseconds. */
+const READ_PACE_MS = 250;
 /** Time beyond a read's wait after which the store counts as out of reach, in milliseconds. */
 const STORE_GRACE_MS = 700;
 /**
@@ -146,6 +155,8 @@
   readonly #tasks: Promise<void>[] = [];
   #links!: Links;
   #callers!: CallerServer;
+  /** Services without keys, any of whose servers may get a request. */
+  #openServices: ReadonlySet<string> = new Set();
   #isEnding = false;
   #serverName = "";
 
@@ -190,6 +201,7 @@
       supportMs,
       candidates: () => this.#view.voters(),
       server: () => this.#ownServer(),
+      isEnteredByOther: () => !this.#heartbeats.isWithAll && !this.#planner.isPlanner,
     });
     this.#granting = new Granting({
       self,
@@ -216,12 +228,16 @@
     });
     this.#heartbeats = new Heartbeats({
       self,
+      service: settings.service,
       incarnation,
       now,
       sleep,
       call,
       ballotBox: this.#ballotBox,
-      createBeat: (peer) => this.#createBeat(peer),
+      openServices: () => this.#openServices,
+      keptPartners: () => this.#tenure.voters,
+      status: () => this.#status({ withPieces: false }),
+      createBeat: (peer, role) => this.#createBeat(peer, role),
       storeEnds: () => this.#relay.ends,
       onSupport: (peer, reply, sentAt) => {
         const options = { tenures: reply.supported, sentAt };
@@ -319,6 +335,8 @@
       onAnswer: (route, answer, ms) => this.#metrics.noteAnswer(route, answer, ms),
     });
     this.#manifest.changes.subscribe((manifest) => {
+      const open = [...manifest.services.values()].filter(({ isKeyed }) => !isKeyed);
+      this.#openServices = new Set(open.map(({ name }) => name));
       this.#callers.applyManifest();
       // A voter has to know the tables of all services, since each may suspect a tenure.
       [...manifest.services.values()].filter(({ isKeyed }) => isKeyed)
@@ -376,6 +394,7 @@
       now,
       sleep,
       waitMs,
+      paceMs: () => this.#readPaceMs(topic),
       onReachable: (isReachable, reason) => {
         const event = isReachable ? Event.StoreReachable : Event.StoreLost;
         this.#log(event, { topic, reason });
@@ -383,6 +402,11 @@
     });
   }
 
+  /** Changes of a large deployment are read together, a few times a second. */
+  #readPaceMs(topic: string): number {
+    return topic === SYSTEM_TOPIC && !this.#heartbeats.isWithAll ? READ_PACE_MS : 0;
+  }
+
   #tableOf(service: string): TableStore {
     const known = this.#tableStores.get(service);
     if (known !== undefined) {
@@ -411,7 +435,8 @@
           return rangeOf(this.#tableOf(service).table.value, key).owner;
         },
         waitForChange: (service, ms) => this.#waitForTable(service, ms),
-        silentMs: (address) => this.#heartbeats.silentMs(address),
+        silentMs: (address) => this.#heartbeats.absentMs(address),
+        noteReach: (address, isReached) => this.#heartbeats.noteReach(address, isReached),
       },
       choice: {
         choose: (service) => this.#choices.choose(this.#view.serversOf(service)),
@@ -467,19 +492,30 @@
     );
   }
 
-  #createBeat(peer: Address): Beat {
+  #status(options: { withPieces: boolean }): DaemonStatus {
     const { service, dataCentre } = this.#settings;
-    const withPieces = this.#heartbeats.peers.get(peer)?.beat.service === service;
     return {
       address: this.#self,
       incarnation: this.#incarnation,
       service,
       dataCentre,
-      tenures: this.#tenure.tenuresFor(peer),
-      storeEnds: this.#relay.ends,
       isLeaving: this.#isEnding,
       hasStore: this.#reachesStore,
-      server: this.#view.status({ withPieces }),
+      server: this.#view.status(options),
+    };
+  }
+
+  #createBeat(peer: Address, role: PartnerRole): Beat {
+    const { isWithAll, peers } = this.#heartbeats;
+    const isOwnService = peers.get(peer)?.beat.service === this.#settings.service;
+    const isToPlanner = isOwnService && (isWithAll || this.#view.planner === peer);
+    return {
+      ...this.#status({ withPieces: isToPlanner }),
+      tenures: this.#tenure.tenuresFor(peer),
+      storeEnds: this.#relay.ends,
+      entry: isToPlanner ? this.#tenure.pendingEntry ?? null : null,
+      wantsStatus: !isWithAll,
+      wantsNews: role === PartnerRole.Source,
     };
   }
 
@@ -498,7 +534,7 @@
   #addMember(item: Item): void {
     const member = readMember(item);
     if (member !== undefined) {
-      this.#heartbeats.add(member.address);
+      this.#heartbeats.add(member);
     }
   }
 
--- a/packages/router/src/server_view.ts
+++ b/packages/router/src/server_view.ts
@@ -6,7 +6,7 @@
 import { countKeys, type OwnershipTable, rangesOf } from "@bulrushwood/ledger_store";
 import type { Granting } from "@bulrushwood/lease_ranges";
 import type { Voter } from "@bulrushwood/lease_votes";
-import type { Heartbeats, ServerStatus } from "@bulrushwood/membership_beats";
+import { type Heartbeats, rankOf, type ServerStatus } from "@bulrushwood/membership_beats";
 import { type Candidate, mayOwn, type Piece } from "@bulrushwood/planner_ranges";
 import type { ServerLoad } from "@bulrushwood/routing";
 import { type Address, now } from "@bulrushwood/types";
@@ -94,11 +94,32 @@
     return [...peers.slice(start), ...peers.slice(0, start)];
   }
 
-  /** Daemons that could vote: those in other data centres first. */
+  /** The daemon that plans for the service, as far as this one hears: the lowest that reaches the store. */
+  get planner(): Address | undefined {
+    const { settings, heartbeats } = this.#options;
+    return [...heartbeats.peers]
+      .filter(([address, { beat }]) =>
+        beat.service === settings.service && beat.hasStore && !beat.isLeaving &&
+        heartbeats.isHeard(address)
+      )
+      .map(([address]) => address)
+      .sort()[0];
+  }
+
+  /**
+   * Daemons that could vote. In a small deployment those in other data centres come first; in a large one
+   * each daemon has an order of its own, so that all vote for about as many.
+   */
   voters(): Voter[] {
     const { self, settings, heartbeats } = this.#options;
-    const heard = [...heartbeats.peers]
-      .filter(([address, { beat }]) => heartbeats.isHeard(address) && !beat.isLeaving);
+    const heard = [...heartbeats.peers].filter(([address, { beat }]) =>
+      heartbeats.isHeard(address) && heartbeats.isPartner(address) && !beat.isLeaving
+    );
+    if (!heartbeats.isWithAll) {
+      return heard
+        .sort(([left], [right]) => rankOf(self, left) - rankOf(self, right))
+        .map(([address, { beat }]) => ({ address, incarnation: beat.incarnation }));
+    }
     const rank = (address: Address, dataCentre: string) =>
       `${dataCentre === settings.dataCentre ? 1 : 0}${address > self ? 0 : 1}${address}`;
     return heard
