Answer callers that send before they are answered, in order and without loss

Cause, shown by tests: when such a caller left, only the first of its requests was cancelled, as Node.js tells a queued answer nothing of its connection; bytes that are no request cut off the requests before them; a daemon that ended closed the connection after the first answer, with others under way at their servers.

Ruled out: to stop reading the socket, as Node.js resumes it at its own times.

Also: nine voters a tenure among many daemons, and no new tenure for lack of fifteen there (each daemon began one every five seconds); first heartbeats once members are known; no listeners left on the signal of a partner.

--- a/packages/lease_ranges/src/tenure_keeper.ts
+++ b/packages/lease_ranges/src/tenure_keeper.ts
@@ -26,6 +26,11 @@
  * majority of nearly every set of voters, or the keys of those that are cut off could not pass on.
  */
 const VOTERS = 15;
+/**
+ * The same in a large deployment, where a part that is cut off holds a majority of a set hardly more often,
+ * and each voter costs every daemon heartbeats.
+ */
+const VOTERS_OF_MANY = 9;
 /** Voters with which a tenure is begun at once; it is begun anew with more when they are heard. */
 const GOOD_VOTERS = 5;
 /** Voters that may be lost before a tenure is begun anew without delay. */
@@ -58,6 +63,8 @@
   server: () => OwnServer | undefined;
   /** How long a vote supports a tenure, in milliseconds; the same in all daemons. */
   supportMs: number;
+  /** Whether there are so many daemons that each has only a few voters. */
+  hasManyPeers?: () => boolean;
   /** Whether another daemon writes entries for many; else this one writes its own. */
   isEnteredByOther?: () => boolean;
   rules?: VoteRules;
@@ -189,13 +196,17 @@
     if (spare.length === 0) {
       return false;
     }
-    const isShort = lost.length > 0 || others.length < VOTERS - 1;
+    const isShort = lost.length > 0 || others.length < this.#votersMax - 1;
     return lost.length > LOST_VOTERS_MAX || (options.isOld && isShort);
   }
 
+  get #votersMax(): number {
+    return this.#options.hasManyPeers?.() ? VOTERS_OF_MANY : VOTERS;
+  }
+
   async #enter(server: OwnServer): Promise<void> {
     const { self, incarnation, now, table, candidates, supportMs } = this.#options;
-    const voters = [{ address: self, incarnation }, ...candidates().slice(0, VOTERS - 1)];
+    const voters = [{ address: self, incarnation }, ...candidates().slice(0, this.#votersMax - 1)];
     const tenure = new Tenure({
       tenure: randomUUID().slice(-TENURE_CHARACTERS),
       voters,
--- a/packages/membership_beats/src/heartbeats.ts
+++ b/packages/membership_beats/src/heartbeats.ts
@@ -176,9 +176,6 @@
     if (member.address !== this.#options.self) {
       this.#members.set(member.address, member);
       this.#chooser ??= this.#runChooser();
-      if (this.isWithAll) {
-        this.#begin(member.address, PartnerRole.All);
-      }
     }
   }
 
@@ -220,7 +217,7 @@
       known.role = role;
       return;
     }
-    const stop = new AbortController();
+    const stop = createStop();
     const since = this.#options.now();
     const partner: Partner = { role, since, stop, task: Promise.resolve() };
     this.#partners.set(peer, partner);
@@ -230,7 +227,7 @@
 
   async #run(peer: Address, partner: Partner): Promise<void> {
     const { sleep, now } = this.#options;
-    const signal = AbortSignal.any([partner.stop.signal, this.#stop.signal]);
+    const { signal } = partner.stop;
     while (!signal.aborted) {
       const startedAt = now();
       this.#beat(peer, partner.role);
@@ -374,6 +371,7 @@
   /** Stops all heartbeats. */
   async close(): Promise<void> {
     this.#stop.abort();
+    this.#partners.forEach(({ stop }) => stop.abort());
     await Promise.all([...this.#partners.values()].map(({ task }) => task));
     await this.#chooser;
   }
--- a/packages/membership_beats/src/partners.ts
+++ b/packages/membership_beats/src/partners.ts
@@ -14,8 +14,8 @@
 const OWN_HUBS = 3;
 /** Hubs of another service that a daemon learns its servers from. */
 const OTHER_HUBS = 2;
-/** Daemons chosen as possible voters; as many as a tenure names at most. */
-const VOTER_PARTNERS = 14;
+/** Daemons chosen as possible voters; a tenure names these and the daemon itself. */
+const VOTER_PARTNERS = 8;
 
 /** Why a daemon is a partner. */
 export enum PartnerRole {
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -3,18 +3,27 @@
  */
 import { Buffer } from "node:buffer";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import type { CallerWire, Endpoint, Manifest, Route } from "@bulrushwood/deployment";
 import { type Header, Reason, type RequestHead } from "@bulrushwood/protocol";
 import { type Answer, ManifestRoutes, notRun } from "@bulrushwood/routing";
 import { now, Outcome } from "@bulrushwood/types";
+import { CallerConnection, type Exchange } from "./caller_connection.ts";
 import type { Dispatcher } from "./dispatcher.ts";
 import { Event, type EventLog } from "./event_log.ts";
 import { readHeaders, toFlatHeaders } from "./headers.ts";
 
 /** A connection may be idle so much longer than callers leave it, in milliseconds. */
 const IDLE_MARGIN_MS = 2_000;
+/** When a caller should come back that sends too many requests at once on one connection, in milliseconds. */
+const PIPELINE_RETRY_MS = 100;
 /** When a caller should come back to a daemon that has no manifest yet, in milliseconds. */
 const NO_MANIFEST_RETRY_MS = 300;
+/** Status lines for bytes that are no request, by Node's error code. */
+const MALFORMED_STATUS: Record<string, string> = {
+  HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
+  ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+};
 const MS_PER_SECOND = 1_000;
 
 /** What a caller server needs. */
@@ -44,6 +53,7 @@
   #routesOf: Manifest | undefined;
   /** The longest time that callers of each route gave, in milliseconds. */
   #longestWaits = new Map<string, number>();
+  readonly #connections = new WeakMap<Socket, CallerConnection>();
   #open = 0;
 
   private constructor(options: CallerServerOptions) {
@@ -51,18 +61,44 @@
     this.#server = createServer(
       { maxHeaderSize: 64 * 1024, requestTimeout: 0 },
       (request, response) => {
+        const connection = this.#connectionOf(request.socket);
+        if (connection.isClosing) {
+          return;
+        }
+        const isRefused = connection.isFull;
+        const exchange = connection.begin();
         this.#open++;
-        this.#answer(request, response)
-          .catch((error: Error) => {
-            options.log(Event.TaskFailed, { task: "caller", reason: error.message });
-            response.destroy();
-          })
-          .finally(() => this.#open--);
+        const answered = isRefused
+          ? this.#refusePipelined(request, response, exchange)
+          : this.#answer(request, response, exchange);
+        answered.catch((error: Error) => {
+          options.log(Event.TaskFailed, { task: "caller", reason: error.message });
+          response.destroy();
+        })
+          .finally(() => {
+            exchange.end();
+            this.#open--;
+          });
       },
     );
+    this.#server.on("clientError", (error, socket) => {
+      this.#endMalformed(socket as Socket, (error as NodeJS.ErrnoException).code);
+    });
     this.applyManifest();
   }
 
+  /** Bytes that are no request end a connection, but not what was read there before. */
+  #endMalformed(socket: Socket, code = ""): void {
+    const status = MALFORMED_STATUS[code] ?? "400 Bad Request";
+    this.#connectionOf(socket).closeWhenDone(() => {
+      if (socket.writable) {
+        socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+      } else {
+        socket.destroy();
+      }
+    });
+  }
+
   /** Starts listening. */
   static async listen(options: CallerServerOptions): Promise<CallerServer> {
     const callers = new CallerServer(options);
@@ -88,7 +124,35 @@
     }
   }
 
-  async #answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+  #connectionOf(socket: Socket): CallerConnection {
+    const known = this.#connections.get(socket);
+    if (known !== undefined) {
+      return known;
+    }
+    const connection = new CallerConnection(socket);
+    this.#connections.set(socket, connection);
+    return connection;
+  }
+
+  async #refusePipelined(
+    request: IncomingMessage,
+    response: ServerResponse,
+    exchange: Exchange,
+  ): Promise<void> {
+    request.resume();
+    const detail = "Too many requests are under way on this connection";
+    const { id } = this.#options.wire.readRequest(request.headers);
+    await this.#send(response, notRun(Reason.Overloaded, detail, PIPELINE_RETRY_MS), {
+      id,
+      exchange,
+    });
+  }
+
+  async #answer(
+    request: IncomingMessage,
+    response: ServerResponse,
+    exchange: Exchange,
+  ): Promise<void> {
     const arrivedAt = now();
     const { wire, manifest: readManifest } = this.#options;
     const manifest = readManifest();
@@ -96,26 +160,20 @@
     if (manifest === undefined) {
       request.resume();
       const answer = notRun(Reason.NoHolder, "No manifest is known yet", NO_MANIFEST_RETRY_MS);
-      this.#send(response, answer, id);
+      await this.#send(response, answer, { id, exchange });
       return;
     }
     const route = this.#routesFor(manifest).match(request.headers.host ?? "", request.url ?? "/");
     const refusal = refuse(route, id, wire);
     if (route === undefined || id === undefined || refusal !== undefined) {
       request.resume();
-      this.#refuse(response, refusal ?? { status: 404, detail: "No route matches" });
+      this.#refuse(response, refusal ?? { status: 404, detail: "No route matches" }, exchange);
       return;
     }
-    const gone = new AbortController();
-    response.once("close", () => {
-      if (!response.writableFinished) {
-        gone.abort();
-      }
-    });
     const body = await readBody(request, manifest.limits.bodyBytes);
     if (body === TOO_LARGE) {
       const detail = `The body must have at most ${manifest.limits.bodyBytes} bytes`;
-      this.#refuse(response, { status: 413, detail });
+      this.#refuse(response, { status: 413, detail }, exchange);
       return;
     }
     if (body === CUT_SHORT) {
@@ -132,11 +190,11 @@
       body,
       targetAt: arrivedAt + route.targetMs - this.#triedBeforeMs(route, deadlineMs ?? waitMs),
       deadline: arrivedAt + waitMs,
-      signal: gone.signal,
+      signal: exchange.signal,
     });
     this.#options.onAnswer(route, answer, now() - arrivedAt);
-    this.#note(answer, id, { route, ms: now() - arrivedAt, isGone: gone.signal.aborted });
-    this.#send(response, answer, id);
+    this.#note(answer, id, { route, ms: now() - arrivedAt, isGone: exchange.signal.aborted });
+    await this.#send(response, answer, { id, exchange });
   }
 
   #routesFor(manifest: Manifest): ManifestRoutes {
@@ -200,18 +258,32 @@
     }
   }
 
-  #refuse(response: ServerResponse, refusal: Refusal): void {
+  #refuse(response: ServerResponse, refusal: Refusal, exchange: Exchange): void {
     const body = Buffer.from(`${refusal.detail}\n`);
     response.writeHead(refusal.status, {
       "content-type": "text/plain",
       "content-length": body.length,
-      ...(this.#options.isEnding() ? { connection: "close" } : {}),
+      ...(this.#mustClose(exchange) ? { connection: "close" } : {}),
     });
     response.end(body);
   }
 
-  #send(response: ServerResponse, answer: Answer, id: string | undefined): void {
-    if (response.destroyed) {
+  /** A daemon that ends closes a connection after the last request that it has read there. */
+  #mustClose(exchange: Exchange): boolean {
+    const mustClose = this.#options.isEnding() && exchange.isLast;
+    if (mustClose) {
+      exchange.closeAfter();
+    }
+    return mustClose;
+  }
+
+  async #send(
+    response: ServerResponse,
+    answer: Answer,
+    options: { id: string | undefined; exchange: Exchange },
+  ): Promise<void> {
+    const { id, exchange } = options;
+    if (response.destroyed || exchange.signal.aborted) {
       return;
     }
     const { head } = answer;
@@ -225,14 +297,19 @@
       // Nobody can vouch that the body is whole, so the answer does not claim it either.
       response.useChunkedEncodingByDefault = false;
       response.shouldKeepAlive = false;
+      exchange.closeAfter();
     } else {
       headers.push("content-length", String(body.length));
     }
-    if (this.#options.isEnding()) {
+    if (this.#mustClose(exchange)) {
       headers.push("connection", "close");
     }
     response.writeHead(head.status, headers);
-    response.end(body);
+    await new Promise<void>((resolve) => {
+      response.once("close", resolve);
+      response.end(body, resolve);
+      exchange.signal.addEventListener("abort", () => resolve(), { once: true });
+    });
   }
 
   #ownHeaders(retryAfterMs: number | undefined, id: string | undefined): string[] {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -201,6 +201,7 @@
       supportMs,
       candidates: () => this.#view.voters(),
       server: () => this.#ownServer(),
+      hasManyPeers: () => !this.#heartbeats.isWithAll,
       isEnteredByOther: () => !this.#heartbeats.isWithAll && !this.#planner.isPlanner,
     });
     this.#granting = new Granting({
