Enter a tenure only once its voters support it as long as earlier grants run

Ruled out: sealing before support ran out (the voters had never supported the new tenure).

A new tenure is now asked for first; it is counted on and entered once its support outlasts what was granted before, and given up where its voters do not answer.

The checker plays grants in status reports: late, doubled and lost reports and answers, work that goes on.

--- a/packages/lease_checker/src/ranges/daemon.ts
+++ b/packages/lease_checker/src/ranges/daemon.ts
@@ -5,8 +5,10 @@
 import { Result } from "true-myth";
 import {
   type GrantOrder,
+  type GrantRows,
   type Order,
   type ReleaseOrder,
+  type ServerReport,
   type ServerWire,
   type Store,
 } from "@bulrushwood/deployment";
@@ -17,10 +19,17 @@
   SYSTEM_TOPIC,
   TableStore,
 } from "@bulrushwood/ledger_store";
-import { Granting, type OrderAnswer, OrderChannel, TenureKeeper } from "@bulrushwood/lease_ranges";
+import {
+  type GrantContext,
+  Granting,
+  type OrderAnswer,
+  OrderChannel,
+  ReportChannel,
+  type ReportRules,
+  TenureKeeper,
+} from "@bulrushwood/lease_ranges";
 import {
   BallotBox,
-  SUPPORT_MS,
   SuspensionDetector,
   VOTER_BLIND_MS,
   type VoteRules,
@@ -33,6 +42,7 @@
 
 const SERVICE = "service";
 const SLOTS = 4;
+const ROWS_MAX = 90;
 
 /** Carries a call to a peer. */
 export type CarryCall = (
@@ -59,6 +69,9 @@
   members: string[];
   carryCall: CarryCall;
   carryOrder: CarryOrder;
+  /** Rules of grants in status reports; undefined where grants are orders. */
+  reportRules: ReportRules | undefined;
+  supportMs: number;
   rules: VoteRules;
   random: Random;
 }
@@ -85,6 +98,9 @@
   readonly #planner: RangePlanner;
   readonly #directStore: Store;
   readonly #relayed: RelayedStore;
+  #reports: ReportChannel | undefined;
+  /** Number of the newest report. */
+  #sequence = 0;
 
   constructor(options: SimDaemonOptions) {
     this.options = options;
@@ -124,7 +140,7 @@
       now,
       sleep,
       table,
-      supportMs: SUPPORT_MS,
+      supportMs: options.supportMs,
       candidates: () => this.#voters(),
       server: () => ({ id: options.serverId(), bornMs: 1, slots: SLOTS }),
       rules,
@@ -136,13 +152,8 @@
       table,
       tenure: this.#tenure,
       suspension: new SuspensionDetector(now, clock.timeOfDay),
-      supportMs: SUPPORT_MS,
-      openChannel: (context) =>
-        new OrderChannel(context, {
-          wire: WIRE,
-          send: (order, limits) =>
-            options.carryOrder(this, JSON.parse(order.body.toString()), limits),
-        }),
+      supportMs: options.supportMs,
+      openChannel: (context) => this.#openChannel(context),
       server: () => ({ id: options.serverId(), bornMs: 1 }),
       grantMsMax: 10_000,
       onSuspended: () => {},
@@ -150,7 +161,7 @@
     });
     const ballotBox = new BallotBox({
       now,
-      supportMs: SUPPORT_MS,
+      supportMs: options.supportMs,
       rules,
       isOwn: (tenure) => this.#tenure.isOwn(tenure),
       mustRefuse: (tenure) =>
@@ -191,7 +202,7 @@
       service: SERVICE,
       now,
       sleep,
-      supportMs: SUPPORT_MS,
+      supportMs: options.supportMs,
       table,
       heartbeats: this.heartbeats,
       mayPlan: () => this.#follower.isReachable,
@@ -215,6 +226,33 @@
     };
   }
 
+  #openChannel(context: GrantContext): OrderChannel | ReportChannel {
+    const { reportRules, carryOrder } = this.options;
+    if (reportRules === undefined) {
+      return new OrderChannel(context, {
+        wire: WIRE,
+        send: (order, limits) => carryOrder(this, JSON.parse(order.body.toString()), limits),
+      });
+    }
+    this.#reports = new ReportChannel(context, {
+      holdOpenMs: 0,
+      rowsMax: ROWS_MAX,
+      rules: reportRules,
+    });
+    return this.#reports;
+  }
+
+  /** Answers a report of the server, as the daemon's watch lets through: only newer ones. */
+  async takeReport(report: ServerReport): Promise<GrantRows | undefined> {
+    if (report.sequence <= this.#sequence) {
+      return undefined;
+    }
+    this.#sequence = report.sequence;
+    const answered = await this.#reports?.answer(report, { mayWait: false });
+    answered?.noteSent();
+    return answered?.grants;
+  }
+
   /** Starts all tasks. */
   start(): void {
     this.#follower.start();
--- a/packages/lease_checker/src/ranges/ranges_test.ts
+++ b/packages/lease_checker/src/ranges/ranges_test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { ALL_REPORT_RULES, type ReportRules } from "@bulrushwood/lease_ranges";
 import { ALL_VOTE_RULES, type VoteRules } from "@bulrushwood/lease_votes";
 import { runRanges } from "./run.ts";
 
@@ -46,4 +47,38 @@
       expect.fail(`no violation in ${SCHEDULES_MAX} schedules`);
     });
   }
+
+  it(`finds no two owners in ${SCHEDULES} schedules with grants in status reports`, async () => {
+    let changes = 0;
+    for (let seed = 1; seed <= SCHEDULES; seed++) {
+      const report = await runRanges(seed, ALL_VOTE_RULES, ALL_REPORT_RULES);
+      expect(report.violation, `seed ${seed}`).to.equal(undefined);
+      changes += report.changes;
+    }
+    expect(changes).to.be.above(SCHEDULES);
+  });
+
+  for (const rule of Object.keys(ALL_REPORT_RULES) as (keyof ReportRules)[]) {
+    it(`finds two owners without the rule ${rule} of grants in status reports`, async () => {
+      const rules = { ...ALL_REPORT_RULES, [rule]: false };
+      for (let seed = 1; seed <= SCHEDULES_MAX; seed++) {
+        if ((await runRanges(seed, ALL_VOTE_RULES, rules)).violation !== undefined) {
+          return;
+        }
+      }
+      expect.fail(`no violation in ${SCHEDULES_MAX} schedules`);
+    });
+  }
+
+  // Seed 6 showed it: a daemon that was cut off entered a tenure that nobody supported yet; it was sealed
+  // at once, while grants still ran that rested on the one before.
+  it("finds two owners without the rule awaitSupport, with grants in status reports", async () => {
+    const rules = { ...ALL_VOTE_RULES, awaitSupport: false };
+    for (let seed = 1; seed <= SCHEDULES_MAX; seed++) {
+      if ((await runRanges(seed, rules, ALL_REPORT_RULES)).violation !== undefined) {
+        return;
+      }
+    }
+    expect.fail(`no violation in ${SCHEDULES_MAX} schedules`);
+  });
 });
--- a/packages/lease_checker/src/ranges/run.ts
+++ b/packages/lease_checker/src/ranges/run.ts
@@ -5,8 +5,9 @@
 import { pack, unpack } from "msgpackr";
 import { Result } from "true-myth";
 import { KEYS, type KeySpan, overlaps } from "@bulrushwood/ledger_store";
-import type { OrderAnswer } from "@bulrushwood/lease_ranges";
-import { ALL_VOTE_RULES, type VoteRules } from "@bulrushwood/lease_votes";
+import { type GrantRow, type ServerReport, ServerState } from "@bulrushwood/deployment";
+import type { OrderAnswer, ReportRules } from "@bulrushwood/lease_ranges";
+import { ALL_VOTE_RULES, SUPPORT_MS, type VoteRules } from "@bulrushwood/lease_votes";
 import { AppendFault, KeyedStoreService } from "@bulrushwood/stand_ins";
 import { createRandom, type Random } from "@bulrushwood/types";
 import { Scheduler } from "../scheduler.ts";
@@ -18,6 +19,18 @@
 const START_MS = 4_000;
 const RUN_MS = 40_000;
 const CALL_MS_MAX = 4;
+/** Time between two status reports, in milliseconds. */
+const REPORT_MS = 870;
+/** The same while keys that were left out are not released. */
+const QUICK_REPORT_MS = 100;
+/** An answer to a report counts if it is there within this, in milliseconds. */
+const ACKNOWLEDGEMENT_MS = 1_000;
+/** How long votes run where grants travel in reports, in milliseconds. */
+const REPORT_SUPPORT_MS = 2 * REPORT_MS + 700;
+/** Longest work for a key that is let go, in milliseconds. */
+const WORK_MS_MAX = 400;
+/** A server's clock may be this much slower, as a share. */
+const SLOWNESS = 0.02;
 /** Faults of one run. */
 const FAULTS = 10;
 /** Servers' orders that are carried out late while such a fault lasts, as a share. */
@@ -51,6 +64,7 @@
   readonly #scheduler = new Scheduler();
   readonly #random: Random;
   readonly #rules: VoteRules;
+  readonly #reportRules: ReportRules | undefined;
   readonly #store: KeyedStoreService;
   readonly #instances: Instance[] = [];
   /** Addresses that are cut off from all others. */
@@ -64,9 +78,10 @@
   /** The highest epoch and its server for some keys. */
   readonly #epochs = new Map<number, { epoch: number; server: SimServer }>();
 
-  constructor(seed: number, rules: VoteRules) {
+  constructor(seed: number, rules: VoteRules, reportRules?: ReportRules) {
     this.#random = createRandom(seed);
     this.#rules = rules;
+    this.#reportRules = reportRules;
     this.#store = new KeyedStoreService({
       sleep: new ProcessClock(this.#scheduler).sleep,
       callMs: 4,
@@ -112,6 +127,8 @@
       carryCall: this.#carryCall,
       carryOrder: this.#carryOrder,
       rules: this.#rules,
+      reportRules: this.#reportRules,
+      supportMs: this.#reportRules === undefined ? SUPPORT_MS : REPORT_SUPPORT_MS,
       random: this.#random,
     });
   }
@@ -185,6 +202,78 @@
     return isTaken;
   }
 
+  /** Sends the status reports of one server, of which some come late or twice, and some answers get lost. */
+  async #report(address: string): Promise<void> {
+    const network = new ProcessClock(this.#scheduler);
+    // A report names what was released since its last acknowledged one.
+    let unacknowledged: ServerReport["released"] = [];
+    for (let sequence = 1; this.#violation === undefined; sequence++) {
+      const { server, serverId } = this.#find(address);
+      const sentAt = this.#scheduler.now;
+      const released = server.takeReleased(sentAt);
+      unacknowledged.push(
+        ...released.map(({ first, last }) => ({ first, last, handover: `${sequence}` })),
+      );
+      const report: ServerReport = {
+        id: serverId,
+        bornMs: 1,
+        address,
+        service: "",
+        dataCentre: "",
+        slots: 1,
+        state: ServerState.Ready,
+        sequence,
+        coldMs: 0,
+        held: server.heldAt(sentAt).map(({ first, last, epoch }) => ({ first, last, epoch })),
+        released: [...unacknowledged],
+      };
+      const isFaulty = sentAt < this.#lateUntil && this.#random() < LATE_SHARE;
+      const answered = await Promise.race([
+        this.#carryReport(address, report, { isFaulty }),
+        network.sleep(ACKNOWLEDGEMENT_MS).then(() => undefined),
+      ]);
+      if (answered !== undefined) {
+        unacknowledged = [];
+        if (answered.rows !== undefined) {
+          this.#takeAnswer(server, answered.rows, { until: sentAt + answered.durationMs });
+        }
+      }
+      const isLettingGo = server.holdings.some(({ workEndsAt }) => workEndsAt !== undefined);
+      await network.sleep(isLettingGo ? QUICK_REPORT_MS : REPORT_MS * (0.9 + 0.2 * this.#random()));
+    }
+  }
+
+  async #carryReport(
+    address: string,
+    report: ServerReport,
+    options: { isFaulty: boolean },
+  ): Promise<{ rows?: GrantRow[]; durationMs: number } | undefined> {
+    const network = new ProcessClock(this.#scheduler);
+    await network.sleep(options.isFaulty ? 100 + this.#random() * 4_000 : 0.5);
+    while (!this.#find(address).clock.isRunning) {
+      await network.sleep(20);
+    }
+    const { daemon, clock } = this.#find(address);
+    const grants = await daemon.takeReport(report);
+    if (options.isFaulty && this.#random() < 0.5) {
+      await daemon.takeReport(report);
+    }
+    await clock.sleep(0);
+    await network.sleep(0.5);
+    return { rows: grants?.rows, durationMs: (grants?.durationMs ?? 0) * (1 + SLOWNESS) };
+  }
+
+  #takeAnswer(server: SimServer, rows: GrantRow[], options: { until: number }): void {
+    const now = this.#scheduler.now;
+    const isOutdated = (row: GrantRow) =>
+      server.holdings.some((held) => overlaps(held, row) && held.epoch > row.epoch);
+    const taken = rows.filter((row) => !isOutdated(row));
+    this.#grants += taken.length;
+    taken.forEach((row) => this.#checkEpoch(server, row));
+    const workMs = () => this.#random() * WORK_MS_MAX;
+    server.takeAnswer(taken, { until: options.until, now, workMs });
+  }
+
   /** Looks at the first key of a grant only, which is enough since all keys of a grant share its epoch. */
   #checkEpoch(server: SimServer, order: KeySpan & { epoch: number }): void {
     const known = this.#epochs.get(order.first);
@@ -291,6 +380,9 @@
 
   async run(): Promise<RangeReport> {
     this.#instances.forEach(({ daemon }) => daemon.start());
+    if (this.#reportRules !== undefined) {
+      this.#instances.forEach(({ address }) => this.#report(address));
+    }
     this.#scheduleFaults();
     for (let end = 1_000; end <= RUN_MS && this.#violation === undefined; end += 1_000) {
       await this.#scheduler.runUntil(end, () => this.#checkOwners());
@@ -303,10 +395,11 @@
   }
 }
 
-/** Runs one schedule. */
+/** Runs one schedule; with `reportRules` keys are granted in the answers to status reports. */
 export async function runRanges(
   seed: number,
   rules: VoteRules = ALL_VOTE_RULES,
+  reportRules?: ReportRules,
 ): Promise<RangeReport> {
-  return await new RangeRun(seed, rules).run();
+  return await new RangeRun(seed, rules, reportRules).run();
 }
--- a/packages/lease_checker/src/ranges/server.ts
+++ b/packages/lease_checker/src/ranges/server.ts
@@ -2,7 +2,7 @@
  * A simulated backend server: holds grants until they run out by its own clock, which may be slow, and
  * refuses those with an epoch below one that it knows. Orders may be carried out late.
  */
-import { type KeySpan, overlaps } from "@bulrushwood/ledger_store";
+import { type KeySpan, overlaps, without } from "@bulrushwood/ledger_store";
 
 /** Time that a slow clock takes for a second of true time, as a share. */
 const SLOWNESS = 1.02;
@@ -14,6 +14,8 @@
   until: number;
   /** Whether the order came late, which its sender is not to blame for. */
   isLate: boolean;
+  /** Work for released keys ends then; undefined while they are not released. */
+  workEndsAt?: number;
 }
 
 /** One backend server. */
@@ -37,6 +39,31 @@
     return true;
   }
 
+  /** Takes the answer to a report: holds what it names, and lets go of the rest once its work has ended. */
+  takeAnswer(
+    rows: (KeySpan & { epoch: number })[],
+    options: { until: number; now: number; workMs: () => number },
+  ): void {
+    const { until, now, workMs } = options;
+    const kept = this.holdings.filter(({ workEndsAt }) => workEndsAt !== undefined);
+    for (const held of this.holdings.filter(({ workEndsAt }) => workEndsAt === undefined)) {
+      const left = without(held, rows);
+      kept.push(...left.map((span) => ({ ...held, ...span, workEndsAt: now + workMs() })));
+    }
+    this.holdings = kept;
+    for (const { first, last, epoch } of rows) {
+      this.holdings.push({ first, last, epoch, until, isLate: false });
+    }
+  }
+
+  /** Keys whose work has ended since they were left out; those that ran out are not told. */
+  takeReleased(now: number): Holding[] {
+    const isDone = ({ workEndsAt }: Holding) => workEndsAt !== undefined && workEndsAt <= now;
+    const released = this.holdings.filter((held) => isDone(held) && held.until > now);
+    this.holdings = this.holdings.filter((held) => !isDone(held) && held.until > now);
+    return released;
+  }
+
   /** Takes keys back. */
   release(span: KeySpan): void {
     this.#remove(span);
--- a/packages/lease_ranges/src/mod.ts
+++ b/packages/lease_ranges/src/mod.ts
@@ -15,5 +15,10 @@
   type OrderChannelOptions,
   type SendOrder,
 } from "./order_channel.ts";
-export { ReportChannel, type ReportChannelOptions } from "./report_channel.ts";
+export {
+  ALL_REPORT_RULES,
+  ReportChannel,
+  type ReportChannelOptions,
+  type ReportRules,
+} from "./report_channel.ts";
 export { type OwnServer, TenureKeeper, type TenureKeeperOptions } from "./tenure_keeper.ts";
--- a/packages/lease_ranges/src/report_channel.ts
+++ b/packages/lease_ranges/src/report_channel.ts
@@ -28,12 +28,30 @@
 /** A grant that so many answers in a row carried in vain needs a newer epoch. */
 const MISSES_MAX = 2;
 
+/** Rules that the checker may take out to show that it finds what they prevent. */
+export interface ReportRules {
+  /** Keys count as released only by reports that follow an answer which left them out. */
+  awaitLeftOut: boolean;
+  /** Keys that a report does not list count as held until their grants have ended by their own time. */
+  awaitUnlisted: boolean;
+  /** Keys that a report lists as held were not let go, whatever it says besides. */
+  believeHeld: boolean;
+}
+
+/** All rules in force. */
+export const ALL_REPORT_RULES: ReportRules = {
+  awaitLeftOut: true,
+  awaitUnlisted: true,
+  believeHeld: true,
+};
+
 /** What a channel of reports needs besides the grants. */
 export interface ReportChannelOptions {
   /** How long an answer may be kept open for news, in milliseconds; 0 for not at all. */
   holdOpenMs: number;
   /** Rows that one answer may carry; the acknowledgement's size is limited. */
   rowsMax: number;
+  rules?: ReportRules;
 }
 
 /** One answer. Times are by this process's clock. */
@@ -59,6 +77,7 @@
 export class ReportChannel implements GrantChannel {
   readonly #context: GrantContext;
   readonly #options: ReportChannelOptions;
+  readonly #rules: ReportRules;
   /** Emits when an answer that is kept open should be given. */
   readonly #news = new Subject<void>();
   readonly #releases = new Set<Release>();
@@ -71,6 +90,7 @@
   constructor(context: GrantContext, options: ReportChannelOptions) {
     this.#context = context;
     this.#options = options;
+    this.#rules = options.rules ?? ALL_REPORT_RULES;
   }
 
   /** A grant is renewed by the answer to the next report; only new ones are news. */
@@ -168,7 +188,7 @@
   #learn(report: ServerReport, receivedAt: number): void {
     for (const release of this.#releases) {
       const isAfter = release.leftOutAt !== undefined && report.sequence > release.leftOutAt;
-      if (isAfter && takeReleased(release, report)) {
+      if ((isAfter || !this.#rules.awaitLeftOut) && takeReleased(release, report, this.#rules)) {
         release.done.next();
       }
     }
@@ -238,7 +258,7 @@
 }
 
 /** Adds what a report says of keys that are being taken back; true once all of them are free. */
-function takeReleased(release: Release, report: ServerReport): boolean {
+function takeReleased(release: Release, report: ServerReport, rules: ReportRules): boolean {
   const { span } = release;
   for (const keys of report.released) {
     if (!overlaps(keys, span)) {
@@ -252,7 +272,8 @@
     release.released.push(...fresh.map((part) => ({ ...part, handover: handoverOf(keys) })));
   }
   const isHeld = report.held.some((keys) => overlaps(keys, span));
-  return !isHeld && without(span, release.released).length === 0;
+  const isFree = !rules.awaitUnlisted || without(span, release.released).length === 0;
+  return isFree && !(isHeld && rules.believeHeld);
 }
 
 function handoverOf({ handover }: ReleasedKeys): string | null {
--- a/packages/lease_ranges/src/tenure_keeper.ts
+++ b/packages/lease_ranges/src/tenure_keeper.ts
@@ -12,8 +12,9 @@
   type TableStore,
 } from "@bulrushwood/ledger_store";
 import type { ServerIdentity } from "@bulrushwood/deployment";
-import { Tenure, type Voter, type VoteRules } from "@bulrushwood/lease_votes";
+import { ALL_VOTE_RULES, Tenure, type Voter, type VoteRules } from "@bulrushwood/lease_votes";
 import { type Address, type Clock, createStop, type Sleep } from "@bulrushwood/types";
+import { endOfGrant } from "./grant_channel.ts";
 
 /** How often the tenure is looked after, in milliseconds. */
 const CHECK_MS = 150;
@@ -42,8 +43,10 @@
 const TENURE_CHARACTERS = 12;
 /** An entry that another daemon writes is waited for so long before it is written here, in milliseconds. */
 const ENTRY_PATIENCE_MS = 2_500;
-/** How often a daemon looks whether it is entered, in milliseconds. */
+/** How often a daemon looks whether it is entered or supported, in milliseconds. */
 const ENTRY_LOOK_MS = 60;
+/** A new tenure is given up where its voters do not support it within this, in milliseconds. */
+const SUPPORT_PATIENCE_MS = 1_200;
 
 /** The server that keys are granted to. */
 export interface OwnServer extends ServerIdentity {
@@ -77,6 +80,10 @@
   readonly #stop = createStop();
   /** All tenures that the store may name for this daemon; the last one is the newest. */
   #tenures: Tenure[] = [];
+  /** A new tenure that is not counted on yet. */
+  #candidate: Tenure | undefined;
+  /** When grants that an earlier process at this address gave have ended for certain. */
+  readonly #earlierEndBy: number;
   #enteredAt = Number.NEGATIVE_INFINITY;
   #wantsSince: number | undefined;
   /** What another daemon should write; undefined for nothing. */
@@ -85,6 +92,7 @@
 
   constructor(options: TenureKeeperOptions) {
     this.#options = options;
+    this.#earlierEndBy = endOfGrant(options.now(), options.supportMs);
   }
 
   /** Emits when a tenure began. */
@@ -99,7 +107,12 @@
 
   /** Daemons that this one relies on. */
   get voters(): Address[] {
-    return this.#tenures.flatMap(({ voters }) => voters.map(({ address }) => address));
+    return this.#asked.flatMap(({ voters }) => voters.map(({ address }) => address));
+  }
+
+  /** Tenures that voters are asked to support. */
+  get #asked(): Tenure[] {
+    return this.#candidate === undefined ? this.#tenures : [...this.#tenures, this.#candidate];
   }
 
   /** Starts to look after the tenure. */
@@ -109,7 +122,7 @@
 
   /** Tenures that a voter should be asked to support. */
   tenuresFor(voter: Address): string[] {
-    return this.#tenures
+    return this.#asked
       .filter((tenure) => tenure.voters.some(({ address }) => address === voter))
       .map(({ tenure }) => tenure);
   }
@@ -120,7 +133,7 @@
     incarnation: string,
     options: { tenures: string[]; sentAt: number },
   ): void {
-    for (const tenure of this.#tenures) {
+    for (const tenure of this.#asked) {
       if (options.tenures.includes(tenure.tenure)) {
         tenure.noteSupport(voter, incarnation, options.sentAt);
       }
@@ -129,7 +142,7 @@
 
   /** Whether a tenure is one of this daemon's. */
   isOwn(tenure: string): boolean {
-    return this.#tenures.some((own) => own.tenure === tenure);
+    return this.#asked.some((own) => own.tenure === tenure);
   }
 
   /** Until when grants may run, on this process's clock; in the past when there is no support. */
@@ -144,7 +157,7 @@
 
   /** Forgets all support, where time may have passed unnoticed. */
   forgetSupport(): void {
-    this.#tenures.forEach((tenure) => tenure.forget());
+    this.#asked.forEach((tenure) => tenure.forget());
   }
 
   async #run(): Promise<void> {
@@ -215,8 +228,9 @@
       supportMs,
       rules: this.#options.rules,
     });
-    this.#tenures.push(tenure);
-    this.#changed.next();
+    if (!(await this.#awaitSupport(tenure))) {
+      return;
+    }
     const { id, bornMs, slots } = server;
     const host = {
       tenure: tenure.tenure,
@@ -237,6 +251,33 @@
     }
   }
 
+  /**
+   * Waits until the voters of a new tenure support it for as long as grants run that rest on earlier ones.
+   * Once the store names it, only its voters keep others from the keys. False where it is given up.
+   */
+  async #awaitSupport(tenure: Tenure): Promise<boolean> {
+    const { now, sleep, rules = ALL_VOTE_RULES } = this.#options;
+    const { signal } = this.#stop;
+    const earlierEnd = () =>
+      Math.max(this.#earlierEndBy, ...this.#tenures.map(({ supportedUntil }) => supportedUntil));
+    this.#candidate = tenure;
+    const patientUntil = now() + (rules.awaitSupport ? SUPPORT_PATIENCE_MS : 0);
+    while (tenure.supportedUntil <= now() && now() < patientUntil && !signal.aborted) {
+      await sleep(ENTRY_LOOK_MS, signal);
+    }
+    this.#candidate = undefined;
+    if (rules.awaitSupport && tenure.supportedUntil <= now() && earlierEnd() > now()) {
+      return false;
+    }
+    const grantsEnd = rules.awaitSupport ? earlierEnd() : now();
+    this.#tenures.push(tenure);
+    this.#changed.next();
+    while (tenure.supportedUntil < grantsEnd && now() < grantsEnd && !signal.aborted) {
+      await sleep(ENTRY_LOOK_MS, signal);
+    }
+    return true;
+  }
+
   /** Lets another daemon enter this one, together with others, for a bounded time. */
   async #awaitEntry(host: Host): Promise<void> {
     const { self, table, now, sleep, isEnteredByOther } = this.#options;
--- /dev/null
+++ b/packages/lease_ranges/src/tenure_keeper_test.ts
@@ -0,0 +1,83 @@
+import { expect } from "chai";
+import { KeyedFollower, SYSTEM_TOPIC, TableStore } from "@bulrushwood/ledger_store";
+import { SUPPORT_MS } from "@bulrushwood/lease_votes";
+import { KeyedStoreService } from "@bulrushwood/stand_ins";
+import { now, sleep } from "@bulrushwood/types";
+import { TenureKeeper } from "./mod.ts";
+
+const SELF = "10.0.0.1:7000";
+const VOTERS = ["10.0.0.2:7000", "10.0.0.3:7000"];
+
+async function startKeeper() {
+  const store = new KeyedStoreService({ sleep }).connect();
+  const options = { store, topic: SYSTEM_TOPIC, now, sleep, waitMs: 500 };
+  const follower = new KeyedFollower({ ...options, onReachable: () => {} });
+  await follower.start();
+  const table = new TableStore({
+    store,
+    follower,
+    now,
+    sleep,
+    service: "despacho",
+    random: Math.random,
+    onDamaged: () => {},
+  });
+  const state = { bornMs: 1, isSupported: true };
+  const keeper = new TenureKeeper({
+    self: SELF,
+    incarnation: "i1",
+    now,
+    sleep,
+    table,
+    supportMs: SUPPORT_MS,
+    candidates: () => VOTERS.map((address) => ({ address, incarnation: "i1" })),
+    server: () => ({ id: "s1", bornMs: state.bornMs, slots: 4 }),
+  });
+  const beats = setInterval(() => {
+    for (const voter of state.isSupported ? VOTERS : []) {
+      const tenures = keeper.tenuresFor(voter);
+      keeper.noteSupport(voter, "i1", { tenures, sentAt: now() });
+    }
+  }, 50);
+  keeper.start();
+  const tenure = () => table.table.value.hosts[SELF]?.tenure;
+  const close = async () => {
+    clearInterval(beats);
+    await keeper.close();
+    table.close();
+    await follower.close();
+  };
+  return { keeper, state, tenure, close };
+}
+
+async function waitFor(condition: () => boolean, ms: number): Promise<number> {
+  const startedAt = now();
+  while (!condition() && now() - startedAt < ms) {
+    await sleep(10);
+  }
+  return now() - startedAt;
+}
+
+describe("tenure keeper", () => {
+  it("enters a new tenure soon where its voters support it", async () => {
+    const { state, tenure, close } = await startKeeper();
+    await waitFor(() => tenure() !== undefined, 4_000);
+    const first = tenure();
+    state.bornMs = 2;
+    expect(await waitFor(() => tenure() !== first, 4_000)).to.be.below(800);
+    await close();
+  });
+
+  it("enters no tenure that its voters do not support while grants rest on an earlier one", async () => {
+    const { keeper, state, tenure, close } = await startKeeper();
+    await waitFor(() => tenure() !== undefined, 4_000);
+    await sleep(300);
+    const first = tenure();
+    state.isSupported = false;
+    const supportedMs = keeper.supportedUntil - now();
+    state.bornMs = 2;
+    expect(await waitFor(() => tenure() !== first, 6_000)).to.be.above(supportedMs);
+    expect(tenure()).to.not.equal(first);
+    await close();
+  });
+});
--- a/packages/lease_votes/src/rules.ts
+++ b/packages/lease_votes/src/rules.ts
@@ -15,6 +15,8 @@
   matchIncarnation: boolean;
   /** Time during which the instance was suspended ends all support. */
   noticeSuspension: boolean;
+  /** A tenure is entered only once its voters support it for as long as earlier grants run. */
+  awaitSupport: boolean;
 }
 
 /** All rules in force. */
@@ -24,6 +26,7 @@
   countFromSending: true,
   matchIncarnation: true,
   noticeSuspension: true,
+  awaitSupport: true,
 };
 
 /**
