--- a/packages/routing/src/forwarding.ts
+++ b/packages/routing/src/forwarding.ts
@@ -56,6 +56,7 @@
 /** Tries until there is an answer, the search is over or the deadline passes. */
 export async function forward(options: ForwardOptions): Promise<Answer> {
   const { now, deadline } = options;
+  const isLate = now() >= deadline;
   const searchUntil = Math.min(deadline, now() + options.searchMs);
   let backoffMs = BACKOFF_MIN_MS;
   let last: Answer | undefined;
@@ -77,7 +78,7 @@
       }
     }
     if (now() + backoffMs >= searchUntil) {
-      return conclude(endSearch(last, now() >= deadline), mayHaveRun);
+      return conclude(endSearch(last, isLate), mayHaveRun);
     }
     await options.sleep(backoffMs * (0.5 + options.random()), options.signal);
     backoffMs = Math.min(backoffMs * 2, BACKOFF_MAX_MS);
@@ -117,14 +118,17 @@
   return mayRepeat && options.budget.take() ? Verdict.SearchOn : Verdict.Final;
 }
 
-/** A search that ended at a daemon which does not hold the key found no holder. */
-function endSearch(last: Answer | undefined, isPastDeadline: boolean): Answer {
+/**
+ * A search that ended at a daemon which does not hold the key found no holder, also where it lasted until
+ * the deadline: that tells the caller more than that time is up.
+ */
+function endSearch(last: Answer | undefined, isLate: boolean): Answer {
   const isRefusal = last === undefined || last.head.reason === Reason.NotHolder;
-  return isRefusal ? giveUp(isPastDeadline) : last;
+  return isRefusal ? giveUp(isLate) : last;
 }
 
-function giveUp(isPastDeadline: boolean): Answer {
-  if (isPastDeadline) {
+function giveUp(isLate: boolean): Answer {
+  if (isLate) {
     return notRun(
       Reason.DeadlinePassed,
       "The deadline passed before the request ran",
--- a/packages/routing/src/routing_test.ts
+++ b/packages/routing/src/routing_test.ts
@@ -25,13 +25,14 @@
 async function forwardScripted(
   answers: Answer[],
   options: Partial<ForwardOptions> = {},
+  lateMs = 0,
 ): Promise<{ answer: Answer; attempts: string[] }> {
   let time = 0;
   const attempts: string[] = [];
   const answer = await forward({
     now: () => time,
     sleep: (ms) => {
-      time += ms;
+      time += ms + lateMs;
       return Promise.resolve();
     },
     random: () => 0.5,
@@ -98,6 +99,21 @@
     expect(late.answer.head.outcome).to.equal(Outcome.NotRun);
   });
 
+  for (
+    const [name, deadline, reason] of [
+      ["no holder, also where the search lasted until the deadline", 100, Reason.NoHolder],
+      ["a deadline that had passed before the search", 0, Reason.DeadlinePassed],
+    ] as const
+  ) {
+    it(`tells ${name}`, async () => {
+      const findTarget = () => undefined;
+      // A busy process is woken late, here past the deadline.
+      const bounds = { findTarget, searchMs: 5_000, deadline };
+      const { answer } = await forwardScripted([], bounds, 200);
+      expect(answer.head.reason).to.equal(reason);
+    });
+  }
+
   it("repeats within the budget only", async () => {
     const lost = Array.from({ length: 100 }, () => unknown(Reason.ServerFailed, ""));
     const { attempts } = await forwardScripted(lost, { idempotent: true });
