Remember in the store which server left last beside each daemon

Shown by a test that failed first: a daemon that started anew had forgotten that its server had said farewell or was draining, and used it again when a report came late that still said ready.

One record for each daemon, written once for each life that leaves; until the store was read, ready reports are answered 503 and count as not taken. Ruled out: to ask the server's health first, which may be false and costs a slot.

--- /dev/null
+++ b/packages/router/src/departures.ts
@@ -0,0 +1,100 @@
+/**
+ * Keeps in the store which backend server left last beside each daemon. Nothing else outlives a daemon, and
+ * one that starts anew may get a late report of a server that had said that it leaves.
+ */
+import { Buffer } from "node:buffer";
+import type { Subscription } from "rxjs";
+import { z } from "zod";
+import type { Item, ServerIdentity, Store } from "@bulrushwood/deployment";
+import { type KeyedFollower, SYSTEM_TOPIC } from "@bulrushwood/ledger_store";
+import { type Address, createStop, type Sleep } from "@bulrushwood/types";
+import type { ServerWatch } from "./server_watch.ts";
+
+/** Keys of these records begin with this, and end with the daemon's address. */
+const KEY_PREFIX = "left/";
+const APPEND_TIMEOUT_MS = 1_000;
+/** Pause before an append is tried again, in milliseconds. */
+const RETRY_MS = 300;
+
+const departureSchema = z.object({ id: z.string(), bornMs: z.number() });
+
+/** What is needed to keep departures. */
+export interface DeparturesOptions {
+  self: Address;
+  store: Store;
+  /** Follows the topic in which departures are kept. */
+  follower: KeyedFollower;
+  watch: ServerWatch;
+  sleep: Sleep;
+  /** Told of a record that cannot be read. */
+  onDamaged: (reason: string) => void;
+}
+
+/** The departures of the server beside one daemon. */
+export class Departures {
+  readonly #options: DeparturesOptions;
+  readonly #subscriptions: Subscription[];
+  readonly #stop = createStop();
+  /** The life whose departure is in the store or on its way there. */
+  #noted = "";
+
+  constructor(options: DeparturesOptions) {
+    this.#options = options;
+    const known = options.follower.get(this.#key);
+    if (known !== undefined) {
+      this.#take(known);
+    }
+    this.#subscriptions = [
+      options.follower.changes.subscribe((item) => this.#take(item)),
+      options.watch.changes.subscribe(() => this.#note()),
+    ];
+  }
+
+  get #key(): string {
+    return KEY_PREFIX + this.#options.self;
+  }
+
+  #take({ key, value }: Item): void {
+    if (key !== this.#key) {
+      return;
+    }
+    const { watch, onDamaged } = this.#options;
+    try {
+      const left = departureSchema.parse(JSON.parse(value.toString("utf8")));
+      this.#noted = nameOf(left);
+      watch.noteLeft(left);
+    } catch (error) {
+      onDamaged((error as Error).message);
+    }
+  }
+
+  /** Writes that the present server leaves, once for each life. */
+  async #note(): Promise<void> {
+    const { watch, store, sleep } = this.#options;
+    const { report, leavingSince } = watch;
+    if (report === undefined || leavingSince === undefined || nameOf(report) === this.#noted) {
+      return;
+    }
+    const name = nameOf(report);
+    this.#noted = name;
+    const { id, bornMs } = report;
+    const item = { key: this.#key, value: Buffer.from(JSON.stringify({ id, bornMs })) };
+    while (!this.#stop.signal.aborted && this.#noted === name) {
+      const appended = await store.append(SYSTEM_TOPIC, item, { timeoutMs: APPEND_TIMEOUT_MS });
+      if (appended.isOk) {
+        return;
+      }
+      await sleep(RETRY_MS, this.#stop.signal);
+    }
+  }
+
+  /** Stops writing. */
+  close(): void {
+    this.#stop.abort();
+    this.#subscriptions.forEach((subscription) => subscription.unsubscribe());
+  }
+}
+
+function nameOf({ id, bornMs }: ServerIdentity): string {
+  return `${id}@${bornMs}`;
+}
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -52,6 +52,7 @@
 import { RetryBudget, TwoChoices } from "@bulrushwood/routing";
 import { type Address, createStop, now, sleep } from "@bulrushwood/types";
 import { CallerServer } from "./caller_server.ts";
+import { Departures } from "./departures.ts";
 import { Dispatcher } from "./dispatcher.ts";
 import { Event, type EventLog } from "./event_log.ts";
 import { serveExchange } from "./exchange.ts";
@@ -134,6 +135,7 @@
   readonly #tableStores = new Map<string, TableStore>();
   readonly #relay: Relay;
   readonly #watch: ServerWatch;
+  readonly #departures: Departures;
   readonly #client: ServerClient;
   readonly #tenure: TenureKeeper;
   readonly #granting: Granting;
@@ -182,6 +184,14 @@
     const followers = [this.#manifests, this.#system];
     this.#relay = new Relay({ followers, call });
     this.#watch = new ServerWatch({ ...settings, now });
+    this.#departures = new Departures({
+      self: this.#self,
+      store: this.#store,
+      follower: this.#system,
+      watch: this.#watch,
+      sleep,
+      onDamaged: (reason) => log(Event.TableDamaged, { record: "departure", reason }),
+    });
     const [host, port] = settings.serverAddress.split(":");
     this.#client = new ServerClient({
       endpoint: { host, port: Number(port) },
@@ -308,7 +318,8 @@
     await this.#listenSide(listen.ready, answerReady(isReady));
     const channel = this.#reportChannel;
     const answer = channel && channel.answer.bind(channel);
-    const reports = { watch: this.#watch, answer, log: this.#log };
+    const knowsDepartures = () => this.#system.confirmedAt > Number.NEGATIVE_INFINITY;
+    const reports = { watch: this.#watch, answer, knowsDepartures, log: this.#log };
     await this.#listenSide(listen.reports, answerReports(this.#adapter.servers, reports));
     await this.#listenSide(this.#settings.metrics, async (request, response) => {
       request.resume();
@@ -649,6 +660,7 @@
       this.#system.close(),
     ]);
     this.#giver.close();
+    this.#departures.close();
     this.#manifest.close();
     this.#tableStores.forEach((table) => table.close());
     this.#client.close();
--- a/packages/router/src/server_watch.ts
+++ b/packages/router/src/server_watch.ts
@@ -3,7 +3,12 @@
  * can be reached. Reports may come late, so they are ordered by the birth of the life, then by number.
  */
 import { Subject } from "rxjs";
-import { type ServerReport, ServerState, type StatusReport } from "@bulrushwood/deployment";
+import {
+  type ServerIdentity,
+  type ServerReport,
+  ServerState,
+  type StatusReport,
+} from "@bulrushwood/deployment";
 import type { Clock } from "@bulrushwood/types";
 
 /** A server that sent no report and no answer for so many report intervals counts as silent. */
@@ -11,6 +16,9 @@
 /** A server that refuses connections is down once nothing was heard for so long, in milliseconds. */
 const REFUSED_MS = 100;
 
+/** When a server left whose leaving an earlier process acknowledged: its time for new work may be over. */
+const LONG_AGO = Number.NEGATIVE_INFINITY;
+
 /** What a server watch needs. */
 export interface ServerWatchOptions {
   service: string;
@@ -25,6 +33,8 @@
   #report: ServerReport | undefined;
   /** Ids that said farewell, so that a late report cannot bring them back. */
   readonly #gone = new Set<string>();
+  /** A life that an earlier process here knew to leave. */
+  #left: ServerIdentity | undefined;
   #heardAt = Number.NEGATIVE_INFINITY;
   #refusedAt = Number.NEGATIVE_INFINITY;
   #leavingSince: number | undefined;
@@ -84,6 +94,9 @@
     if (isNewLife) {
       this.#leavingSince = undefined;
     }
+    if (isSameLife(report, this.#left)) {
+      this.#leavingSince ??= LONG_AGO;
+    }
     if (isLeaving) {
       this.#leavingSince ??= this.#options.now();
     }
@@ -91,6 +104,15 @@
     return true;
   }
 
+  /** Notes that a life of the server leaves, as an earlier process here knew. */
+  noteLeft(life: ServerIdentity): void {
+    this.#left = life;
+    if (isSameLife(life, this.#report) && this.#leavingSince === undefined) {
+      this.#leavingSince = LONG_AGO;
+      this.#changes.next();
+    }
+  }
+
   #takeFarewell(id: string): boolean {
     this.#gone.add(id);
     if (this.#report?.id !== id) {
@@ -125,3 +147,7 @@
     this.#refusedAt = this.#options.now();
   }
 }
+
+function isSameLife(one: ServerIdentity, other: ServerIdentity | undefined): boolean {
+  return one.id === other?.id && one.bornMs === other.bornMs;
+}
--- a/packages/router/src/side_servers.ts
+++ b/packages/router/src/side_servers.ts
@@ -2,7 +2,13 @@
  * The small HTTP listeners beside the callers': readiness, status reports of the server, metrics.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { Endpoint, GrantRows, ServerReport, ServerWire } from "@bulrushwood/deployment";
+import {
+  type Endpoint,
+  type GrantRows,
+  type ServerReport,
+  ServerState,
+  type ServerWire,
+} from "@bulrushwood/deployment";
 import { readWhole } from "@bulrushwood/http_client";
 import { Event, type EventLog } from "./event_log.ts";
 import type { ServerWatch } from "./server_watch.ts";
@@ -64,7 +70,13 @@
 /** Takes status reports of the server beside this daemon; without `answer` they grant nothing. */
 export function answerReports(
   wire: ServerWire,
-  options: { watch: ServerWatch; answer: AnswerReport | undefined; log: EventLog },
+  options: {
+    watch: ServerWatch;
+    answer: AnswerReport | undefined;
+    /** Whether it is known which server had left before this process started. */
+    knowsDepartures: () => boolean;
+    log: EventLog;
+  },
 ): Handler {
   return async (request, response) => {
     const received = await readWhole(request, { bytesMax: REPORT_BYTES_MAX });
@@ -75,6 +87,11 @@
       return;
     }
     const { watch } = options;
+    const isReady = read.value.kind === "report" && read.value.report.state === ServerState.Ready;
+    if (isReady && !options.knowsDepartures()) {
+      response.writeHead(503).end("It is not known yet which server had left here\n");
+      return;
+    }
     const isTaken = watch.take(read.value);
     // A server that leaves needs its acknowledgement at once.
     const mayWait = watch.leavingSince === undefined;
