Leave a silent hub out that is kept as a voter

Cause, found by reading and shown by a test that failed first: in a large deployment a daemon that stays a partner as a voter was noted as silent only once; after eight seconds it counted as a hub again, though it did not answer, and kept a living one out. Small deployments do not choose hubs.

--- a/packages/membership_beats/src/heartbeats.ts
+++ b/packages/membership_beats/src/heartbeats.ts
@@ -193,7 +193,7 @@
       service,
       members: [...this.#members.values()],
       openServices: openServices(),
-      isSilent: (address) => now() - (this.#silentAt.get(address) ?? -Infinity) < RETRY_SILENT_MS,
+      isSilent: (address) => this.#isNotedSilent(address),
     });
     for (const address of keptPartners()) {
       if (address !== self && !chosen.has(address)) {
@@ -206,11 +206,23 @@
         stop.abort();
         this.#partners.delete(address);
       } else if (!this.isHeard(address) && now() - since > SILENT_MS) {
-        this.#silentAt.set(address, this.#silentAt.get(address) ?? now());
+        this.#noteSilent(address);
       }
     }
   }
 
+  /** A voter that is kept though it is silent is noted anew, so that it does not become a hub again. */
+  #noteSilent(address: Address): void {
+    if (!this.#isNotedSilent(address)) {
+      this.#silentAt.set(address, this.#options.now());
+    }
+  }
+
+  #isNotedSilent(address: Address): boolean {
+    const silentAt = this.#silentAt.get(address) ?? Number.NEGATIVE_INFINITY;
+    return this.#options.now() - silentAt < RETRY_SILENT_MS;
+  }
+
   #begin(peer: Address, role: PartnerRole): void {
     const known = this.#partners.get(peer);
     if (known !== undefined) {
--- /dev/null
+++ b/packages/membership_beats/src/heartbeats_test.ts
@@ -0,0 +1,168 @@
+import { expect } from "chai";
+import { Result } from "true-myth";
+import { BallotBox, SUPPORT_MS } from "@bulrushwood/lease_votes";
+import type { Clock } from "@bulrushwood/types";
+import { type Beat, type DaemonStatus, Heartbeats, type Member } from "./mod.ts";
+
+const SERVICE = "despacho";
+const OPEN = "inspeccion";
+
+/** A clock whose sleepers wake in order when the test moves it on. */
+class TestClock {
+  #time = 0;
+  #sleepers: { at: number; wake: () => void }[] = [];
+
+  readonly now: Clock = () => this.#time;
+
+  readonly sleep = (ms: number, signal?: AbortSignal): Promise<void> =>
+    new Promise((resolve) => {
+      this.#sleepers.push({ at: this.#time + ms, wake: resolve });
+      signal?.addEventListener("abort", () => resolve(), { once: true });
+    });
+
+  async run(ms: number): Promise<void> {
+    const until = this.#time + ms;
+    while (true) {
+      // Lets all that the last sleeper started come to its next sleep.
+      await new Promise((resolve) => setImmediate(resolve));
+      this.#sleepers.sort((one, other) => one.at - other.at);
+      const next = this.#sleepers[0];
+      if (next === undefined || next.at > until) {
+        this.#time = until;
+        return;
+      }
+      this.#sleepers.shift();
+      this.#time = Math.max(this.#time, next.at);
+      next.wake();
+    }
+  }
+}
+
+function statusOf(address: string, service = SERVICE): DaemonStatus {
+  return {
+    address,
+    incarnation: "i",
+    service,
+    dataCentre: "a",
+    isLeaving: false,
+    hasStore: true,
+    server: null,
+  };
+}
+
+function createMembers(count: number): Member[] {
+  return Array.from({ length: count }, (_, index) => ({
+    address: `d${100 + index}`,
+    incarnation: "i",
+    service: index % 5 === 4 ? OPEN : SERVICE,
+    dataCentre: "a",
+    instance: "",
+  }));
+}
+
+/** A daemon among others that answer unless they are dead. */
+function startDaemon(members: Member[], kept: string[] = []) {
+  const clock = new TestClock();
+  const self = members.at(-2)!.address;
+  const dead = new Set<string>();
+  let sent: string[] = [];
+  const heartbeats = new Heartbeats({
+    self,
+    service: SERVICE,
+    incarnation: "i",
+    now: clock.now,
+    sleep: clock.sleep,
+    call: (peer, _method, payload) => {
+      sent.push(peer);
+      const beat = payload as Beat;
+      const { service } = members.find(({ address }) => address === peer)!;
+      const others = members.filter((member) =>
+        beat.wantsNews && member.service === service && !dead.has(member.address)
+      );
+      const news = [peer, ...others.map(({ address }) => address)]
+        .map((address) => ({ ...statusOf(address, service), ageMs: 0 }));
+      return Promise.resolve(
+        dead.has(peer)
+          ? Result.err(new Error("dead") as never)
+          : Result.ok({ incarnation: "i", supported: [], storeEnds: [], news }),
+      );
+    },
+    ballotBox: new BallotBox({
+      now: clock.now,
+      supportMs: SUPPORT_MS,
+      mustRefuse: () => false,
+      isOwn: () => false,
+    }),
+    openServices: () => new Set([OPEN]),
+    keptPartners: () => kept,
+    status: () => statusOf(self),
+    createBeat: (_peer, role) => ({
+      ...statusOf(self),
+      tenures: [],
+      storeEnds: [],
+      entry: null,
+      wantsStatus: true,
+      wantsNews: role === "source",
+    }),
+    storeEnds: () => [],
+    onSupport: () => {},
+    onBehind: () => {},
+  });
+  members.forEach((member) => heartbeats.add(member));
+  const takeSent = () => {
+    const taken = sent;
+    sent = [];
+    return taken;
+  };
+  return { clock, heartbeats, dead, takeSent };
+}
+
+describe("heartbeats among many daemons", () => {
+  it("are bounded a second, and tell of all servers of a service without keys", async () => {
+    const members = createMembers(195);
+    const { clock, heartbeats, takeSent } = startDaemon(members);
+    await clock.run(1_500);
+    takeSent();
+    await clock.run(2_000);
+    expect(takeSent().length).to.be.below(2 * 45);
+    const open = members.filter(({ service }) => service === OPEN);
+    expect(open.every(({ address }) => heartbeats.isHeard(address))).to.equal(true);
+  });
+
+  it("go to other hubs within three seconds where all of them are lost", async () => {
+    const members = createMembers(195);
+    const hubs = members.filter(({ service }) => service === SERVICE).map(({ address }) => address);
+    const { clock, heartbeats, dead } = startDaemon(members);
+    await clock.run(1_500);
+    hubs.slice(0, 3).forEach((hub) => dead.add(hub));
+    await clock.run(3_000);
+    expect(hubs.slice(3, 6).every((hub) => heartbeats.isPartner(hub))).to.equal(true);
+  });
+
+  it("leave a hub out that is silent for long, though it is kept as a voter", async () => {
+    const members = createMembers(195);
+    const hubs = members.filter(({ service }) => service === SERVICE).map(({ address }) => address);
+    const { clock, heartbeats, dead } = startDaemon(members, [hubs[0]]);
+    dead.add(hubs[0]);
+    for (let second = 0; second < 30; second++) {
+      await clock.run(1_000);
+      const isReplaced = heartbeats.isPartner(hubs[3]);
+      expect(isReplaced, `after ${second + 1} s`).to.equal(second >= 2 ? true : isReplaced);
+    }
+  });
+
+  it("count a daemon that nobody reached as absent only from then on", async () => {
+    const members = createMembers(195);
+    const { clock, heartbeats } = startDaemon(members);
+    await clock.run(5_000);
+    const unknown =
+      members.find(({ address, service }) => service === SERVICE && !heartbeats.isPartner(address))!
+        .address;
+    expect(heartbeats.absentMs(unknown)).to.equal(0);
+    heartbeats.noteReach(unknown, false);
+    await clock.run(700);
+    expect(heartbeats.absentMs(unknown)).to.equal(700);
+    heartbeats.noteReach(unknown, true);
+    expect(heartbeats.absentMs(unknown)).to.equal(0);
+  });
+});
