--- a/packages/lease_ranges/src/report_channel.ts
+++ b/packages/lease_ranges/src/report_channel.ts
@@ -188,7 +188,10 @@
   #learn(report: ServerReport, receivedAt: number): void {
     for (const release of this.#releases) {
       const isAfter = release.leftOutAt !== undefined && report.sequence > release.leftOutAt;
-      if ((isAfter || !this.#rules.awaitLeftOut) && takeReleased(release, report, this.#rules)) {
+      if (
+        (isAfter || !this.#rules.awaitLeftOut) &&
+        takeReleased(release, report, { rules: this.#rules })
+      ) {
         release.done.next();
       }
     }
@@ -258,7 +261,12 @@
 }
 
 /** Adds what a report says of keys that are being taken back; true once all of them are free. */
-function takeReleased(release: Release, report: ServerReport, rules: ReportRules): boolean {
+function takeReleased(
+  release: Release,
+  report: ServerReport,
+  options: { rules: ReportRules },
+): boolean {
+  const { rules } = options;
   const { span } = release;
   for (const keys of report.released) {
     if (!overlaps(keys, span)) {
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -69,8 +69,8 @@
         const exchange = connection.begin();
         this.#open++;
         const answered = isRefused
-          ? this.#refusePipelined(request, response, exchange)
-          : this.#answer(request, response, exchange);
+          ? this.#refusePipelined(request, response, { exchange })
+          : this.#answer(request, response, { exchange });
         answered.catch((error: Error) => {
           options.log(Event.TaskFailed, { task: "caller", reason: error.message });
           response.destroy();
@@ -137,9 +137,10 @@
   async #refusePipelined(
     request: IncomingMessage,
     response: ServerResponse,
-    exchange: Exchange,
+    options: { exchange: Exchange },
   ): Promise<void> {
     request.resume();
+    const { exchange } = options;
     const detail = "Too many requests are under way on this connection";
     const { id } = this.#options.wire.readRequest(request.headers);
     await this.#send(response, notRun(Reason.Overloaded, detail, PIPELINE_RETRY_MS), {
@@ -151,9 +152,10 @@
   async #answer(
     request: IncomingMessage,
     response: ServerResponse,
-    exchange: Exchange,
+    options: { exchange: Exchange },
   ): Promise<void> {
     const arrivedAt = now();
+    const { exchange } = options;
     const { wire, manifest: readManifest } = this.#options;
     const manifest = readManifest();
     const { id, deadlineMs, key } = wire.readRequest(request.headers);
@@ -167,13 +169,15 @@
     const refusal = refuse(route, id, wire);
     if (route === undefined || id === undefined || refusal !== undefined) {
       request.resume();
-      this.#refuse(response, refusal ?? { status: 404, detail: "No route matches" }, exchange);
+      this.#refuse(response, refusal ?? { status: 404, detail: "No route matches" }, {
+        exchange,
+      });
       return;
     }
     const body = await readBody(request, manifest.limits.bodyBytes);
     if (body === TOO_LARGE) {
       const detail = `The body must have at most ${manifest.limits.bodyBytes} bytes`;
-      this.#refuse(response, { status: 413, detail }, exchange);
+      this.#refuse(response, { status: 413, detail }, { exchange });
       return;
     }
     if (body === CUT_SHORT) {
@@ -258,12 +262,12 @@
     }
   }
 
-  #refuse(response: ServerResponse, refusal: Refusal, exchange: Exchange): void {
+  #refuse(response: ServerResponse, refusal: Refusal, options: { exchange: Exchange }): void {
     const body = Buffer.from(`${refusal.detail}\n`);
     response.writeHead(refusal.status, {
       "content-type": "text/plain",
       "content-length": body.length,
-      ...(this.#mustClose(exchange) ? { connection: "close" } : {}),
+      ...(this.#mustClose(options.exchange) ? { connection: "close" } : {}),
     });
     response.end(body);
   }
--- a/packages/routing/src/routing_test.ts
+++ b/packages/routing/src/routing_test.ts
@@ -25,14 +25,14 @@
 async function forwardScripted(
   answers: Answer[],
   options: Partial<ForwardOptions> = {},
-  lateMs = 0,
+  late: { byMs: number } = { byMs: 0 },
 ): Promise<{ answer: Answer; attempts: string[] }> {
   let time = 0;
   const attempts: string[] = [];
   const answer = await forward({
     now: () => time,
     sleep: (ms) => {
-      time += ms + lateMs;
+      time += ms + late.byMs;
       return Promise.resolve();
     },
     random: () => 0.5,
@@ -109,7 +109,7 @@
       const findTarget = () => undefined;
       // A busy process is woken late, here past the deadline.
       const bounds = { findTarget, searchMs: 5_000, deadline };
-      const { answer } = await forwardScripted([], bounds, 200);
+      const { answer } = await forwardScripted([], bounds, { byMs: 200 });
       expect(answer.head.reason).to.equal(reason);
     });
   }
