Seal when the log proves a silent candidate gone after the others answered

Where the last candidate's old life was proven gone by a record after the others had answered, nothing asked again, and seven moves stayed pending for good. Ruled out: slowness (the placement's log had stopped growing). Now each record of the log is looked at too. Not traced: why the third daemon's new life did not answer the seal request itself.

--- a/packages/lease/src/sealing.ts
+++ b/packages/lease/src/sealing.ts
@@ -88,20 +88,31 @@
     this.#options.onSealed(predecessor.move);
   }
 
-  /** Collects answers until a majority has sealed; false when the daemon closes first. */
+  /**
+   * Collects answers until a majority has sealed; false when the daemon closes first. What the log tells
+   * of a member that does not answer can complete them too, so each record is looked at as well.
+   */
   async #collect(group: LeaseGroup, move: Offset): Promise<boolean> {
-    const { signal } = this.#options;
+    const { signal, ledger } = this.#options;
     const answered = new Set<Address>();
     const over = new AbortController();
     return await new Promise<boolean>((resolve) => {
-      signal.addEventListener("abort", () => resolve(false), { once: true });
-      const noteAnswer = (member: Address) => {
-        answered.add(member);
+      const conclude = (isSealed: boolean) => {
+        subscription.unsubscribe();
+        over.abort();
+        resolve(isSealed);
+      };
+      const check = () => {
         if (this.#isEnough(group, answered)) {
-          over.abort();
-          resolve(true);
+          conclude(true);
         }
       };
+      const subscription = ledger.changes.subscribe(check);
+      signal.addEventListener("abort", () => conclude(false), { once: true });
+      const noteAnswer = (member: Address) => {
+        answered.add(member);
+        check();
+      };
       for (const { address } of group.members) {
         this.#askUntilSealed(address, group.group, move, over.signal).then(
           (sealed) => {
