--- a/packages/lease/src/sealing.ts
+++ b/packages/lease/src/sealing.ts
@@ -33,7 +33,6 @@
   readonly #held = new Set<Group>();
   /** Since when the log is known to tell that a voter is gone, on this process's clock. */
   readonly #goneSince = new Map<Address, number>();
-  #unreported = new Set<Group>();
   #reporting: Promise<void> | undefined;
 
   constructor(options: SealingOptions) {
@@ -64,19 +63,19 @@
     const table = this.#options.ledger.pools.get(pending.pool)!;
     for (const shard of pending.shards) {
       for (const predecessor of table.predecessorsOf(shard)) {
-        this.#begin(predecessor, to);
+        this.#begin(predecessor);
       }
     }
   }
 
-  #begin(predecessor: Predecessor, to: Group): void {
+  #begin(predecessor: Predecessor): void {
     const key = keyOf(predecessor);
     if (!this.#tasks.has(key)) {
-      this.#tasks.set(key, this.#run(predecessor, to));
+      this.#tasks.set(key, this.#run(predecessor));
     }
   }
 
-  async #run(predecessor: Predecessor, to: Group): Promise<void> {
+  async #run(predecessor: Predecessor): Promise<void> {
     const group = this.#options.ledger.groups.get(predecessor.group);
     if (
       group !== undefined && !(await this.#collect(group, predecessor.move))
@@ -84,7 +83,7 @@
       return;
     }
     this.#sealed.add(keyOf(predecessor));
-    this.#report(to);
+    this.#reporting ??= this.#reportSoon();
     this.#options.onSealed(predecessor.move);
   }
 
@@ -182,37 +181,33 @@
     return reply.success && reply.data.granted;
   }
 
-  /** Tells the log which moves later holders need not seal again; several in one record. */
-  #report(group: Group): void {
-    this.#unreported.add(group);
-    this.#reporting ??= this.#reportSoon();
-  }
-
+  /**
+   * Tells the log which moves later holders need not seal again; several in one record. One seal may
+   * complete moves to several groups, so all groups held here are looked at.
+   */
   async #reportSoon(): Promise<void> {
     const { sleep, durationMs, signal } = this.#options;
     await sleep(durationMs * REPORT_AFTER_SHARE, signal);
     this.#reporting = undefined;
-    const groups = this.#unreported;
-    this.#unreported = new Set();
     if (signal.aborted) {
       return;
     }
-    for (const group of groups) {
-      this.#reportGroup(group);
+    for (const [group, moves] of this.#wholeMoves()) {
+      const { append, newId } = this.#options;
+      append({ id: newId(), kind: RecordKind.MovesActivated, group, moves });
     }
   }
 
-  #reportGroup(group: Group): void {
-    const { append, newId, ledger } = this.#options;
-    const moves: Offset[] = [];
-    for (const pending of ledger.pending.values()) {
-      if (pending.to === group && this.#isWhole(ledger, pending.move)) {
-        moves.push(pending.move);
+  /** Pending moves whose earlier owners are all sealed, by the group held here that they go to. */
+  #wholeMoves(): Map<Group, Offset[]> {
+    const { ledger } = this.#options;
+    const whole = new Map<Group, Offset[]>();
+    for (const { to, move } of ledger.pending.values()) {
+      if (this.#held.has(to) && this.#isWhole(ledger, move)) {
+        whole.set(to, [...whole.get(to) ?? [], move]);
       }
     }
-    if (moves.length > 0) {
-      append({ id: newId(), kind: RecordKind.MovesActivated, group, moves });
-    }
+    return whole;
   }
 
   #isWhole(ledger: Ledger, move: Offset): boolean {
--- a/packages/lease/src/sealing_test.ts
+++ b/packages/lease/src/sealing_test.ts
@@ -59,32 +59,60 @@
   });
 }
 
-describe("sealing of earlier owners", () => {
-  it("ends when the log proves a silent successor gone after the others have answered", async () => {
-    const ledger = new Ledger();
-    publish(ledger);
-    const members = ["holder", "successor", "witness"].map((address) => ({
-      address,
-      incarnation: join(ledger, address),
-    }));
-    append(ledger, {
-      id: newId(),
-      kind: RecordKind.PlannerClaimed,
-      expects: 0,
-      ...members[0],
-    });
-    const claim = ledger.claim!.claim;
-    const create = (of: typeof members) =>
+interface Scene {
+  ledger: Ledger;
+  /** Makes a group of the first members, and returns its number. */
+  create: (count: number) => number;
+  /** Moves the shard, and returns the number of the move. */
+  move: (from: number, to: number) => number;
+  sealing: Sealing;
+  appended: Entry[];
+  asked: string[];
+  close: () => Promise<void>;
+}
+
+/** Three daemons of which the first seals; `answer` tells whether a peer has sealed a group. */
+function playScene(answer: (peer: string, group: number) => boolean): Scene {
+  const ledger = new Ledger();
+  publish(ledger);
+  const members = ["holder", "successor", "witness"].map((address) => ({
+    address,
+    incarnation: join(ledger, address),
+  }));
+  append(ledger, { id: newId(), kind: RecordKind.PlannerClaimed, expects: 0, ...members[0] });
+  const claim = ledger.claim!.claim;
+  const appended: Entry[] = [];
+  const asked: string[] = [];
+  const stop = new AbortController();
+  const sealing = new Sealing({
+    ledger,
+    ...members[0],
+    now,
+    sleep,
+    call: (peer, method, payload) => {
+      asked.push(`${peer} ${method}`);
+      const { group } = payload as { group: number };
+      return Promise.resolve(Result.ok({ granted: answer(peer, group) }));
+    },
+    append: (entry) => appended.push(entry),
+    newId,
+    durationMs: DURATION_MS,
+    driftMarginMs: 0,
+    signal: stop.signal,
+    sealHere: () => true,
+    onSealed: () => {},
+  });
+  return {
+    ledger,
+    create: (count) =>
       append(ledger, {
         id: newId(),
         kind: RecordKind.GroupCreated,
         claim,
         pool: POOL,
-        members: of,
-      });
-    const earlier = create(members);
-    const later = create([members[0]]);
-    const move = (from: number, to: number) =>
+        members: members.slice(0, count),
+      }),
+    move: (from, to) =>
       append(ledger, {
         id: newId(),
         kind: RecordKind.ShardsMoved,
@@ -94,38 +122,63 @@
         from,
         to,
         cause: MoveCause.Loss,
-      });
-    move(0, earlier);
-    const second = move(earlier, later);
-    const appended: Entry[] = [];
-    const asked: string[] = [];
-    const stop = new AbortController();
-    const sealing = new Sealing({
-      ledger,
-      ...members[0],
-      now,
-      sleep,
-      call: (peer, method) => {
-        asked.push(`${peer} ${method}`);
-        return Promise.resolve(Result.ok({ granted: peer === "witness" }));
-      },
-      append: (entry) => appended.push(entry),
-      newId,
-      durationMs: DURATION_MS,
-      driftMarginMs: 0,
-      signal: stop.signal,
-      sealHere: () => true,
-      onSealed: () => {},
-    });
-    sealing.start(new Tenure(ledger.groups.get(later)!, 0, { succeedAfter: 0 }));
+      }),
+    sealing,
+    appended,
+    asked,
+    close: () => {
+      stop.abort();
+      return sealing.close();
+    },
+  };
+}
+
+/** Begins to hold a group. */
+function hold({ ledger, sealing }: Scene, group: number): void {
+  sealing.start(new Tenure(ledger.groups.get(group)!, 0, { succeedAfter: 0 }));
+}
+
+function activated(group: number, move: number): object {
+  return { kind: RecordKind.MovesActivated, group, moves: [move] };
+}
+
+function withoutIds(entries: Entry[]): object[] {
+  return entries.map(({ id: _, ...rest }) => rest);
+}
+
+describe("sealing of earlier owners", () => {
+  it("ends when the log proves a silent successor gone after the others have answered", async () => {
+    const scene = playScene((peer) => peer === "witness");
+    const earlier = scene.create(3);
+    const later = scene.create(1);
+    scene.move(0, earlier);
+    const move = scene.move(earlier, later);
+    hold(scene, later);
+    await sleep(DURATION_MS);
+    expect(scene.asked).to.include(`successor ${LeaseMethod.Seal}`);
+    expect(scene.appended, "before the successor is proven gone").to.deep.equal([]);
+    join(scene.ledger, "successor");
+    await sleep(DURATION_MS);
+    expect(withoutIds(scene.appended)).to.deep.equal([activated(later, move)]);
+    await scene.close();
+  });
+
+  it("reports a move whose last seal was begun for an earlier move of the same keys", async () => {
+    let isAnswering = false;
+    const scene = playScene(() => isAnswering);
+    const earlier = scene.create(3);
+    const [between, later] = [scene.create(1), scene.create(1)];
+    scene.move(0, earlier);
+    scene.move(earlier, between);
+    hold(scene, between);
+    await sleep(DURATION_MS);
+    const move = scene.move(between, later);
+    hold(scene, later);
     await sleep(DURATION_MS);
-    expect(asked).to.include(`successor ${LeaseMethod.Seal}`);
-    expect(appended, "before the successor is proven gone").to.deep.equal([]);
-    join(ledger, "successor");
+    expect(scene.appended, "before the earliest owner is sealed").to.deep.equal([]);
+    isAnswering = true;
     await sleep(DURATION_MS);
-    expect(appended.map((entry) => entry.kind)).to.deep.equal([RecordKind.MovesActivated]);
-    expect((appended[0] as { moves: number[] }).moves).to.deep.equal([second]);
-    stop.abort();
-    await sealing.close();
+    expect(withoutIds(scene.appended)).to.deep.equal([activated(later, move)]);
+    await scene.close();
   });
 });
