Grant until the support ends, also when the answer to a report was kept open

Cause: the time in which an answer is kept open (0.7 s of each 0.87 s) was subtracted from the grant, though the server counts the grant from the report's sending, so that time has passed already. An answer after 0.8 s granted 0.6 s; the next came 0.8 s later. Ruled out: moves (none before 1.3 s), lost reports (sequence without gaps).

--- a/packages/lease_ranges/src/grant_channel.ts
+++ b/packages/lease_ranges/src/grant_channel.ts
@@ -32,8 +32,8 @@
   sleep: Sleep;
   /** Grants that the server should have now. */
   grants: () => readonly Grant[];
-  /** The longest grant that the present support allows, in milliseconds. */
-  grantableMs: () => number;
+  /** The longest grant that the present support allows, in milliseconds counted from `since`. */
+  grantableMs: (since: number) => number;
   /** What the last owner of a grant's keys handed over. */
   handoverOf: (grant: Grant) => string | undefined;
   /** When grants that an earlier process at this address gave have ended for certain. */
--- a/packages/lease_ranges/src/granting.ts
+++ b/packages/lease_ranges/src/granting.ts
@@ -96,7 +96,7 @@
       sleep,
       earlierEndBy: endOfGrant(now(), supportMs),
       grants: () => this.#grants,
-      grantableMs: () => this.#grantableMs(),
+      grantableMs: (since) => this.#grantableMs(since),
       handoverOf: ({ first }) => rangeOf(table.table.value, first).handover ?? undefined,
       onChanged: () => this.#changed.next(),
       onOutdated: async (grant) => {
@@ -163,9 +163,9 @@
     this.#changed.next();
   }
 
-  /** The longest grant that the present support allows, in milliseconds. */
-  #grantableMs(): number {
-    const { tenure, suspension, now, grantMsMax, server, table, self } = this.#options;
+  /** The longest grant that the present support allows, in milliseconds counted from `since`. */
+  #grantableMs(since: number): number {
+    const { tenure, suspension, grantMsMax, server, table, self } = this.#options;
     const suspendedMs = suspension.check();
     if (suspendedMs > 0) {
       tenure.forgetSupport();
@@ -176,7 +176,7 @@
     if (present === undefined || present.id !== entered?.id || present.bornMs !== entered.bornMs) {
       return 0;
     }
-    return Math.min(grantMsMax, grantMsUntil(tenure.supportedUntil, now()));
+    return Math.min(grantMsMax, grantMsUntil(tenure.supportedUntil, since));
   }
 
   /**
--- a/packages/lease_ranges/src/order_channel.ts
+++ b/packages/lease_ranges/src/order_channel.ts
@@ -65,9 +65,9 @@
   }
 
   renew(): void {
-    const { grants, grantableMs } = this.#context;
+    const { now, grants, grantableMs } = this.#context;
     for (const grant of grants()) {
-      if (!this.#calling.has(grant) && grantableMs() >= GRANT_MIN_MS) {
+      if (!this.#calling.has(grant) && grantableMs(now()) >= GRANT_MIN_MS) {
         this.#calling.add(grant);
         this.#send(grant).finally(() => this.#calling.delete(grant));
       }
@@ -76,9 +76,9 @@
 
   /** Sends a grant until it is answered, or the keys take another shape. */
   async #send(grant: Grant): Promise<void> {
-    const { sleep, grants, grantableMs } = this.#context;
+    const { now, sleep, grants, grantableMs } = this.#context;
     while (!this.#stop.signal.aborted && grants().includes(grant)) {
-      const durationMs = grantableMs();
+      const durationMs = grantableMs(now());
       if (durationMs < GRANT_MIN_MS || await this.#sendOnce(grant, durationMs)) {
         return;
       }
--- a/packages/lease_ranges/src/report_channel.ts
+++ b/packages/lease_ranges/src/report_channel.ts
@@ -139,8 +139,9 @@
     receivedAt: number,
   ): { grants: GrantRows; noteSent: () => void } | undefined {
     const { now, grants, grantableMs } = this.#context;
-    const durationMs = grantableMs() - (now() - receivedAt);
-    if (durationMs < GRANT_MIN_MS) {
+    // The server counts from when it sent the report, so time in which the answer was kept open is past.
+    const durationMs = grantableMs(receivedAt);
+    if (receivedAt + durationMs - now() < GRANT_MIN_MS) {
       return undefined;
     }
     const granted = this.#chooseGrants();
