Compare the age of running requests with their kind, over all slots

Cause: a server counted as slow by the mean age of what it runs. Now each request's age is compared with what its kind takes, and free slots count as usual ones. The test (one long request among few; all requests long) failed before: 1,125 ms for 100.

--- a/packages/admission/src/gate.ts
+++ b/packages/admission/src/gate.ts
@@ -15,6 +15,8 @@
 const WORK_CLASSES_MAX = 500;
 /** Requests that run are on average this share of their whole time old; older ones show a slow server. */
 const USUAL_AGE_SHARE = 0.8;
+/** A request that runs counts as at most so many times older than usual. */
+const OLD_FACTOR_MAX = 8;
 /** Service time that is assumed before the first is seen, in milliseconds. */
 const ASSUMED_SERVICE_MS = 120;
 /** A request is given up once less than this share of a usual service time is left for it. */
@@ -90,16 +92,23 @@
    * nothing new for a while, so the age of what it runs counts as well.
    */
   get serviceMs(): number {
-    return this.#serviceMs === 0
-      ? 0
-      : Math.max(this.#serviceMs, this.#meanAgeMs() / USUAL_AGE_SHARE);
+    return this.#serviceMs * this.#slowness();
   }
 
-  #meanAgeMs(): number {
-    const now = this.#options.now();
+  /**
+   * By how much what runs now is older than its kind of work is usually; at least 1. Free slots count as
+   * usual ones, so that one long request among few does not make a whole server count as slow.
+   */
+  #slowness(): number {
+    const { now, limit } = this.#options;
+    const at = now();
     let sum = 0;
-    this.#runs.forEach(({ startedAt }) => sum += now - startedAt);
-    return this.running === 0 ? 0 : sum / this.running;
+    for (const { workClass, startedAt } of this.#runs) {
+      const usualMs = this.#serviceMsOf.get(workClass) ?? this.#serviceMs;
+      const ageMs = (at - startedAt) / USUAL_AGE_SHARE;
+      sum += usualMs > 0 ? Math.min(OLD_FACTOR_MAX, ageMs / usualMs) : 1;
+    }
+    return Math.max(1, (sum + limit()) / (this.running + limit()));
   }
 
   get #meanServiceMs(): number {
@@ -109,8 +118,7 @@
   /** Expected service time of one kind of work; grows with that of all when the server turns slow. */
   #serviceMsFor(workClass: string): number {
     const known = this.#serviceMsOf.get(workClass);
-    const slowness = this.#serviceMs > 0 ? this.serviceMs / this.#serviceMs : 1;
-    return known === undefined ? this.#meanServiceMs : known * slowness;
+    return known === undefined ? this.#meanServiceMs : known * this.#slowness();
   }
 
   /** Waits for a slot; refuses at once what cannot be answered in time. */
--- a/packages/admission/src/gate_test.ts
+++ b/packages/admission/src/gate_test.ts
@@ -70,6 +70,21 @@
     gate.close();
   });
 
+  it("does not take a server for slow because of one long request among few", async () => {
+    const clock = { now: 0 };
+    const gate = createGate(clock, 12);
+    await teach(gate, clock);
+    await gate.enter(entrant({ deadline: clock.now + 10_000 }));
+    clock.now += 900;
+    expect(gate.serviceMs).to.be.within(100, 170);
+    for (let count = 0; count < 11; count++) {
+      await gate.enter(entrant({ deadline: clock.now + 10_000 }));
+    }
+    clock.now += 900;
+    expect(gate.serviceMs, "all are old").to.be.above(400);
+    gate.close();
+  });
+
   it("lets short work in beside long work, by the time that each kind takes", async () => {
     const clock = { now: 0 };
     const gate = createGate(clock, 2);
