Prefer servers without keys in the same data centre while they have ample room

Failed trials: near while its expected answer is at most 1.4 (and 1.15) times that of a server further away. Now near only below half of the slots; heavy load is shared as before, as the played load shows (mean wait within 2 %).

--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -151,6 +151,7 @@
     now,
     random: Math.random,
     loadOf: (server) => this.#view.loadOf(server),
+    isNear: (server) => this.#view.isNear(server),
   });
   readonly #budgets = new Map<string, RetryBudget>();
   readonly #sides: SideServer[] = [];
--- a/packages/router/src/server_view.ts
+++ b/packages/router/src/server_view.ts
@@ -84,6 +84,13 @@
     return { running, waiting, slots: status.slots, serviceMs: status.load.serviceMs };
   }
 
+  /** Whether a daemon is in the same data centre. */
+  isNear(address: Address): boolean {
+    const { self, settings, heartbeats } = this.#options;
+    return address === self ||
+      heartbeats.peers.get(address)?.beat.dataCentre === settings.dataCentre;
+  }
+
   /** Peers that reach the store, from a random one on, so that their load is even. */
   storePeers(): Address[] {
     const { heartbeats } = this.#options;
--- a/packages/routing/src/two_choices.ts
+++ b/packages/routing/src/two_choices.ts
@@ -2,6 +2,10 @@
  * Chooses a backend server of a pool without keys: two at random, and of these the one that will answer
  * sooner. Where servers tell their load, that decides, since other daemons' requests wait there as well;
  * else it is the fewer of our own requests in flight, weighed by how fast the server answered lately.
+ *
+ * Bytes between data centres cost, so a server in the same one is taken while it has ample room; under more
+ * load all servers share it, since what is known of them is some tenths of a second old. Answers the load of a
+ * service whose servers are spread over data centres, as callers are.
  */
 import type { Address, Clock } from "@bulrushwood/types";
 
@@ -19,6 +23,11 @@
 /** Added to the expected time of a busy server, as a share of its service time when all slots are in use. */
 const BUSY_SHARE = 0.5;
 
+/** A near server is taken while it uses less than this share of its slots. */
+const NEAR_SHARE = 0.5;
+/** A near server may be expected to answer later than another by this factor, but no more. */
+const NEAR_FACTOR = 1.5;
+
 /** The load of a backend server, as it was told some tenths of a second ago. */
 export interface ServerLoad {
   running: number;
@@ -45,6 +54,8 @@
   random: () => number;
   /** The load that a server tells; undefined where it tells none. */
   loadOf?: (server: Address) => ServerLoad | undefined;
+  /** Whether a server is in this daemon's data centre; all are where it is left out. */
+  isNear?: (server: Address) => boolean;
 }
 
 /** What is seen of the servers of pools without keys. */
@@ -60,6 +71,26 @@
   choose(servers: Address[]): Address[] {
     const usable = servers.filter((server) => this.#isUsable(server));
     const pool = usable.length > 0 ? usable : servers;
+    if (pool.length < 2) {
+      return pool;
+    }
+    const { isNear = () => true } = this.#options;
+    const [nearest] = this.#chooseOfTwo(pool.filter(isNear));
+    const [other] = this.#chooseOfTwo(pool.filter((server) => server !== nearest));
+    const isNearSoon = nearest !== undefined && this.#hasAmpleRoom(nearest) &&
+      this.#cost(nearest) <= this.#cost(other) * NEAR_FACTOR;
+    return isNearSoon ? [nearest, other] : this.#chooseOfTwo(pool);
+  }
+
+  /** Whether a server that tells its load has most of its slots free. */
+  #hasAmpleRoom(server: Address): boolean {
+    const load = this.#options.loadOf?.(server);
+    return load !== undefined &&
+      openAt(load, this.#standingOf(server).inFlight) < load.slots * NEAR_SHARE;
+  }
+
+  /** Two at random, the one that will answer sooner first. */
+  #chooseOfTwo(pool: Address[]): Address[] {
     if (pool.length < 2) {
       return pool;
     }
@@ -133,10 +164,15 @@
   }
 }
 
+/** Requests at a server: what it told, or our own where we have more there by now. */
+function openAt(load: ServerLoad, inFlight: number): number {
+  return Math.max(inFlight, load.running + load.waiting);
+}
+
 /** When a server will have answered one request more, in milliseconds. */
 function expectedMs(load: ServerLoad, inFlight: number): number {
   const slots = Math.max(1, load.slots);
-  const ahead = Math.max(inFlight, load.running + load.waiting);
+  const ahead = openAt(load, inFlight);
   const queued = Math.max(0, ahead + 1 - slots) / slots;
   const busy = Math.min(1, ahead / slots);
   return load.serviceMs * (1 + queued + BUSY_SHARE * busy);
--- /dev/null
+++ b/packages/routing/src/two_choices_test.ts
@@ -0,0 +1,100 @@
+import { expect } from "chai";
+import { createRandom } from "@bulrushwood/types";
+import { TwoChoices } from "./mod.ts";
+
+const CENTRES = ["north", "middle", "south"];
+const SLOTS = 8;
+
+interface Server {
+  name: string;
+  serviceMs: number;
+  /** When each request at the server ends; the queue is kept as later ends. */
+  ends: number[];
+}
+
+/** What callers got. */
+interface Outcome {
+  farShare: number;
+  meanMs: number;
+}
+
+/** Plays callers in three data centres against one server in each, with loads told 200 ms late. */
+function play(
+  options: { ratePerCentre: number; slowFactor: number; isNearFirst: boolean },
+): Outcome {
+  const random = createRandom(3);
+  const clock = { now: 0 };
+  const servers = new Map(CENTRES.map((name, index): [string, Server] => [
+    name,
+    { name, serviceMs: index === 0 ? 100 * options.slowFactor : 100, ends: [] },
+  ]));
+  const told = new Map(CENTRES.map((name) => [name, 0]));
+  const choosers = CENTRES.map((centre) =>
+    new TwoChoices({
+      now: () => clock.now,
+      random,
+      loadOf: (name) => {
+        const open = told.get(name)!;
+        const { serviceMs } = servers.get(name)!;
+        const running = Math.min(open, SLOTS);
+        return { running, waiting: open - running, slots: SLOTS, serviceMs };
+      },
+      isNear: options.isNearFirst ? (name) => name === centre : undefined,
+    })
+  );
+  const under: { at: number; end: (succeeded: boolean) => void }[] = [];
+  let [sent, far, totalMs] = [0, 0, 0];
+  for (; clock.now < 20_000; clock.now++) {
+    for (const server of servers.values()) {
+      server.ends = server.ends.filter((end) => end > clock.now);
+      if (clock.now % 200 === 0) {
+        told.set(server.name, server.ends.length);
+      }
+    }
+    under.filter(({ at }) => at === clock.now).forEach(({ end }) => end(true));
+    CENTRES.forEach((centre, index) => {
+      if (random() >= options.ratePerCentre / 1_000) {
+        return;
+      }
+      const [name] = choosers[index].choose(CENTRES);
+      const server = servers.get(name)!;
+      const busyUntil = [...server.ends].sort((left, right) => right - left)[SLOTS - 1] ??
+        clock.now;
+      const at = Math.ceil(Math.max(clock.now, busyUntil) + server.serviceMs);
+      server.ends.push(at);
+      under.push({ at, end: choosers[index].begin(name) });
+      sent++;
+      far += name === centre ? 0 : 1;
+      totalMs += at - clock.now;
+    });
+  }
+  return { farShare: far / sent, meanMs: totalMs / sent };
+}
+
+describe("choosing a server of a service without keys", () => {
+  it("stays in the data centre while its server has ample room, and callers do not wait longer", () => {
+    const near = play({ ratePerCentre: 20, slowFactor: 1, isNearFirst: true });
+    const any = play({ ratePerCentre: 20, slowFactor: 1, isNearFirst: false });
+    expect(any.farShare).to.be.above(0.6);
+    expect(near.farShare).to.be.below(0.3);
+    expect(near.meanMs / any.meanMs).to.be.below(1.02);
+  });
+
+  it("shares heavy load between all servers as before", () => {
+    const near = play({ ratePerCentre: 72, slowFactor: 1, isNearFirst: true });
+    const any = play({ ratePerCentre: 72, slowFactor: 1, isNearFirst: false });
+    expect(near.meanMs / any.meanMs).to.be.below(1.02);
+  });
+
+  it("goes elsewhere from a slow server", () => {
+    const near = play({ ratePerCentre: 30, slowFactor: 5, isNearFirst: true });
+    const any = play({ ratePerCentre: 30, slowFactor: 5, isNearFirst: false });
+    expect(near.farShare).to.be.above(0.25);
+    expect(near.meanMs / any.meanMs).to.be.below(1.1);
+  });
+
+  it("goes elsewhere where no server is near", () => {
+    const choices = new TwoChoices({ now: () => 0, random: Math.random, isNear: () => false });
+    expect(choices.choose(["a", "b"])).to.have.members(["a", "b"]);
+  });
+});
