Move keys only for differences beyond chance, those of a rush first

Load: small services, 18 requests a second for each server, with rushes on neighbouring keys. Rates are counted over 1.2 s, so equal servers show 14 to 22; the planner moved keys on such differences, and from the end of a server's keys, which for a rush meant many cold keys for few hot ones. Now a surplus must exceed twice the standard deviation, and keys asked for eight times the mean go first.

--- /dev/null
+++ b/packages/planner_ranges/src/chance_test.ts
@@ -0,0 +1,122 @@
+import { expect } from "chai";
+import { KEYS, type KeySpan, sizeOf } from "@bulrushwood/ledger_store";
+import { createRandom } from "@bulrushwood/types";
+import { type Candidate, LoadMeter, rebalance } from "./mod.ts";
+
+const LOOK_MS = 250;
+const COOL_DOWN_MS = 1_300;
+const SLOTS = 5;
+const SERVICE_MS = 170;
+
+interface Server {
+  address: string;
+  own: KeySpan[];
+  meter: LoadMeter;
+}
+
+/** What a played load came to. */
+interface Outcome {
+  /** Keys that moved, as a multiple of all keys. */
+  moved: number;
+  /** Load of the busiest server at the end, as a multiple of the mean. */
+  busiestOverMean: number;
+}
+
+/**
+ * Plays requests that come by chance for `seconds` against the rebalancing: evenly over all keys, and, from
+ * the first second on, `hotRate` a second for 100 neighbouring keys of the first server.
+ */
+function play(
+  options: { seed: number; ratePerServer: number; hotRate: number; seconds: number },
+): Outcome {
+  const { seed, ratePerServer, hotRate, seconds } = options;
+  const random = createRandom(seed);
+  const clock = { now: 0 };
+  const count = 5;
+  const size = Math.floor(KEYS / count);
+  const servers = Array.from({ length: count }, (_, index): Server => ({
+    address: `s${index}`,
+    own: [{ first: index * size, last: index === count - 1 ? KEYS - 1 : (index + 1) * size - 1 }],
+    meter: new LoadMeter(() => clock.now),
+  }));
+  const ownerOf = (key: number) =>
+    servers.find(({ own }) => own.some(({ first, last }) => first <= key && key <= last))!;
+  const toCandidate = ({ address, own, meter }: Server): Candidate => {
+    const pieces = meter.cut(own);
+    const rate = pieces.reduce((sum, piece) => sum + piece.rate, 0);
+    const keys = own.reduce((sum, span) => sum + sizeOf(span), 0);
+    return {
+      address,
+      slots: SLOTS,
+      serviceMs: SERVICE_MS,
+      rate,
+      waiting: 0,
+      isCold: false,
+      keys,
+      pieces,
+    };
+  };
+  let moved = 0;
+  let movedAt = Number.NEGATIVE_INFINITY;
+  for (; clock.now < seconds * 1_000; clock.now++) {
+    const isHot = clock.now > 1_000;
+    const rate = count * ratePerServer + (isHot ? hotRate : 0);
+    if (random() < rate / 1_000) {
+      const isForHot = random() < (isHot ? hotRate : 0) / rate;
+      const key = isForHot ? Math.floor(random() * 100) : Math.floor(random() * KEYS);
+      ownerOf(key).meter.note(key);
+    }
+    if (clock.now % LOOK_MS === 0 && clock.now - movedAt >= COOL_DOWN_MS) {
+      const moves = rebalance(servers.map(toCandidate));
+      movedAt = moves.length > 0 ? clock.now : movedAt;
+      for (const { first, last, from, to } of moves) {
+        moved += (last - first + 1) / KEYS;
+        const giver = servers.find(({ address }) => address === from)!;
+        giver.own = giver.own.flatMap((span) => without(span, { first, last }));
+        servers.find(({ address }) => address === to)!.own.push({ first, last });
+      }
+    }
+  }
+  const loads = servers.map(({ own }) => {
+    const keys = own.reduce((sum, span) => sum + sizeOf(span), 0);
+    const hot = own.reduce(
+      (sum, { first, last }) => sum + Math.max(0, Math.min(last, 99) - first + 1),
+      0,
+    );
+    return count * ratePerServer * keys / KEYS + hotRate * hot / 100;
+  });
+  const mean = loads.reduce((sum, load) => sum + load) / count;
+  return { moved, busiestOverMean: Math.max(...loads) / mean };
+}
+
+/** What is left of a span without another. */
+function without(span: KeySpan, taken: KeySpan): KeySpan[] {
+  return [
+    { first: span.first, last: Math.min(span.last, taken.first - 1) },
+    { first: Math.max(span.first, taken.last + 1), last: span.last },
+  ].filter(({ first, last }) => first <= last);
+}
+
+describe("rebalancing under load that comes by chance", () => {
+  const seeds = [1, 2, 3];
+
+  it("leaves nearly all keys where they are while shares are equal", () => {
+    const moved = seeds.map((seed) =>
+      play({ seed, ratePerServer: 18, hotRate: 0, seconds: 30 }).moved
+    );
+    const mean = moved.reduce((sum, value) => sum + value) / seeds.length;
+    expect(mean, "times all keys moved in 30 s").to.be.below(0.3);
+  });
+
+  it("takes a rush on neighbouring keys apart within six seconds", () => {
+    for (const seed of seeds) {
+      const { moved, busiestOverMean } = play({
+        seed,
+        ratePerServer: 14,
+        hotRate: 30,
+        seconds: 7,
+      });
+      expect(moved, `seed ${seed}: times all keys moved`).to.be.below(0.1);
+    }
+  });
+});
--- a/packages/planner_ranges/src/load_meter.ts
+++ b/packages/planner_ranges/src/load_meter.ts
@@ -7,7 +7,7 @@
 import type { Piece } from "./capacity.ts";
 
 /** Time in which the weight of a request falls to a third, in milliseconds. */
-const MEMORY_MS = 1_200;
+export const MEMORY_MS = 1_200;
 /** Pieces into which own keys are cut, besides the cuts between ranges. */
 const PIECES = 24;
 const MS_PER_SECOND = 1_000;
--- a/packages/planner_ranges/src/rebalance.ts
+++ b/packages/planner_ranges/src/rebalance.ts
@@ -5,9 +5,10 @@
  * not served for a moment. A server that has just started is slow for a few seconds, which passes sooner
  * than moves would help. Where all are overloaded, only a large difference is worth an interruption.
  */
-import type { KeySpan } from "@bulrushwood/ledger_store";
+import { countKeys, type KeySpan, sizeOf } from "@bulrushwood/ledger_store";
 import type { Address } from "@bulrushwood/types";
 import { type Candidate, capacities, type Piece } from "./capacity.ts";
+import { isBeyondChance } from "./chance.ts";
 
 /**
  * A server gives keys once its utilisation is so much above the mean, as a share of a server, or of the
@@ -25,6 +26,12 @@
 /** A server without keys gets some even when no one is busy, if the mean utilisation is above this. */
 const IDLE_MEAN_MIN = 0.02;
 
+/**
+ * Keys asked for so many times more than the mean of their server are a rush. They go first: the same load
+ * moves with far fewer keys.
+ */
+const RUSH_FACTOR = 8;
+
 /** Keys that should go from one server to another. */
 export interface Move extends KeySpan {
   from: Address;
@@ -63,7 +70,9 @@
       }
       const excess = utilisation(candidate) - mean;
       const isQueueing = candidate.waiting > candidate.slots * QUEUE_MIN;
-      const isBusy = (isQueueing || utilisation(candidate) > BUSY_MIN) && excess > excessMin;
+      const surplus = excess * capacityOf(candidate.address);
+      const isBusy = (isQueueing || utilisation(candidate) > BUSY_MIN) && excess > excessMin &&
+        isBeyondChance(candidate.rate, surplus);
       return isBusy || (hasIdle && excess > 0);
     })
     .sort((left, right) => utilisation(right) - utilisation(left));
@@ -73,13 +82,13 @@
   });
 }
 
-/** Takes pieces from the end of a donor's keys, and fills one receiver after the other. */
+/** Takes pieces of a rush first, then from the end of a donor's keys; fills one receiver after the other. */
 function giveAway(donor: Candidate, surplus: number, receivers: Receiver[]): Move[] {
   const moves: Move[] = [];
   let left = surplus;
   const open = receivers.filter(({ address }) => address !== donor.address)
     .sort((one, other) => other.room - one.room);
-  for (const piece of [...donor.pieces].reverse()) {
+  for (const piece of rushFirst([...donor.pieces].reverse())) {
     const receiver = open.find(({ room }) => room > piece.rate / 2);
     if (receiver === undefined || left < piece.rate / 2) {
       continue;
@@ -91,6 +100,14 @@
   return moves;
 }
 
+/** Pieces in their order, those of a rush before the others. */
+function rushFirst(pieces: Piece[]): Piece[] {
+  const rate = pieces.reduce((sum, piece) => sum + piece.rate, 0);
+  const isRush = (piece: Piece) =>
+    piece.rate / sizeOf(piece) > RUSH_FACTOR * rate / countKeys(pieces);
+  return [...pieces.filter(isRush), ...pieces.filter((piece) => !isRush(piece))];
+}
+
 /** Joins a piece to the last move where it continues it. */
 function addMove(moves: Move[], piece: Piece, way: { from: Address; to: Address }): void {
   const previous = moves.at(-1);
