Add explain-request: one request's story from the logs of several instances

Works offline on collected lines, also behind what a collector wrote before them; unreadable lines are counted with the first reason. Clock differences are bounded by requests that two instances logged. Shows version and age of the manifest and of the last change of owners.

--- a/packages/cli/src/cli_test.ts
+++ b/packages/cli/src/cli_test.ts
@@ -47,7 +47,7 @@
 
   it("has help for every command", async () => {
     const commands = ["serve", "check", "publish", "status", "watch", "explain", "drain"];
-    for (const command of [...commands, "declare-lost"]) {
+    for (const command of [...commands, "declare-lost", "explain-request"]) {
       const { code, stdout } = await run(command, "--help");
       expect(code, command).to.equal(ExitCode.Ok);
       expect(stdout).to.contain(`$ bulrushwood ${command}`);
@@ -83,6 +83,30 @@
     expect(ended.stderr).to.contain("listen: found nothing, expected a value of type object");
   });
 
+  it("explains a request from the logs of several instances, and counts what it cannot read", async () => {
+    const [ingress, owner] = ["in.log", "owner.log"].map((name) => join(directory, name));
+    const common = { level: "info", id: "r1", message: "request-lost" };
+    const late = { ...common, instance: "in", timestamp: "2026-12-04T10:00:00.300Z" };
+    writeFileSync(ingress, `${JSON.stringify({ ...late, ms: 200, route: "book" })}\ncut {"a\n`);
+    const early = { ...common, instance: "owner", timestamp: "2026-12-04T10:00:00.250Z" };
+    writeFileSync(owner, `${JSON.stringify({ ...early, detail: "read ECONNRESET" })}\n`);
+    const { code, stdout } = await run("explain-request", "r1", ingress, owner);
+    expect(code).to.equal(ExitCode.Ok);
+    expect(stdout.split("\n").filter((line) => line.startsWith("*"))).to.deep.equal([
+      "*    150 ms owner request-lost detail=read ECONNRESET",
+      "*    200 ms in    request-lost ms=200, route=book",
+    ]);
+    expect(stdout).to.contain("1 lines could not be read");
+    const json = JSON.parse((await run("explain-request", "r1", ingress, owner, "--json")).stdout);
+    expect([json.ingress, json.unreadable, json.steps.length]).to.deep.equal(["in", 1, 2]);
+    const none = await run("explain-request", "r9", ingress);
+    expect([none.code, none.stdout]).to.deep.equal([ExitCode.Malformed, ""]);
+    expect(none.stderr).to.contain("None of 1 lines names request r9");
+    const missing = await run("explain-request", "r1", join(directory, "no-such.log"));
+    expect(missing.code).to.equal(ExitCode.Malformed);
+    expect(missing.stderr).to.contain("Name files that exist");
+  });
+
   it("says so when no daemon answers", async () => {
     const ended = await run("status", "--admin", "127.0.0.1:1");
     expect(ended.code).to.equal(ExitCode.Unavailable);
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -5,6 +5,7 @@
 import { runCheck } from "./check.ts";
 import { runDeclareLost, runDrain } from "./instances.ts";
 import { runExplain } from "./explain.ts";
+import { runExplainRequest } from "./explain_request.ts";
 import { runPublish } from "./publish.ts";
 import { runServe } from "./serve.ts";
 import { runStatus } from "./status.ts";
@@ -73,6 +74,15 @@
     .describe("Tell which server owns a key, who follows it, and why.")
     .example("explain despacho planta-7")
     .action(runExplain);
+  program
+    .command("explain-request <id>")
+    .describe(
+      "Tell what became of a request, from log files of several instances, or from standard input where no " +
+        "file is named. Asks no daemon. Exits 1 when no line names the request.",
+    )
+    .example("explain-request 4ab7febb logs/*")
+    .example("explain-request 4ab7febb --json < all.log")
+    .action(runExplainRequest);
   program
     .command("drain <instance>")
     .describe("Let an instance finish its work, give up its keys and end.")
--- /dev/null
+++ b/packages/explain/src/explain_test.ts
@@ -0,0 +1,165 @@
+import { expect } from "chai";
+import {
+  estimateClocks,
+  formatStory,
+  type LogLine,
+  parseLine,
+  type Step,
+  type Story,
+  tellStory,
+} from "./mod.ts";
+
+const BASE = Date.parse("2026-12-04T10:00:00.000Z");
+
+function line(
+  instance: string,
+  atMs: number,
+  event: string,
+  fields: Record<string, unknown> = {},
+): string {
+  const timestamp = new Date(BASE + atMs).toISOString();
+  return JSON.stringify({ instance, level: "info", message: event, timestamp, ...fields });
+}
+
+function read(texts: string[]): LogLine[] {
+  return texts.map((text) =>
+    parseLine(text).unwrapOrElse((error) => {
+      throw error;
+    })
+  );
+}
+
+function tell(id: string, texts: string[]): Story {
+  return tellStory(id, read(texts)).unwrapOrElse((error) => {
+    throw error;
+  });
+}
+
+function outline(steps: Step[]): string[] {
+  return steps.map(({ instance, event }) => `${instance} ${event}`);
+}
+
+describe("log lines", () => {
+  it("are read, also behind what a collector wrote before them", () => {
+    const parsed = parseLine(`  0.5 a-1 ${line("a-1", 5, "caller-left", { id: "r1", ms: 4 })}`);
+    expect(parsed.isOk && parsed.value).to.deep.equal({
+      instance: "a-1",
+      at: BASE + 5,
+      event: "caller-left",
+      id: "r1",
+      fields: { id: "r1", ms: 4 },
+    });
+  });
+
+  const unreadable: [string, string, string][] = [
+    ["plain text", "the disk is full", "no JSON object"],
+    ["a line that was cut", line("a", 1, "started").slice(0, 30), "cannot be read"],
+    ["no time", '{"instance":"a","message":"started"}', "Field timestamp"],
+    ["a time that is none", '{"instance":"a","message":"x","timestamp":"noon"}', "Field timestamp"],
+    ["a number as id", line("a", 1, "caller-left", { id: 7 }), "Field id"],
+  ];
+  for (const [name, text, why] of unreadable) {
+    it(`are refused with the reason: ${name}`, () => {
+      const parsed = parseLine(text);
+      expect(parsed.isErr && parsed.error.message).to.contain(why);
+    });
+  }
+});
+
+describe("clocks", () => {
+  it("agree as far as lines allow it", () => {
+    const lines = read([
+      line("in", 100, "request-lost", { id: "r1", ms: 60, route: "r" }),
+      line("owner", 90, "request-lost", { id: "r1" }),
+    ]);
+    expect(estimateClocks(lines, "in")).to.deep.equal([
+      { instance: "in", addMs: 0, withinMs: 0 },
+      { instance: "owner", addMs: 0, withinMs: 50 },
+    ]);
+  });
+
+  it("differ where a line would else be outside its request; more requests narrow it", () => {
+    const behind = 5_000;
+    const lines = read([
+      line("in", 100, "request-lost", { id: "r1", ms: 60, route: "r" }),
+      line("owner", 90 - behind, "request-lost", { id: "r1" }),
+      line("in", 300, "request-lost", { id: "r2", ms: 20, route: "r" }),
+      line("owner", 290 - behind, "request-lost", { id: "r2" }),
+      line("other", 290, "started"),
+    ]);
+    const [, other, owner] = estimateClocks(lines, "in");
+    expect(owner.addMs).to.be.within(behind - 10, behind + 10);
+    expect(owner.withinMs).to.be.at.most(10);
+    expect(other, "no request in common").to.deep.equal({
+      instance: "other",
+      addMs: 0,
+      withinMs: undefined,
+    });
+  });
+});
+
+describe("the story of a request", () => {
+  const texts = [
+    line("in", -90_000, "manifest-applied", { version: 7 }),
+    line("planner", 900, "keys-moved", { from: "owner", keys: 12 }),
+    line("owner", 1_000, "keys-given", { cause: "load" }),
+    line("owner", 1_040, "request-refused", { id: "r1", reason: "not-holder" }),
+    line("in", 1_300, "request-refused", {
+      id: "r1",
+      ms: 280,
+      route: "book",
+      reason: "not-holder",
+      retryAfterMs: 150,
+    }),
+    line("in", 1_310, "request-refused", { id: "r2", ms: 1, route: "book", reason: "overloaded" }),
+    line("planner", 9_000, "keys-moved", { from: "owner", keys: 3 }),
+  ];
+
+  it("is in order of time, with what happened around it and nothing else", () => {
+    const story = tell("r1", texts.toReversed());
+    expect(outline(story.steps)).to.deep.equal([
+      "planner keys-moved",
+      "owner keys-given",
+      "owner request-refused",
+      "in request-refused",
+    ]);
+    expect(story.steps.map(({ isOwn }) => isOwn)).to.deep.equal([false, false, true, true]);
+    expect([story.ingress, story.arrivedAt]).to.deep.equal(["in", BASE + 1_020]);
+  });
+
+  it("tells version and age of what the decision rested on", () => {
+    expect(tell("r1", texts).inputs).to.deep.equal({
+      manifestVersion: 7,
+      manifestAgeMs: 91_020,
+      ownersAgeMs: 20,
+    });
+  });
+
+  it("is the same when the owner's clock is a minute behind", () => {
+    const shifted = texts.map((text) => {
+      const value = JSON.parse(text) as { instance: string; timestamp: string };
+      const lateMs = value.instance === "owner" ? 60_000 : 0;
+      const timestamp = new Date(Date.parse(value.timestamp) - lateMs).toISOString();
+      return JSON.stringify({ ...value, timestamp });
+    });
+    const story = tell("r1", shifted);
+    expect(outline(story.steps).slice(-2)).to.deep.equal([
+      "owner request-refused",
+      "in request-refused",
+    ]);
+    expect(formatStory(story)).to.contain("the clock of owner differs");
+  });
+
+  it("says what is missing when no line names the request", () => {
+    const told = tellStory("r9", read(texts));
+    expect(told.isErr && told.error.message).to.contain("None of 7 lines names request r9");
+  });
+
+  it("is written with one line a step", () => {
+    const text = formatStory(tell("r1", texts)).split("\n");
+    expect(text[0]).to.equal("request r1 reached in at 2026-12-04T10:00:01.020Z");
+    expect(text.at(-1)).to.equal(
+      "*    280 ms in      request-refused ms=280, route=book, reason=not-holder, retryAfterMs=150",
+    );
+  });
+});
--- /dev/null
+++ b/packages/explain/src/format.ts
@@ -0,0 +1,57 @@
+/**
+ * Writes a story for people: one line a step, times in milliseconds since the request's arrival.
+ */
+import type { Story } from "./story.ts";
+
+/** A difference between clocks below this is not worth a line, in milliseconds. */
+const CLOCK_MS_MIN = 5;
+const TIME_WIDTH = 9;
+
+/** Writes a story as text. */
+export function formatStory(story: Story): string {
+  const { id, ingress, arrivedAt, steps, inputs, clocks } = story;
+  const instanceWidth = Math.max(...steps.map(({ instance }) => instance.length));
+  const lines = steps.map(({ atMs, instance, event, fields, isOwn }) =>
+    [
+      isOwn ? "*" : " ",
+      `${Math.round(atMs)} ms`.padStart(TIME_WIDTH),
+      instance.padEnd(instanceWidth),
+      event,
+      describeFields(fields),
+    ].join(" ").trimEnd()
+  );
+  const differing = clocks.filter(({ addMs }) => Math.abs(addMs) >= CLOCK_MS_MIN);
+  return [
+    `request ${id} reached ${ingress} at ${new Date(arrivedAt).toISOString()}`,
+    ...describeInputs(inputs),
+    ...differing.map(({ instance, addMs, withinMs = 0 }) =>
+      `the clock of ${instance} differs; ${Math.round(addMs)} ms are added (within ${
+        Math.round(withinMs)
+      } ms)`
+    ),
+    "",
+    ...lines,
+  ].join("\n");
+}
+
+function describeInputs(
+  { manifestVersion, manifestAgeMs, ownersAgeMs }: Story["inputs"],
+): string[] {
+  const described: string[] = [];
+  if (manifestAgeMs !== undefined) {
+    described.push(
+      `manifest ${manifestVersion}, in force there for ${Math.round(manifestAgeMs)} ms`,
+    );
+  }
+  if (ownersAgeMs !== undefined) {
+    described.push(`keys last changed their owner ${Math.round(ownersAgeMs)} ms before`);
+  }
+  return described;
+}
+
+function describeFields(fields: Record<string, unknown>): string {
+  return Object.entries(fields)
+    .filter(([name, value]) => name !== "id" && value !== undefined)
+    .map(([name, value]) => `${name}=${typeof value === "string" ? value : JSON.stringify(value)}`)
+    .join(", ");
+}
