Clocks: believe a difference that several requests show

On the log of an incident clocks seemed to differ that do not: a caller came back with the same id and was answered elsewhere, which is not logged, so a line lay outside its only window. Now the difference that suits most requests counts, zero first, and only once three requests show it.

--- a/packages/explain/src/clocks.ts
+++ b/packages/explain/src/clocks.ts
@@ -1,7 +1,8 @@
 /**
  * Estimates by how much the clocks of instances differ. The instance that takes a request logs when it was
  * over and how long that took; lines of other instances about the request were written in between. Each
- * request bounds the difference, all together bound it closely.
+ * request bounds the difference, all together bound it closely. A caller may have come back with the same id
+ * elsewhere and been answered there, which is not logged, so the difference that suits most requests counts.
  */
 import type { LogLine } from "./log_line.ts";
 
@@ -14,6 +15,11 @@
   withinMs: number | undefined;
 }
 
+/** A difference counts once so many requests show it. */
+const REQUESTS_MIN = 3;
+/** Times in lines are rounded, in milliseconds. */
+const ROUNDING_MS = 2;
+
 interface Bounds {
   least: number;
   most: number;
@@ -52,16 +58,29 @@
   return { addMs, withinMs: Math.max(most - addMs, addMs - least, 0) };
 }
 
+/** The bounds that suit most of all, or those around zero where as many suit that; undefined for too few. */
+function bestOf(all: Bounds[]): Bounds | undefined {
+  const commonAt = (point: number) =>
+    all.filter(({ least, most }) => least <= point && point <= most);
+  const points = [0, ...all.map(({ least }) => least)];
+  const best = points.map(commonAt).reduce((chosen, next) =>
+    next.length > chosen.length ? next : chosen
+  );
+  if (best.length < REQUESTS_MIN && commonAt(0).length === 0) {
+    return undefined;
+  }
+  return {
+    least: Math.max(...best.map(({ least }) => least)),
+    most: Math.min(...best.map(({ most }) => most)),
+  };
+}
+
 /** For each two instances that logged the same requests, what may be added to the second one's times. */
 function boundPairs(lines: LogLine[]): Map<string, Map<string, Bounds>> {
-  const pairs = new Map<string, Map<string, Bounds>>();
-  const narrow = (from: string, to: string, bounds: Bounds) => {
-    const known = pairs.get(from) ?? new Map<string, Bounds>();
-    const earlier = known.get(to) ?? { least: -Infinity, most: Infinity };
-    known.set(to, {
-      least: Math.max(earlier.least, bounds.least),
-      most: Math.min(earlier.most, bounds.most),
-    });
+  const pairs = new Map<string, Map<string, Bounds[]>>();
+  const note = (from: string, to: string, bounds: Bounds) => {
+    const known = pairs.get(from) ?? new Map<string, Bounds[]>();
+    known.set(to, [...known.get(to) ?? [], bounds]);
     pairs.set(from, known);
   };
   for (const ofRequest of byRequest(lines).values()) {
@@ -72,13 +91,20 @@
     }
     const [{ instance, at, fields }] = ingress;
     for (const line of ofRequest.filter((other) => other.instance !== instance)) {
-      const least = at - (fields.ms as number) - line.at;
-      const most = at - line.at;
-      narrow(instance, line.instance, { least, most });
-      narrow(line.instance, instance, { least: -most, most: -least });
+      const least = at - (fields.ms as number) - line.at - ROUNDING_MS;
+      const most = at - line.at + ROUNDING_MS;
+      note(instance, line.instance, { least, most });
+      note(line.instance, instance, { least: -most, most: -least });
     }
   }
-  return pairs;
+  const reduce = (of: Map<string, Bounds[]>) =>
+    new Map(
+      [...of].flatMap(([other, all]) => {
+        const best = bestOf(all);
+        return best === undefined ? [] : [[other, best] as const];
+      }),
+    );
+  return new Map([...pairs].map(([instance, of]) => [instance, reduce(of)]));
 }
 
 function byRequest(lines: LogLine[]): Map<string, LogLine[]> {
