--- a/packages/explain/src/clocks.ts
+++ b/packages/explain/src/clocks.ts
@@ -11,7 +11,7 @@
   instance: string;
   /** To add to its times, in milliseconds; 0 where its clock may agree or nothing is known. */
   addMs: number;
-  /** The difference may be wrong by so much, in milliseconds; undefined where nothing is known. */
+  /** The difference may be wrong by so much, in milliseconds; undefined where no bound is known. */
   withinMs: number | undefined;
 }
 
@@ -30,6 +30,14 @@
   return typeof fields.ms === "number" && typeof fields.route === "string";
 }
 
+/** Reasons that only the owner's answer gives. */
+const OWNERS_REASONS = new Set(["not-holder", "server-refused", "overloaded", "draining"]);
+
+/** Whether the instance that took the request ended it with another's answer. */
+function isAnswered({ event, fields }: LogLine): boolean {
+  return event === "request-refused" && OWNERS_REASONS.has(String(fields.reason));
+}
+
 /** Differences against the clock of `reference`, for all instances that the lines name. */
 export function estimateClocks(lines: LogLine[], reference: string): ClockDifference[] {
   const edges = boundPairs(lines);
@@ -51,11 +59,13 @@
   });
 }
 
-/** Zero where it is possible, since clocks mostly agree; else the middle. */
-function centre({ least, most }: Bounds): { addMs: number; withinMs: number } {
+/** Zero where it is possible, since clocks mostly agree; else the middle, or the end where there is one. */
+function centre({ least, most }: Bounds): Omit<ClockDifference, "instance"> {
   const isZeroPossible = least <= 0 && most >= 0;
-  const addMs = isZeroPossible ? 0 : (least + most) / 2;
-  return { addMs, withinMs: Math.max(most - addMs, addMs - least, 0) };
+  const ends = [least, most].filter(Number.isFinite);
+  const addMs = isZeroPossible ? 0 : ends.reduce((sum, end) => sum + end, 0) / ends.length;
+  const withinMs = Math.max(most - addMs, addMs - least, 0);
+  return { addMs, withinMs: Number.isFinite(withinMs) ? withinMs : undefined };
 }
 
 /** The bounds that suit most of all, or those around zero where as many suit that; undefined for too few. */
@@ -92,7 +102,8 @@
     const [{ instance, at, fields }] = ingress;
     for (const line of ofRequest.filter((other) => other.instance !== instance)) {
       const least = at - (fields.ms as number) - line.at - ROUNDING_MS;
-      const most = at - line.at + ROUNDING_MS;
+      // An owner may go on, and log it, after the ingress gave up; only its own refusal surely came before.
+      const most = isAnswered(ingress[0]) ? at - line.at + ROUNDING_MS : Infinity;
       note(instance, line.instance, { least, most });
       note(line.instance, instance, { least: -most, most: -least });
     }
--- a/packages/explain/src/format.ts
+++ b/packages/explain/src/format.ts
@@ -24,11 +24,10 @@
   return [
     `request ${id} reached ${ingress} at ${new Date(arrivedAt).toISOString()}`,
     ...describeInputs(inputs),
-    ...differing.map(({ instance, addMs, withinMs = 0 }) =>
-      `the clock of ${instance} differs; ${Math.round(addMs)} ms are added (within ${
-        Math.round(withinMs)
-      } ms)`
-    ),
+    ...differing.map(({ instance, addMs, withinMs }) => {
+      const within = withinMs === undefined ? "" : `, within ${Math.round(withinMs)} ms`;
+      return `the clock of ${instance} differs: ${Math.round(addMs)} ms are added${within}`;
+    }),
     "",
     ...lines,
   ].join("\n");
