Keep serving keys at a planned stop while the store is out of reach

Ruled out: slow moves (no keys-given from 17 to 30 s). Now a daemon that stops gives keys away only while the store answers, and serves them meanwhile; what it cannot give by its end passes on as after a loss. The test (three daemons, none reaches the store, one leaves) failed before in both ways of granting: 503 from the first request on; now all are answered for 3 s.

--- a/packages/router/src/key_giver.ts
+++ b/packages/router/src/key_giver.ts
@@ -28,6 +28,8 @@
   /** Tells peers at once of what changed here. */
   tellPeers: () => void;
   isEnding: () => boolean;
+  /** Whether the store answers, so that what is let go can pass on. */
+  hasStore: () => boolean;
   log: EventLog;
 }
 
@@ -106,10 +108,13 @@
     this.#isGiving = false;
   }
 
-  /** Gives keys away until none is left, also those that came while others were given. */
+  /**
+   * Gives keys away until none is left, also those that came while others were given. While the store does not
+   * answer they are served here as long as the daemon runs, since nobody else could get them.
+   */
   async giveAllBeforeEnd(): Promise<void> {
     while (this.#options.granting.own.length > 0) {
-      if (!this.#isGiving) {
+      if (!this.#isGiving && this.#options.hasStore()) {
         await this.#giveAll("the daemon stops", { isServerGone: false });
       }
       await sleep(GIVE_AGAIN_MS);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -287,6 +287,7 @@
       probe: () => this.#probe(),
       tellPeers: () => this.#heartbeats.hurry(),
       isEnding: () => this.#isEnding,
+      hasStore: () => this.#hasStore,
       log,
     });
     this.#planner = new RangePlanner({
--- a/packages/router/src/router_test.ts
+++ b/packages/router/src/router_test.ts
@@ -34,6 +34,10 @@
 /** How long grants in reports run: two reports and what votes and margins take. */
 const GRANT_MS = 2 * REPORT_EVERY_MS + 700;
 const SERVICE_MS = 20;
+/** Time in which daemons notice that the store is out of reach. */
+const STORE_LOST_MS = 6_000;
+/** A daemon that leaves has 6 s and keeps some of it for its last requests. */
+const SERVED_MS = 3_000;
 
 interface Holding {
   first: number;
@@ -423,6 +427,21 @@
       await closeAll(instances);
     });
 
+    it("serve the keys of one that leaves while none reaches the store", async () => {
+      const instances = await startThree(grantDelivery);
+      const [leaving, ...others] = instances;
+      instances.forEach(({ cutStore }) => cutStore());
+      await sleep(STORE_LOST_MS);
+      const key = SOME_KEYS.find((some) => leaving.server.holds(some))!;
+      const left = leaving.router.leave();
+      const until = now() + SERVED_MS;
+      while (now() < until) {
+        expect((await ask(others[0], key)).status).to.equal(200);
+      }
+      await left;
+      await closeAll(instances);
+    });
+
     it("answer every request while one of them leaves, and run none twice", async () => {
       const instances = await startThree(grantDelivery);
       const [leaving, ...others] = instances;
