--- a/packages/admission/src/gate.ts
+++ b/packages/admission/src/gate.ts
@@ -108,7 +108,8 @@
       const ageMs = (at - startedAt) / USUAL_AGE_SHARE;
       sum += usualMs > 0 ? Math.min(OLD_FACTOR_MAX, ageMs / usualMs) : 1;
     }
-    return Math.max(1, (sum + limit()) / (this.running + limit()));
+    const slots = Math.max(1, limit());
+    return Math.max(1, (sum + slots) / (this.running + slots));
   }
 
   get #meanServiceMs(): number {
--- a/packages/admission/src/gate_test.ts
+++ b/packages/admission/src/gate_test.ts
@@ -70,6 +70,10 @@
     gate.close();
   });
 
+  it("knows a service time for a server that tells no slots", () => {
+    expect(createGate({ now: 0 }, 0).serviceMs).to.equal(0);
+  });
+
   it("does not take a server for slow because of one long request among few", async () => {
     const clock = { now: 0 };
     const gate = createGate(clock, 12);
