--- a/packages/explain/src/explain_test.ts
+++ b/packages/explain/src/explain_test.ts
@@ -1,3 +1,4 @@
+import { readFileSync } from "node:fs";
 import { expect } from "chai";
 import {
   estimateClocks,
@@ -6,6 +7,7 @@
   parseLine,
   type Step,
   type Story,
+  TELLING,
   tellStory,
 } from "./mod.ts";
 
@@ -185,6 +187,12 @@
     expect(formatStory(story)).to.contain("the clock of owner differs");
   });
 
+  it("looks only for events that the page of events lists", () => {
+    const page = readFileSync("docs/OPERATIONS.md", "utf8");
+    const listed = [...page.matchAll(/^\| `([a-z-]+)`/gm)].map((match) => match[1]);
+    expect(listed).to.include.members([...TELLING]);
+  });
+
   it("says what is missing when no line names the request", () => {
     const told = tellStory("r9", read(texts));
     expect(told.isErr && told.error.message).to.contain("None of 7 lines names request r9");
--- a/packages/explain/src/mod.ts
+++ b/packages/explain/src/mod.ts
@@ -5,4 +5,4 @@
 export { type ClockDifference, estimateClocks } from "./clocks.ts";
 export { LineError, type LogLine, parseLine } from "./log_line.ts";
 export { formatStory } from "./format.ts";
-export { type Inputs, type Step, type Story, tellStory } from "./story.ts";
+export { type Inputs, type Step, type Story, TELLING, tellStory } from "./story.ts";
--- a/packages/explain/src/story.ts
+++ b/packages/explain/src/story.ts
@@ -11,8 +11,8 @@
 /** Events so long after a request may still explain it, since some are noticed late, in milliseconds. */
 const AFTER_MS = 1_000;
 
-/** Events about an instance or the store that can explain what became of a request. */
-const TELLING = new Set([
+/** Events about an instance or the store that can explain what became of a request; docs/OPERATIONS.md has them. */
+export const TELLING: ReadonlySet<string> = new Set([
   "keys-moved",
   "keys-given",
   "keys-assigned",
