One copy of what the change wrote twice; behaviour as before

- isSameLife (deployment) for five comparisons of a server's life; departures keep the identity, not a name.
- GrantOrder extends GrantRow, which extends HeldKeys.
- firstPlanner (planner_ranges) for the two rules of who plans.
- reportSupportMs (lease_ranges) for the router and the checker.
- without (ledger_store) in the checker's server, the router's fake server and the chance test; countKeys there.
- The tenure keeper waits in one place.
This loop also ends when the keeper closes; the wait for an entry by another daemon did not, and span without a pause until its time was over.
- The entry of several daemons is computed once for each state of the table; an answer's head is decoded once.
- Heartbeats.changes had no reader.
The session of two lost voters asks for the owner by findOwner.

--- a/packages/deployment/src/mod.ts
+++ b/packages/deployment/src/mod.ts
@@ -17,6 +17,7 @@
 } from "./server_wire.ts";
 export {
   type HeldKeys,
+  isSameLife,
   type ReleasedKeys,
   type ServerIdentity,
   type ServerReport,
--- a/packages/deployment/src/server_report.ts
+++ b/packages/deployment/src/server_report.ts
@@ -19,6 +19,11 @@
   bornMs: number;
 }
 
+/** Whether two identities name one life of a server; never where there is none. */
+export function isSameLife(one: ServerIdentity, other: ServerIdentity | undefined): boolean {
+  return one.id === other?.id && one.bornMs === other.bornMs;
+}
+
 /** Keys from `first` to `last`, both included, that a server holds or still works on. */
 export interface HeldKeys {
   first: number;
--- a/packages/deployment/src/server_wire.ts
+++ b/packages/deployment/src/server_wire.ts
@@ -4,7 +4,7 @@
 import type { Buffer } from "node:buffer";
 import type { IncomingHttpHeaders } from "node:http";
 import type { Result } from "true-myth";
-import type { StatusReport } from "./server_report.ts";
+import type { HeldKeys, StatusReport } from "./server_report.ts";
 
 /** The fields that the system adds to a request for a backend server. */
 export interface ServerRequest {
@@ -46,24 +46,16 @@
   body: Buffer;
 }
 
-/** Lets a server run work for keys from `first` to `last`, both included. */
-export interface GrantOrder {
-  first: number;
-  last: number;
-  epoch: number;
-  /** How long the grant runs from its arrival, in milliseconds. */
-  durationMs: number;
+/** Keys that a server is to hold. */
+export interface GrantRow extends HeldKeys {
   /** What the previous owner handed over; undefined for none. */
   handover: string | undefined;
 }
 
-/** Keys of one answer to a status report. */
-export interface GrantRow {
-  first: number;
-  last: number;
-  epoch: number;
-  /** What the previous owner handed over; undefined for none. */
-  handover: string | undefined;
+/** Lets a server run work for some keys. */
+export interface GrantOrder extends GrantRow {
+  /** How long the grant runs from its arrival, in milliseconds. */
+  durationMs: number;
 }
 
 /** All that a server is to hold, told with the answer to a status report. */
--- a/packages/lease_checker/src/ranges/run.ts
+++ b/packages/lease_checker/src/ranges/run.ts
@@ -6,14 +6,14 @@
 import { Result } from "true-myth";
 import { KEYS, type KeySpan, overlaps } from "@bulrushwood/ledger_store";
 import { type GrantRow, type ServerReport, ServerState } from "@bulrushwood/deployment";
-import type { OrderAnswer, ReportRules } from "@bulrushwood/lease_ranges";
+import { type OrderAnswer, type ReportRules, reportSupportMs } from "@bulrushwood/lease_ranges";
 import { ALL_VOTE_RULES, SUPPORT_MS, type VoteRules } from "@bulrushwood/lease_votes";
 import { AppendFault, KeyedStoreService } from "@bulrushwood/stand_ins";
 import { createRandom, type Random } from "@bulrushwood/types";
 import { Scheduler } from "../scheduler.ts";
 import { ProcessClock } from "./clock.ts";
 import { type CarryCall, type CarryOrder, SimDaemon } from "./daemon.ts";
-import { SimServer } from "./server.ts";
+import { SimServer, SLOWNESS } from "./server.ts";
 
 const DAEMONS = 5;
 const START_MS = 4_000;
@@ -25,12 +25,8 @@
 const QUICK_REPORT_MS = 100;
 /** An answer to a report counts if it is there within this, in milliseconds. */
 const ACKNOWLEDGEMENT_MS = 1_000;
-/** How long votes run where grants travel in reports, in milliseconds. */
-const REPORT_SUPPORT_MS = 2 * REPORT_MS + 700;
 /** Longest work for a key that is let go, in milliseconds. */
 const WORK_MS_MAX = 400;
-/** A server's clock may be this much slower, as a share. */
-const SLOWNESS = 0.02;
 /** Faults of one run. */
 const FAULTS = 10;
 /** Servers' orders that are carried out late while such a fault lasts, as a share. */
@@ -128,7 +124,7 @@
       carryOrder: this.#carryOrder,
       rules: this.#rules,
       reportRules: this.#reportRules,
-      supportMs: this.#reportRules === undefined ? SUPPORT_MS : REPORT_SUPPORT_MS,
+      supportMs: this.#reportRules === undefined ? SUPPORT_MS : reportSupportMs(REPORT_MS),
       random: this.#random,
     });
   }
@@ -260,7 +256,7 @@
     }
     await clock.sleep(0);
     await network.sleep(0.5);
-    return { rows: grants?.rows, durationMs: (grants?.durationMs ?? 0) * (1 + SLOWNESS) };
+    return { rows: grants?.rows, durationMs: (grants?.durationMs ?? 0) * SLOWNESS };
   }
 
   #takeAnswer(server: SimServer, rows: GrantRow[], options: { until: number }): void {
--- a/packages/lease_checker/src/ranges/server.ts
+++ b/packages/lease_checker/src/ranges/server.ts
@@ -5,7 +5,7 @@
 import { type KeySpan, overlaps, without } from "@bulrushwood/ledger_store";
 
 /** Time that a slow clock takes for a second of true time, as a share. */
-const SLOWNESS = 1.02;
+export const SLOWNESS = 1.02;
 
 /** Keys that a server holds. */
 export interface Holding extends KeySpan {
@@ -70,14 +70,9 @@
   }
 
   #remove(span: KeySpan): void {
-    this.holdings = this.holdings.flatMap((holding) => {
-      if (!overlaps(holding, span)) {
-        return [holding];
-      }
-      const before = { ...holding, last: span.first - 1 };
-      const after = { ...holding, first: span.last + 1 };
-      return [before, after].filter(({ first, last }) => first <= last);
-    });
+    this.holdings = this.holdings.flatMap((holding) =>
+      without(holding, [span]).map((rest) => ({ ...holding, ...rest }))
+    );
   }
 
   /** What it holds at a time. */
--- a/packages/lease_ranges/src/granting.ts
+++ b/packages/lease_ranges/src/granting.ts
@@ -4,7 +4,7 @@
  * no new work, release at the server, then the change in the store; nobody else may change their owner.
  */
 import { firstValueFrom, race, Subject, timer } from "rxjs";
-import type { ServerIdentity } from "@bulrushwood/deployment";
+import { isSameLife, type ServerIdentity } from "@bulrushwood/deployment";
 import {
   assign,
   type Assignment,
@@ -173,7 +173,7 @@
     }
     const present = server();
     const entered = table.table.value.hosts[self]?.server;
-    if (present === undefined || present.id !== entered?.id || present.bornMs !== entered.bornMs) {
+    if (present === undefined || !isSameLife(present, entered)) {
       return 0;
     }
     return Math.min(grantMsMax, grantMsUntil(tenure.supportedUntil, since));
--- a/packages/lease_ranges/src/mod.ts
+++ b/packages/lease_ranges/src/mod.ts
@@ -20,5 +20,6 @@
   ReportChannel,
   type ReportChannelOptions,
   type ReportRules,
+  reportSupportMs,
 } from "./report_channel.ts";
 export { type OwnServer, TenureKeeper, type TenureKeeperOptions } from "./tenure_keeper.ts";
--- a/packages/lease_ranges/src/report_channel.ts
+++ b/packages/lease_ranges/src/report_channel.ts
@@ -28,6 +28,18 @@
 /** A grant that so many answers in a row carried in vain needs a newer epoch. */
 const MISSES_MAX = 2;
 
+/**
+ * Reports that a grant outlives: one may be lost, and the next brings the renewal.
+ */
+const GRANT_REPORTS = 2;
+/** Added to the time of those reports, in milliseconds: age of the votes at a renewal, and margins. */
+const GRANT_REPORTS_MARGIN_MS = 700;
+
+/** How long votes run where grants travel in reports: grants rest on them from one renewal to the next. */
+export function reportSupportMs(reportEveryMs: number): number {
+  return reportEveryMs * GRANT_REPORTS + GRANT_REPORTS_MARGIN_MS;
+}
+
 /** Rules that the checker may take out to show that it finds what they prevent. */
 export interface ReportRules {
   /** Keys count as released only by reports that follow an answer which left them out. */
--- a/packages/lease_ranges/src/tenure_keeper.ts
+++ b/packages/lease_ranges/src/tenure_keeper.ts
@@ -11,7 +11,7 @@
   type OwnershipTable,
   type TableStore,
 } from "@bulrushwood/ledger_store";
-import type { ServerIdentity } from "@bulrushwood/deployment";
+import { isSameLife, type ServerIdentity } from "@bulrushwood/deployment";
 import { ALL_VOTE_RULES, Tenure, type Voter, type VoteRules } from "@bulrushwood/lease_votes";
 import { type Address, type Clock, createStop, type Sleep } from "@bulrushwood/types";
 import { endOfGrant } from "./grant_channel.ts";
@@ -176,7 +176,7 @@
     if (host === undefined || !this.isOwn(host.tenure)) {
       return this.#hasVoters();
     }
-    if (host.server.id !== server.id || host.server.bornMs !== server.bornMs || host.isSuspected) {
+    if (!isSameLife(host.server, server) || host.isSuspected) {
       return true;
     }
     const ageMs = now() - this.#enteredAt;
@@ -256,15 +256,12 @@
    * Once the store names it, only its voters keep others from the keys. False where it is given up.
    */
   async #awaitSupport(tenure: Tenure): Promise<boolean> {
-    const { now, sleep, rules = ALL_VOTE_RULES } = this.#options;
-    const { signal } = this.#stop;
+    const { now, rules = ALL_VOTE_RULES } = this.#options;
     const earlierEnd = () =>
       Math.max(this.#earlierEndBy, ...this.#tenures.map(({ supportedUntil }) => supportedUntil));
     this.#candidate = tenure;
     const patientUntil = now() + (rules.awaitSupport ? SUPPORT_PATIENCE_MS : 0);
-    while (tenure.supportedUntil <= now() && now() < patientUntil && !signal.aborted) {
-      await sleep(ENTRY_LOOK_MS, signal);
-    }
+    await this.#waitUntil(patientUntil, () => tenure.supportedUntil > now());
     this.#candidate = undefined;
     if (rules.awaitSupport && tenure.supportedUntil <= now() && earlierEnd() > now()) {
       return false;
@@ -272,24 +269,29 @@
     const grantsEnd = rules.awaitSupport ? earlierEnd() : now();
     this.#tenures.push(tenure);
     this.#changed.next();
-    while (tenure.supportedUntil < grantsEnd && now() < grantsEnd && !signal.aborted) {
-      await sleep(ENTRY_LOOK_MS, signal);
-    }
+    await this.#waitUntil(grantsEnd, () => tenure.supportedUntil >= grantsEnd);
     return true;
   }
 
   /** Lets another daemon enter this one, together with others, for a bounded time. */
   async #awaitEntry(host: Host): Promise<void> {
-    const { self, table, now, sleep, isEnteredByOther } = this.#options;
-    const until = now() + ENTRY_PATIENCE_MS;
+    const { self, table, now, isEnteredByOther } = this.#options;
     const tenureNow = () => table.table.value.hosts[self]?.tenure;
     this.#pending = { host, replaces: tenureNow() ?? null };
-    while (isEnteredByOther?.() && tenureNow() !== host.tenure && now() < until) {
-      await sleep(ENTRY_LOOK_MS, this.#stop.signal);
-    }
+    const isOver = () => !isEnteredByOther?.() || tenureNow() === host.tenure;
+    await this.#waitUntil(now() + ENTRY_PATIENCE_MS, isOver);
     this.#pending = undefined;
   }
 
+  /** Waits for a condition, until a time on this process's clock at most, or until this closes. */
+  async #waitUntil(until: number, isOver: () => boolean): Promise<void> {
+    const { now, sleep } = this.#options;
+    const { signal } = this.#stop;
+    while (!isOver() && now() < until && !signal.aborted) {
+      await sleep(ENTRY_LOOK_MS, signal);
+    }
+  }
+
   /** Stops entering anew; the tenure goes on while it is supported. */
   async close(): Promise<void> {
     this.#stop.abort();
--- a/packages/ledger_store/src/ownership_table.ts
+++ b/packages/ledger_store/src/ownership_table.ts
@@ -5,6 +5,7 @@
  * loses all its keys. So a daemon need not know the newest table to be sure that its keys are its own.
  */
 import { z } from "zod";
+import { isSameLife } from "@bulrushwood/deployment";
 import type { Address } from "@bulrushwood/types";
 
 /** Number of keys of a service. */
@@ -163,10 +164,8 @@
 export function enterHost(table: OwnershipTable, address: Address, host: Host): OwnershipTable {
   const known = table.hosts[address];
   const entered = { ...table, hosts: { ...table.hosts, [address]: host } };
-  const isSameLife = known?.server.id === host.server.id &&
-    known.server.bornMs === host.server.bornMs;
   const own = rangesOf(table, address);
-  if (isSameLife || own.length === 0) {
+  if (isSameLife(host.server, known?.server) || own.length === 0) {
     return entered;
   }
   return assign(
--- a/packages/membership_beats/src/heartbeats.ts
+++ b/packages/membership_beats/src/heartbeats.ts
@@ -3,7 +3,6 @@
  * voters for support, and show which peers are silent. In a large deployment most peers are only heard of
  * through others.
  */
-import { Subject } from "rxjs";
 import {
   type Address,
   type CallPeer,
@@ -106,7 +105,6 @@
   readonly #stop = createStop();
   readonly #startedAt: number;
   #isCatchingUp = false;
-  readonly #changes = new Subject<Address>();
   #chooser: Promise<void> | undefined;
 
   constructor(options: HeartbeatsOptions) {
@@ -114,11 +112,6 @@
     this.#startedAt = options.now();
   }
 
-  /** Emits a peer's address after each of its heartbeats. */
-  get changes(): Subject<Address> {
-    return this.#changes;
-  }
-
   /** What peers said last, by address; also of peers that are silent now. */
   get peers(): ReadonlyMap<Address, Peer> {
     return this.#peers;
@@ -358,7 +351,6 @@
     const { entry, ...status } = beat;
     this.#peers.set(beat.address, { beat: status, entry, heardAt: now() });
     this.#compareEnds(beat.address, beat.storeEnds);
-    this.#changes.next(beat.address);
     const supported = beat.tenures.filter((tenure) => ballotBox.support(tenure));
     return { incarnation, supported, storeEnds: storeEnds(), news: this.#newsFor(beat) };
   }
--- a/packages/planner_ranges/src/chance_test.ts
+++ b/packages/planner_ranges/src/chance_test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { KEYS, type KeySpan, sizeOf } from "@bulrushwood/ledger_store";
+import { countKeys, KEYS, type KeySpan, without } from "@bulrushwood/ledger_store";
 import { createRandom } from "@bulrushwood/types";
 import { type Candidate, LoadMeter, rebalance } from "./mod.ts";
 
@@ -44,7 +44,7 @@
   const toCandidate = ({ address, own, meter }: Server): Candidate => {
     const pieces = meter.cut(own);
     const rate = pieces.reduce((sum, piece) => sum + piece.rate, 0);
-    const keys = own.reduce((sum, span) => sum + sizeOf(span), 0);
+    const keys = countKeys(own);
     return {
       address,
       slots: SLOTS,
@@ -72,13 +72,13 @@
       for (const { first, last, from, to } of moves) {
         moved += (last - first + 1) / KEYS;
         const giver = servers.find(({ address }) => address === from)!;
-        giver.own = giver.own.flatMap((span) => without(span, { first, last }));
+        giver.own = giver.own.flatMap((span) => without(span, [{ first, last }]));
         servers.find(({ address }) => address === to)!.own.push({ first, last });
       }
     }
   }
   const loads = servers.map(({ own }) => {
-    const keys = own.reduce((sum, span) => sum + sizeOf(span), 0);
+    const keys = countKeys(own);
     const hot = own.reduce(
       (sum, { first, last }) => sum + Math.max(0, Math.min(last, 99) - first + 1),
       0,
@@ -89,14 +89,6 @@
   return { moved, busiestOverMean: Math.max(...loads) / mean };
 }
 
-/** What is left of a span without another. */
-function without(span: KeySpan, taken: KeySpan): KeySpan[] {
-  return [
-    { first: span.first, last: Math.min(span.last, taken.first - 1) },
-    { first: Math.max(span.first, taken.last + 1), last: span.last },
-  ].filter(({ first, last }) => first <= last);
-}
-
 describe("rebalancing under load that comes by chance", () => {
   const seeds = [1, 2, 3];
 
--- a/packages/planner_ranges/src/mod.ts
+++ b/packages/planner_ranges/src/mod.ts
@@ -4,6 +4,7 @@
 export { type Candidate, capacities, type Piece } from "./capacity.ts";
 export { LoadMeter } from "./load_meter.ts";
 export {
+  firstPlanner,
   GIVE_METHOD,
   mayOwn,
   PlannerEvent,
--- a/packages/planner_ranges/src/range_planner.ts
+++ b/packages/planner_ranges/src/range_planner.ts
@@ -117,14 +117,8 @@
     if (!mayPlan()) {
       return false;
     }
-    for (const [address, { beat }] of heartbeats.peers) {
-      const isBefore = address < self && beat.service === service && beat.hasStore &&
-        !beat.isLeaving && heartbeats.isHeard(address);
-      if (isBefore) {
-        return false;
-      }
-    }
-    return true;
+    const first = firstPlanner(heartbeats, service);
+    return first === undefined || self < first;
   }
 
   async #look(): Promise<void> {
@@ -185,16 +179,17 @@
     const asking = [...heartbeats.peers].filter(([address, { beat, entry }]) =>
       beat.service === service && entry !== null && heartbeats.isHeard(address)
     );
-    const enter = (current: OwnershipTable) =>
-      asking.reduce((entered, [address, { entry }]) => {
+    const enter = (current: OwnershipTable) => {
+      const all = asking.reduce((entered, [address, { entry }]) => {
         const tenure = entered.hosts[address]?.tenure ?? null;
         return entry === null || tenure !== entry.replaces
           ? entered
           : enterHost(entered, address, entry.host);
       }, current);
-    const isNeeded = (current: OwnershipTable) => enter(current) !== current;
-    if (isNeeded(table.table.value)) {
-      await table.change((current) => isNeeded(current) ? enter(current) : undefined);
+      return all === current ? undefined : all;
+    };
+    if (enter(table.table.value) !== undefined) {
+      await table.change(enter);
     }
   }
 
@@ -335,6 +330,19 @@
   }
 }
 
+/** The peer that plans for a service unless this daemon does: the lowest address that may. */
+export function firstPlanner(heartbeats: Heartbeats, service: string): Address | undefined {
+  let first: Address | undefined;
+  for (const [address, { beat }] of heartbeats.peers) {
+    const mayPlan = beat.service === service && beat.hasStore && !beat.isLeaving &&
+      heartbeats.isHeard(address);
+    if (mayPlan && (first === undefined || address < first)) {
+      first = address;
+    }
+  }
+  return first;
+}
+
 /** Whether a server may get keys. */
 export function mayOwn(server: { state: ServerState; isReachable: boolean } | null): boolean {
   return server !== null && server.state === ServerState.Ready && server.isReachable;
--- a/packages/router/src/departures.ts
+++ b/packages/router/src/departures.ts
@@ -5,7 +5,7 @@
 import { Buffer } from "node:buffer";
 import type { Subscription } from "rxjs";
 import { z } from "zod";
-import type { Item, ServerIdentity, Store } from "@bulrushwood/deployment";
+import { isSameLife, type Item, type ServerIdentity, type Store } from "@bulrushwood/deployment";
 import { type KeyedFollower, SYSTEM_TOPIC } from "@bulrushwood/ledger_store";
 import { type Address, createStop, type Sleep } from "@bulrushwood/types";
 import type { ServerWatch } from "./server_watch.ts";
@@ -36,7 +36,7 @@
   readonly #subscriptions: Subscription[];
   readonly #stop = createStop();
   /** The life whose departure is in the store or on its way there. */
-  #noted = "";
+  #noted: ServerIdentity | undefined;
 
   constructor(options: DeparturesOptions) {
     this.#options = options;
@@ -61,7 +61,7 @@
     const { watch, onDamaged } = this.#options;
     try {
       const left = departureSchema.parse(JSON.parse(value.toString("utf8")));
-      this.#noted = nameOf(left);
+      this.#noted = left;
       watch.noteLeft(left);
     } catch (error) {
       onDamaged((error as Error).message);
@@ -72,14 +72,14 @@
   async #note(): Promise<void> {
     const { watch, store, sleep } = this.#options;
     const { report, leavingSince } = watch;
-    if (report === undefined || leavingSince === undefined || nameOf(report) === this.#noted) {
+    if (report === undefined || leavingSince === undefined || isSameLife(report, this.#noted)) {
       return;
     }
-    const name = nameOf(report);
-    this.#noted = name;
     const { id, bornMs } = report;
-    const item = { key: this.#key, value: Buffer.from(JSON.stringify({ id, bornMs })) };
-    while (!this.#stop.signal.aborted && this.#noted === name) {
+    const life = { id, bornMs };
+    this.#noted = life;
+    const item = { key: this.#key, value: Buffer.from(JSON.stringify(life)) };
+    while (!this.#stop.signal.aborted && isSameLife(life, this.#noted)) {
       const appended = await store.append(SYSTEM_TOPIC, item, { timeoutMs: APPEND_TIMEOUT_MS });
       if (appended.isOk) {
         return;
@@ -94,7 +94,3 @@
     this.#subscriptions.forEach((subscription) => subscription.unsubscribe());
   }
 }
-
-function nameOf({ id, bornMs }: ServerIdentity): string {
-  return `${id}@${bornMs}`;
-}
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -31,6 +31,7 @@
   OrderChannel,
   type OwnServer,
   ReportChannel,
+  reportSupportMs,
   TenureKeeper,
 } from "@bulrushwood/lease_ranges";
 import {
@@ -75,13 +76,6 @@
 const READ_PACE_MS = 250;
 /** Time beyond a read's wait after which the store counts as out of reach, in milliseconds. */
 const STORE_GRACE_MS = 700;
-/**
- * Reports that a grant outlives where grants travel in reports: one may be lost, and the next brings the
- * renewal.
- */
-const GRANT_REPORTS = 2;
-/** Added to the time of those reports, in milliseconds: age of the votes at a renewal, and margins. */
-const GRANT_REPORTS_MARGIN_MS = 700;
 /** The answer to a report is kept open for news for so long, as a share of the time between two reports. */
 const REPORT_OPEN_SHARE = 0.8;
 /** Length of the random name of one life of a daemon; only lives at one address must differ. */
@@ -202,7 +196,9 @@
     const table = this.#tableOf(settings.service);
     const self = this.#self;
     const incarnation = this.#incarnation;
-    const supportMs = supportMsOf(settings);
+    const supportMs = settings.grantDelivery === GrantDelivery.Orders
+      ? SUPPORT_MS
+      : reportSupportMs(settings.reportEveryMs);
     this.#tenure = new TenureKeeper({
       self,
       incarnation,
@@ -669,10 +665,3 @@
     this.#store.close();
   }
 }
-
-/** How long votes run: grants rest on them, and must outlive the time between two renewals. */
-function supportMsOf({ grantDelivery, reportEveryMs }: DeploymentSettings): number {
-  return grantDelivery === GrantDelivery.Orders
-    ? SUPPORT_MS
-    : reportEveryMs * GRANT_REPORTS + GRANT_REPORTS_MARGIN_MS;
-}
--- a/packages/router/src/router_test.ts
+++ b/packages/router/src/router_test.ts
@@ -15,7 +15,7 @@
   ServerState,
   type ServerWire,
 } from "@bulrushwood/deployment";
-import { without } from "@bulrushwood/ledger_store";
+import { type KeySpan, without } from "@bulrushwood/ledger_store";
 import { findFreePort, KeyedStoreService } from "@bulrushwood/stand_ins";
 import { now, sleep } from "@bulrushwood/types";
 import { Router } from "./mod.ts";
@@ -52,6 +52,11 @@
   handover: string;
 }
 
+/** What is left of a holding without some keys. */
+function restOf(holding: Holding, spans: KeySpan[]): Holding[] {
+  return without(holding, spans).map((rest) => ({ ...holding, ...rest }));
+}
+
 /** A backend server that runs requests only for keys that it holds; it takes grants in both ways. */
 class FakeServer {
   readonly id: string;
@@ -101,13 +106,8 @@
     this.#holdings.push({ ...order, until: now() + order.durationMs });
   }
 
-  #release({ first, last }: ReleaseOrder): void {
-    this.#holdings = this.#holdings.flatMap((holding) =>
-      [
-        { ...holding, last: Math.min(holding.last, first - 1) },
-        { ...holding, first: Math.max(holding.first, last + 1) },
-      ].filter((rest) => rest.first <= rest.last)
-    );
+  #release(span: ReleaseOrder): void {
+    this.#holdings = this.#holdings.flatMap((holding) => restOf(holding, [span]));
   }
 
   /** Reports to a daemon, regularly and sooner where keys are still to be let go, until `stopReports`. */
@@ -158,10 +158,7 @@
       return;
     }
     const held = this.#holdings.filter(({ until }) => until > now());
-    const left = held.flatMap((holding) =>
-      without(holding, grants.rows).map((span) => ({ ...holding, ...span }))
-    );
-    this.#leaving.push(...left);
+    this.#leaving.push(...held.flatMap((holding) => restOf(holding, grants.rows)));
     this.#holdings = grants.rows.map((row) => ({ ...row, until: sentAt + grants.durationMs }));
     this.#letGo();
   }
--- a/packages/router/src/server_client.ts
+++ b/packages/router/src/server_client.ts
@@ -6,7 +6,7 @@
 import { Agent, type ClientRequest, type IncomingMessage, request } from "node:http";
 import type { Socket } from "node:net";
 import { Result } from "true-myth";
-import type { Endpoint, Order, ServerLoad, ServerWire } from "@bulrushwood/deployment";
+import type { Endpoint, Order, ServerAnswer, ServerLoad, ServerWire } from "@bulrushwood/deployment";
 import { callHttp, readWhole } from "@bulrushwood/http_client";
 import type { OrderAnswer } from "@bulrushwood/lease_ranges";
 import { type Header, type RequestHead } from "@bulrushwood/protocol";
@@ -155,7 +155,9 @@
       }
       outgoing.end(body);
       const message = await answered;
-      const refused = this.#refuseHead(call, message);
+      const status = message.statusCode ?? 0;
+      const answer = this.#options.wire.readAnswer(status, message.headers);
+      const refused = refuseHead(call, status, { answer });
       if (refused !== undefined) {
         // What follows on this connection may be the answer to an earlier request. Node.js takes the socket
         // from the message at its end, when the agent may give it to the next request.
@@ -164,7 +166,8 @@
       }
       // Node.js takes an answer without a length for complete even where its connection was reset.
       const reset = new Promise<never>((_, reject) => outgoing.on("error", reject));
-      const result = this.#judge(message, await Promise.race([readWhole(message), reset]));
+      const whole = await Promise.race([readWhole(message), reset]);
+      const result = this.#judge(message, whole, { answer });
       if (!outgoing.writableFinished) {
         used?.destroy();
       }
@@ -176,28 +179,14 @@
     }
   }
 
-  /** Why the head of an answer shows that the answer does not count; undefined where it may. */
-  #refuseHead(call: ServerCall, message: IncomingMessage): ServerResult | undefined {
+  #judge(
+    message: IncomingMessage,
+    body: Buffer,
+    options: { answer: ServerAnswer },
+  ): ServerResult {
+    const { readHeaders } = this.#options;
     const status = message.statusCode ?? 0;
-    const answer = this.#options.wire.readAnswer(status, message.headers);
-    const isRefusal = answer.isMisdirected || answer.isNotRun;
-    // A late answer to an earlier request may come where this one's is due, also a refusal.
-    if (answer.id !== call.head.id && !(isRefusal && answer.id === undefined)) {
-      return noAnswer(ServerOutcome.Unknown, `an answer to request ${answer.id ?? "without id"}`);
-    }
-    const isSuccess = status >= 200 && status < 300;
-    if (isSuccess && !answer.isMarked) {
-      return noAnswer(ServerOutcome.Unknown, "a success that is not the server's");
-    }
-    return PROMISING.has(status) && !isRefusal
-      ? noAnswer(ServerOutcome.Unknown, `status ${status} without a promise`)
-      : undefined;
-  }
-
-  #judge(message: IncomingMessage, body: Buffer): ServerResult {
-    const { wire, readHeaders } = this.#options;
-    const status = message.statusCode ?? 0;
-    const answer = wire.readAnswer(status, message.headers);
+    const { answer } = options;
     const { load } = answer;
     if (answer.isMisdirected) {
       return { ...noAnswer(ServerOutcome.Misdirected, `status ${status}`), load };
@@ -219,6 +208,27 @@
   }
 }
 
+/** Why the head of an answer shows that the answer does not count; undefined where it may. */
+function refuseHead(
+  call: ServerCall,
+  status: number,
+  options: { answer: ServerAnswer },
+): ServerResult | undefined {
+  const { answer } = options;
+  const isRefusal = answer.isMisdirected || answer.isNotRun;
+  // A late answer to an earlier request may come where this one's is due, also a refusal.
+  if (answer.id !== call.head.id && !(isRefusal && answer.id === undefined)) {
+    return noAnswer(ServerOutcome.Unknown, `an answer to request ${answer.id ?? "without id"}`);
+  }
+  const isSuccess = status >= 200 && status < 300;
+  if (isSuccess && !answer.isMarked) {
+    return noAnswer(ServerOutcome.Unknown, "a success that is not the server's");
+  }
+  return PROMISING.has(status) && !isRefusal
+    ? noAnswer(ServerOutcome.Unknown, `status ${status} without a promise`)
+    : undefined;
+}
+
 /** Bytes on a connection that waits for no answer belong to no request, nor does what follows them. */
 function dropIdle(this: Socket): void {
   this.destroy();
--- a/packages/router/src/server_view.ts
+++ b/packages/router/src/server_view.ts
@@ -7,7 +7,7 @@
 import type { Granting } from "@bulrushwood/lease_ranges";
 import type { Voter } from "@bulrushwood/lease_votes";
 import { type Heartbeats, rankOf, type ServerStatus } from "@bulrushwood/membership_beats";
-import { type Candidate, mayOwn, type Piece } from "@bulrushwood/planner_ranges";
+import { type Candidate, firstPlanner, mayOwn, type Piece } from "@bulrushwood/planner_ranges";
 import type { ServerLoad } from "@bulrushwood/routing";
 import { type Address, now } from "@bulrushwood/types";
 import type { Runner, ServerPressure } from "./runner.ts";
@@ -104,13 +104,7 @@
   /** The daemon that plans for the service, as far as this one hears: the lowest that reaches the store. */
   get planner(): Address | undefined {
     const { settings, heartbeats } = this.#options;
-    return [...heartbeats.peers]
-      .filter(([address, { beat }]) =>
-        beat.service === settings.service && beat.hasStore && !beat.isLeaving &&
-        heartbeats.isHeard(address)
-      )
-      .map(([address]) => address)
-      .sort()[0];
+    return firstPlanner(heartbeats, settings.service);
   }
 
   /**
--- a/packages/router/src/server_watch.ts
+++ b/packages/router/src/server_watch.ts
@@ -4,6 +4,7 @@
  */
 import { Subject } from "rxjs";
 import {
+  isSameLife,
   type ServerIdentity,
   type ServerReport,
   ServerState,
@@ -86,7 +87,7 @@
     if (report.service !== this.#options.service || !this.#isNewer(report)) {
       return false;
     }
-    const isNewLife = this.#report?.id !== report.id || this.#report.bornMs !== report.bornMs;
+    const isNewLife = !isSameLife(report, this.#report);
     const isLeaving = report.state !== ServerState.Ready;
     this.#report = report;
     this.#heardAt = this.#options.now();
@@ -147,7 +148,3 @@
     this.#refusedAt = this.#options.now();
   }
 }
-
-function isSameLife(one: ServerIdentity, other: ServerIdentity | undefined): boolean {
-  return one.id === other?.id && one.bornMs === other.bornMs;
-}
--- a/packages/sessions/src/failure_test.ts
+++ b/packages/sessions/src/failure_test.ts
@@ -339,8 +339,7 @@
         expect(lost.isOk).to.equal(true);
       }
       await deployment.settle(via);
-      const explained = await deployment.admin(via).explain("despacho", KEY);
-      const after = explained.isOk ? explained.value.owner : explained.error.message;
+      const { owner: after } = await findOwner(deployment, KEY, { via });
       // The time between the two reports of loss decides which survivor it is (planner_test shows it).
       expect(after).to.be.oneOf([via, witness]);
       await book(session, "booking-after", { via });
--- a/packages/sessions/src/fixtures.ts
+++ b/packages/sessions/src/fixtures.ts
@@ -62,8 +62,9 @@
 export async function findOwner(
   deployment: Deployment,
   key: string,
+  options: { via?: string } = {},
 ): Promise<{ owner: string; successor: string; witness: string; others: string[] }> {
-  const via = deployment.names[0];
+  const { via = deployment.names[0] } = options;
   const explained = await deployment.admin(via).explain("despacho", key);
   if (explained.isErr) {
     throw explained.error;
