One fixture for tables that tests follow, and one for records of the ledger

Four tests built the same follower and table, two the same configuration; the tests and their assertions are as they were. Also the layout of one import in server_client.

--- a/packages/lease/src/sealing_test.ts
+++ b/packages/lease/src/sealing_test.ts
@@ -1,7 +1,8 @@
 import { expect } from "chai";
 import { Result } from "true-myth";
-import { type Entry, formatEntry, Ledger, RecordKind } from "@bulrushwood/ledger";
-import { MoveCause, now, Preference, Priority, sleep } from "@bulrushwood/types";
+import { type Entry, Ledger, RecordKind } from "@bulrushwood/ledger";
+import { appendEntry, newRecordId, publishPool } from "@bulrushwood/stand_ins";
+import { MoveCause, now, sleep } from "@bulrushwood/types";
 import { LeaseMethod } from "./messages.ts";
 import { Sealing } from "./sealing.ts";
 import { Tenure } from "./tenure.ts";
@@ -9,45 +10,16 @@
 const POOL = "despacho";
 const DURATION_MS = 100;
 
-let nextId = 1;
-
-function newId(): string {
-  return `id-${nextId++}`;
-}
-
 function append(ledger: Ledger, entry: Entry): number {
-  const folded = ledger.fold(ledger.folded + 1, formatEntry(entry));
+  const folded = appendEntry(ledger, entry);
   expect(folded.reason).to.equal("");
   return folded.offset;
 }
 
-function publish(ledger: Ledger): void {
-  const target = { share: 0.9, withinMs: 100 };
-  const work = { target, idempotent: false, priority: Priority.Foreground, deadlineMs: 1_000 };
-  append(ledger, {
-    id: newId(),
-    kind: RecordKind.ConfigurationPublished,
-    expects: 0,
-    by: "test",
-    configuration: {
-      tenantHeader: "x-tenant",
-      pools: { [POOL]: { keyed: true, shards: 1, prefer: Preference.Availability } },
-      classes: { work },
-      routes: [{
-        method: "GET",
-        path: "/:key",
-        pool: POOL,
-        class: "work",
-        key: { pathPart: "key" },
-      }],
-    },
-  });
-}
-
 /** A daemon beside a server that checks no grants. */
 function join(ledger: Ledger, address: string): number {
   return append(ledger, {
-    id: newId(),
+    id: newRecordId(),
     kind: RecordKind.InstanceJoined,
     address,
     expects: ledger.instances.get(address)?.incarnation ?? 0,
@@ -74,12 +46,12 @@
 /** Three daemons of which the first seals; `answer` tells whether a peer has sealed a group. */
 function playScene(answer: (peer: string, group: number) => boolean): Scene {
   const ledger = new Ledger();
-  publish(ledger);
+  publishPool(ledger, POOL, { shards: 1 });
   const members = ["holder", "successor", "witness"].map((address) => ({
     address,
     incarnation: join(ledger, address),
   }));
-  append(ledger, { id: newId(), kind: RecordKind.PlannerClaimed, expects: 0, ...members[0] });
+  append(ledger, { id: newRecordId(), kind: RecordKind.PlannerClaimed, expects: 0, ...members[0] });
   const claim = ledger.claim!.claim;
   const appended: Entry[] = [];
   const asked: string[] = [];
@@ -95,7 +67,7 @@
       return Promise.resolve(Result.ok({ granted: answer(peer, group) }));
     },
     append: (entry) => appended.push(entry),
-    newId,
+    newId: newRecordId,
     durationMs: DURATION_MS,
     driftMarginMs: 0,
     signal: stop.signal,
@@ -106,7 +78,7 @@
     ledger,
     create: (count) =>
       append(ledger, {
-        id: newId(),
+        id: newRecordId(),
         kind: RecordKind.GroupCreated,
         claim,
         pool: POOL,
@@ -114,7 +86,7 @@
       }),
     move: (from, to) =>
       append(ledger, {
-        id: newId(),
+        id: newRecordId(),
         kind: RecordKind.ShardsMoved,
         claim,
         pool: POOL,
--- a/packages/lease_ranges/src/granting_test.ts
+++ b/packages/lease_ranges/src/granting_test.ts
@@ -6,15 +6,12 @@
   assign,
   ChangeOutcome,
   enterHost,
-  KeyedFollower,
   KEYS,
   rangeOf,
   rangesOf,
-  SYSTEM_TOPIC,
-  TableStore,
 } from "@bulrushwood/ledger_store";
 import { SUPPORT_MS, SuspensionDetector } from "@bulrushwood/lease_votes";
-import { KeyedStoreService } from "@bulrushwood/stand_ins";
+import { followTable } from "@bulrushwood/stand_ins";
 import { now, sleep } from "@bulrushwood/types";
 import { Granting, KeyState, type OrderAnswer, OrderChannel, TenureKeeper } from "./mod.ts";
 
@@ -48,25 +45,8 @@
 
 /** A daemon whose server owns all keys, alone among its voters. */
 async function startDaemon(answer: Answer = answerOk) {
-  const store = new KeyedStoreService({ sleep }).connect();
-  const follower = new KeyedFollower({
-    store,
-    topic: SYSTEM_TOPIC,
-    now,
-    sleep,
-    waitMs: 500,
-    onReachable: () => {},
-  });
-  await follower.start();
-  const table = new TableStore({
-    store,
-    follower,
-    now,
-    sleep,
-    service: "despacho",
-    random: Math.random,
-    onDamaged: () => {},
-  });
+  const followed = await followTable();
+  const { table } = followed;
   const tenure = new TenureKeeper({
     self: SELF,
     incarnation: "i1",
@@ -114,8 +94,7 @@
   const close = async () => {
     await tenure.close();
     await granting.close();
-    table.close();
-    await follower.close();
+    await followed.close();
   };
   return { table, granting, sent, close };
 }
--- a/packages/lease_ranges/src/tenure_keeper_test.ts
+++ b/packages/lease_ranges/src/tenure_keeper_test.ts
@@ -1,7 +1,6 @@
 import { expect } from "chai";
-import { KeyedFollower, SYSTEM_TOPIC, TableStore } from "@bulrushwood/ledger_store";
 import { SUPPORT_MS } from "@bulrushwood/lease_votes";
-import { KeyedStoreService } from "@bulrushwood/stand_ins";
+import { followTable } from "@bulrushwood/stand_ins";
 import { now, sleep } from "@bulrushwood/types";
 import { TenureKeeper } from "./mod.ts";
 
@@ -9,19 +8,8 @@
 const VOTERS = ["10.0.0.2:7000", "10.0.0.3:7000"];
 
 async function startKeeper() {
-  const store = new KeyedStoreService({ sleep }).connect();
-  const options = { store, topic: SYSTEM_TOPIC, now, sleep, waitMs: 500 };
-  const follower = new KeyedFollower({ ...options, onReachable: () => {} });
-  await follower.start();
-  const table = new TableStore({
-    store,
-    follower,
-    now,
-    sleep,
-    service: "despacho",
-    random: Math.random,
-    onDamaged: () => {},
-  });
+  const followed = await followTable();
+  const { table } = followed;
   const state = { bornMs: 1, isSupported: true };
   const keeper = new TenureKeeper({
     self: SELF,
@@ -44,8 +32,7 @@
   const close = async () => {
     clearInterval(beats);
     await keeper.close();
-    table.close();
-    await follower.close();
+    await followed.close();
   };
   return { keeper, state, tenure, close };
 }
--- a/packages/ledger_store/src/table_store_test.ts
+++ b/packages/ledger_store/src/table_store_test.ts
@@ -1,43 +1,7 @@
 import { expect } from "chai";
-import { AppendFault, KeyedStoreService } from "@bulrushwood/stand_ins";
-import { now, sleep } from "@bulrushwood/types";
-import {
-  assign,
-  ChangeOutcome,
-  KeyedFollower,
-  KEYS,
-  type OwnershipTable,
-  rangesOf,
-  SYSTEM_TOPIC,
-  TableStore,
-} from "./mod.ts";
-
-interface Daemon {
-  follower: KeyedFollower;
-  table: TableStore;
-  close: () => Promise<void>;
-}
-
-async function startDaemon(service: KeyedStoreService): Promise<Daemon> {
-  const store = service.connect();
-  const options = { store, topic: SYSTEM_TOPIC, now, sleep, waitMs: 500 };
-  const follower = new KeyedFollower({ ...options, onReachable: () => {} });
-  const table = new TableStore({
-    store,
-    follower,
-    now,
-    sleep,
-    service: "despacho",
-    random: Math.random,
-    onDamaged: () => {},
-  });
-  await follower.start();
-  const close = async () => {
-    table.close();
-    await follower.close();
-  };
-  return { follower, table, close };
-}
+import { AppendFault, followTable, KeyedStoreService } from "@bulrushwood/stand_ins";
+import { sleep } from "@bulrushwood/types";
+import { assign, ChangeOutcome, KEYS, type OwnershipTable, rangesOf, SYSTEM_TOPIC } from "./mod.ts";
 
 /** Gives all keys to an owner unless it has them. */
 function giveAllTo(owner: string) {
@@ -58,7 +22,7 @@
 describe("table store", () => {
   it("lets racing changes of several daemons all take effect, one after the other", async () => {
     const service = new KeyedStoreService({ sleep });
-    const daemons = await Promise.all([1, 2, 3, 4].map(() => startDaemon(service)));
+    const daemons = await Promise.all([1, 2, 3, 4].map(() => followTable(service)));
     await Promise.all(
       daemons.map(({ table }, index) => table.change(giveKey(index * 10, `owner-${index}`))),
     );
@@ -77,7 +41,7 @@
         lateMs: 300,
         chooseFault: () => faults.shift() ?? AppendFault.None,
       });
-      const daemon = await startDaemon(service);
+      const daemon = await followTable(service);
       const outcome = await daemon.table.change(giveAllTo("a"));
       await sleep(500);
       expect(outcome).to.not.equal(ChangeOutcome.Abandoned);
@@ -89,7 +53,7 @@
 
   it("has the newest table after the history was dropped", async () => {
     const service = new KeyedStoreService({ sleep });
-    const [writer, reader] = [await startDaemon(service), await startDaemon(service)];
+    const [writer, reader] = [await followTable(service), await followTable(service)];
     await writer.table.change(giveAllTo("a"));
     service.forget(SYSTEM_TOPIC);
     await writer.table.change(giveKey(7, "b"));
@@ -100,7 +64,7 @@
 
   it("goes on when the store comes back", async function () {
     const service = new KeyedStoreService({ sleep });
-    const daemon = await startDaemon(service);
+    const daemon = await followTable(service);
     service.isDown = true;
     const changed = daemon.table.change(giveAllTo("a"));
     await sleep(400);
@@ -111,7 +75,7 @@
 
   it("never goes back to an older record", async () => {
     const service = new KeyedStoreService({ sleep });
-    const daemon = await startDaemon(service);
+    const daemon = await followTable(service);
     await daemon.table.change(giveAllTo("a"));
     const old = daemon.follower.get("table/despacho")!;
     await daemon.table.change(giveKey(7, "b"));
--- a/packages/planner/src/planner_test.ts
+++ b/packages/planner/src/planner_test.ts
@@ -1,43 +1,14 @@
 import { expect } from "chai";
 import fc from "fast-check";
-import { type Entry, formatEntry, Ledger, RecordKind, toRanges } from "@bulrushwood/ledger";
-import { Preference, Priority } from "@bulrushwood/types";
+import { type Entry, Ledger, RecordKind, toRanges } from "@bulrushwood/ledger";
+import { appendEntry, newRecordId, publishPool } from "@bulrushwood/stand_ins";
 import { type Plan, planPool } from "./mod.ts";
 
 const POOL = "despacho";
 const ROUNDS_MAX = 60;
 
-let nextId = 1;
-
-function newId(): string {
-  return `id-${nextId++}`;
-}
-
 function append(ledger: Ledger, entry: Entry): number {
-  return ledger.fold(ledger.folded + 1, formatEntry(entry)).offset;
-}
-
-function publish(ledger: Ledger, shards: number): void {
-  const target = { share: 0.9, withinMs: 100 };
-  const work = { target, idempotent: false, priority: Priority.Foreground, deadlineMs: 1_000 };
-  append(ledger, {
-    id: newId(),
-    kind: RecordKind.ConfigurationPublished,
-    expects: 0,
-    by: "test",
-    configuration: {
-      tenantHeader: "x-tenant",
-      pools: { [POOL]: { keyed: true, shards, prefer: Preference.Availability } },
-      classes: { work },
-      routes: [{
-        method: "GET",
-        path: "/:key",
-        pool: POOL,
-        class: "work",
-        key: { pathPart: "key" },
-      }],
-    },
-  });
+  return appendEntry(ledger, entry).offset;
 }
 
 interface Place {
@@ -49,7 +20,7 @@
 function join(ledger: Ledger, name: string, place: Place): number {
   const server = { pool: POOL, slots: 4, connections: 8, checksGrants: true };
   return append(ledger, {
-    id: newId(),
+    id: newRecordId(),
     kind: RecordKind.InstanceJoined,
     address: name,
     expects: ledger.instances.get(name)?.incarnation ?? 0,
@@ -63,7 +34,7 @@
 
 function lose(ledger: Ledger, name: string): void {
   append(ledger, {
-    id: newId(),
+    id: newRecordId(),
     kind: RecordKind.InstanceLost,
     address: name,
     incarnation: ledger.instances.get(name)!.incarnation,
@@ -75,13 +46,19 @@
 function carryOut(ledger: Ledger, plan: Plan): void {
   const claim = ledger.claim!.claim;
   for (const members of plan.create) {
-    append(ledger, { id: newId(), kind: RecordKind.GroupCreated, claim, pool: POOL, members });
+    append(ledger, {
+      id: newRecordId(),
+      kind: RecordKind.GroupCreated,
+      claim,
+      pool: POOL,
+      members,
+    });
   }
   for (const { shards, from, to, cause } of plan.moves) {
     const kind = RecordKind.ShardsMoved as const;
     const ranges = toRanges(shards);
     const move = append(ledger, {
-      id: newId(),
+      id: newRecordId(),
       kind,
       claim,
       pool: POOL,
@@ -90,10 +67,15 @@
       to,
       cause,
     });
-    append(ledger, { id: newId(), kind: RecordKind.MovesActivated, group: to, moves: [move] });
+    append(ledger, {
+      id: newRecordId(),
+      kind: RecordKind.MovesActivated,
+      group: to,
+      moves: [move],
+    });
   }
   for (const group of plan.retire) {
-    append(ledger, { id: newId(), kind: RecordKind.GroupRetired, claim, group });
+    append(ledger, { id: newRecordId(), kind: RecordKind.GroupRetired, claim, group });
   }
 }
 
@@ -111,10 +93,10 @@
 
 function startedLedger(places: Place[]): Ledger {
   const ledger = new Ledger();
-  publish(ledger, 32);
+  publishPool(ledger, POOL, { shards: 32 });
   places.forEach((place, index) => join(ledger, `i${index}`, place));
   const kind = RecordKind.PlannerClaimed as const;
-  append(ledger, { id: newId(), kind, expects: 0, address: "i0", incarnation: 2 });
+  append(ledger, { id: newRecordId(), kind, expects: 0, address: "i0", incarnation: 2 });
   return ledger;
 }
 
@@ -214,12 +196,12 @@
     const successor = group.members[1];
     const kind = RecordKind.GroupSucceeded as const;
     const incarnation = successor.incarnation;
-    append(ledger, { id: newId(), kind, group: group.group, incarnation });
+    append(ledger, { id: newRecordId(), kind, group: group.group, incarnation });
     planToEnd(ledger);
     expect(shardsOf(ledger).get("i1") ?? 0).to.equal(0);
     const own = ledger.instances.get("i1")!;
     append(ledger, {
-      id: newId(),
+      id: newRecordId(),
       kind: RecordKind.ServerChanged,
       address: "i1",
       incarnation: own.incarnation,
--- a/packages/router/src/server_client.ts
+++ b/packages/router/src/server_client.ts
@@ -6,7 +6,13 @@
 import { Agent, type ClientRequest, type IncomingMessage, request } from "node:http";
 import type { Socket } from "node:net";
 import { Result } from "true-myth";
-import type { Endpoint, Order, ServerAnswer, ServerLoad, ServerWire } from "@bulrushwood/deployment";
+import type {
+  Endpoint,
+  Order,
+  ServerAnswer,
+  ServerLoad,
+  ServerWire,
+} from "@bulrushwood/deployment";
 import { callHttp, readWhole } from "@bulrushwood/http_client";
 import type { OrderAnswer } from "@bulrushwood/lease_ranges";
 import { type Header, type RequestHead } from "@bulrushwood/protocol";
--- /dev/null
+++ b/packages/stand_ins/src/ledger_records.ts
@@ -0,0 +1,35 @@
+/**
+ * Records in a ledger without a log, for tests of what reads the ledger.
+ */
+import { type Entry, type Folded, formatEntry, type Ledger, RecordKind } from "@bulrushwood/ledger";
+import { Preference, Priority } from "@bulrushwood/types";
+
+let nextId = 1;
+
+/** Makes an id for a record. */
+export function newRecordId(): string {
+  return `id-${nextId++}`;
+}
+
+/** Folds an entry as the next record. */
+export function appendEntry(ledger: Ledger, entry: Entry): Folded {
+  return ledger.fold(ledger.folded + 1, formatEntry(entry));
+}
+
+/** Publishes a configuration with one keyed pool. */
+export function publishPool(ledger: Ledger, pool: string, options: { shards: number }): Folded {
+  const target = { share: 0.9, withinMs: 100 };
+  const work = { target, idempotent: false, priority: Priority.Foreground, deadlineMs: 1_000 };
+  return appendEntry(ledger, {
+    id: newRecordId(),
+    kind: RecordKind.ConfigurationPublished,
+    expects: 0,
+    by: "test",
+    configuration: {
+      tenantHeader: "x-tenant",
+      pools: { [pool]: { keyed: true, shards: options.shards, prefer: Preference.Availability } },
+      classes: { work },
+      routes: [{ method: "GET", path: "/:key", pool, class: "work", key: { pathPart: "key" } }],
+    },
+  });
+}
--- a/packages/stand_ins/src/mod.ts
+++ b/packages/stand_ins/src/mod.ts
@@ -8,6 +8,8 @@
   type Work,
   WorkEnd,
 } from "./backend_server.ts";
+export { type FollowedTable, followTable } from "./followed_table.ts";
+export { appendEntry, newRecordId, publishPool } from "./ledger_records.ts";
 export { AppendMode, type LogControl, LogService, type LogServiceOptions } from "./log_service.ts";
 export { Network, type NetworkHost } from "./network.ts";
 export { findFreePort } from "./ports.ts";
