Log where a request waited when its caller left, and how late requests and timers are

The logs could not tell the hypotheses of the incident apart: caller-left was logged at the ingress only, without the place where the request waited, and nothing showed delays in transit or of the event loop.

- caller-left names the stage; request-cancelled is logged and counted at the daemon of the server, also with its stage
- request-delayed and bulrushwood_transit_milliseconds: delay of forwarded requests
- loop-delayed: the event loop ran a timer 250 ms late or more

No logic of routing or cancelling changes.

--- a/packages/protocol/src/exchange.ts
+++ b/packages/protocol/src/exchange.ts
@@ -101,18 +101,28 @@
   }
 }
 
+/** A request as it arrived. */
+export interface IncomingRequest {
+  head: RequestHead;
+  /** Delay of the request in transit, beyond that of the fastest request on the link, in milliseconds. */
+  transitMs: number;
+}
+
 /** The serving side: receives the request and sends the response. */
 export class IncomingExchange {
   readonly #port: ExchangePort;
   readonly head: RequestHead;
+  /** Delay of the request in transit, beyond that of the fastest request on the link, in milliseconds. */
+  readonly transitMs: number;
   readonly requestBody: BodyReceiver;
   readonly responseBody: BodySender;
   readonly #abort = new AbortController();
   #isOver = false;
 
-  constructor(port: ExchangePort, head: RequestHead) {
+  constructor(port: ExchangePort, request: IncomingRequest) {
     this.#port = port;
-    this.head = head;
+    this.head = request.head;
+    this.transitMs = request.transitMs;
     const { stream, send } = port;
     this.requestBody = new BodyReceiver((bytes) => {
       if (!this.#isOver) {
--- a/packages/protocol/src/link.ts
+++ b/packages/protocol/src/link.ts
@@ -287,31 +287,25 @@
 
   #handleRequest(frame: RequestFrame): void {
     const { stream } = frame;
-    const head = this.#deductDelay(frame);
+    const transitMs = this.#transitMs(frame);
     const exchange = new IncomingExchange({
       stream,
       send: (reply) => this.send(reply),
       release: () => this.#incoming.delete(stream),
-    }, head);
+    }, { head: deductDelay(frame.head, transitMs), transitMs });
     exchange.requestBody.push(frame.body, frame.end);
     this.#incoming.set(stream, exchange);
     this.#handlers.onRequest(exchange, this.#peer);
   }
 
   /**
-   * Deducts the delay of a request in transit from the time left for it. The clocks of the two ends differ by
-   * a constant, which is estimated from the fastest request so far.
+   * Delay of a request in transit, in milliseconds. The clocks of the two ends differ by a constant, which is
+   * estimated from the fastest request so far.
    */
-  #deductDelay(frame: RequestFrame): RequestHead {
+  #transitMs(frame: RequestFrame): number {
     const offsetMs = performance.now() - frame.sentAt;
     this.#minClockOffsetMs = Math.min(this.#minClockOffsetMs, offsetMs);
-    const delayMs = offsetMs - this.#minClockOffsetMs;
-    const { head } = frame;
-    return {
-      ...head,
-      remainingMs: head.remainingMs - delayMs,
-      targetMs: head.targetMs === undefined ? undefined : head.targetMs - delayMs,
-    };
+    return offsetMs - this.#minClockOffsetMs;
   }
 
   #handleResponse(frame: ResponseFrame): void {
@@ -389,6 +383,15 @@
   }
 }
 
+/** Deducts the delay of a request in transit from the time left for it. */
+function deductDelay(head: RequestHead, delayMs: number): RequestHead {
+  return {
+    ...head,
+    remainingMs: head.remainingMs - delayMs,
+    targetMs: head.targetMs === undefined ? undefined : head.targetMs - delayMs,
+  };
+}
+
 function brokenLink(message: string): LinkError {
   return new LinkError(LinkErrorKind.Broken, message);
 }
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -9,9 +9,10 @@
 import { ManifestRoutes, notRun, type RoutedResponse } from "@bulrushwood/routing";
 import { now, Outcome } from "@bulrushwood/types";
 import { CallerConnection, type Exchange } from "./caller_connection.ts";
-import type { Dispatcher } from "./dispatcher.ts";
+import type { Dispatcher, DispatchRequest } from "./dispatcher.ts";
 import { Event, type EventLog } from "./event_log.ts";
 import { readHeaders, toFlatHeaders } from "./headers.ts";
+import { RequestStage } from "./request_stage.ts";
 
 /** Idle connections are kept this much longer than callers keep them, in milliseconds. */
 const IDLE_MARGIN_MS = 2_000;
@@ -191,20 +192,18 @@
     const isKeyed = manifest.services.get(service)?.isKeyed ?? false;
     const waitMs = Math.min(deadlineMs ?? route.timeoutMs, route.timeoutMs);
     const head = this.#toHead(request, { id, route, service, key: isKeyed ? key : undefined });
-    const routed = await this.#options.dispatcher.dispatch({
+    const dispatched: DispatchRequest = {
       head: { ...head, remainingMs: waitMs },
       route,
       body,
       targetAt: arrivedAt + route.targetMs - this.#elapsedBeforeMs(route, deadlineMs ?? waitMs),
       deadline: arrivedAt + waitMs,
       signal: exchange.signal,
-    });
+      stage: RequestStage.Owner,
+    };
+    const routed = await this.#options.dispatcher.dispatch(dispatched);
     this.#options.onResponse(route, routed, now() - arrivedAt);
-    this.#logFailure(routed, id, {
-      route,
-      ms: now() - arrivedAt,
-      hasCallerLeft: exchange.signal.aborted,
-    });
+    this.#logFailure(routed, dispatched, { ms: now() - arrivedAt });
     await this.#send(response, routed, { id, exchange });
   }
 
@@ -254,14 +253,14 @@
 
   #logFailure(
     routed: RoutedResponse,
-    id: string,
-    options: { route: Route; ms: number; hasCallerLeft: boolean },
+    request: DispatchRequest,
+    options: { ms: number },
   ): void {
     const { outcome, reason, detail, retryAfterMs } = routed.head;
-    const { route, ms, hasCallerLeft } = options;
-    const fields = { id, route: route.name, ms: Math.round(ms) };
-    if (hasCallerLeft) {
-      this.#options.log(Event.CallerLeft, fields);
+    const { head: { id }, route, stage, signal } = request;
+    const fields = { id, route: route.name, ms: Math.round(options.ms) };
+    if (signal.aborted) {
+      this.#options.log(Event.CallerLeft, { ...fields, stage });
     } else if (outcome !== undefined) {
       const event = outcome === Outcome.NotRun ? Event.RequestRejected : Event.RequestLost;
       const inputs = { priority: route.priority, targetMs: route.targetMs };
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -22,6 +22,7 @@
 import { type Address, now, Outcome } from "@bulrushwood/types";
 import { Event, type EventLog } from "./event_log.ts";
 import { openExchange, readResponse } from "./exchange.ts";
+import { RequestStage } from "./request_stage.ts";
 
 /** Largest number of times that one request is sent to an owner of its key. */
 const OWNER_ATTEMPTS_MAX = 4;
@@ -93,6 +94,8 @@
   /** Time when the caller stops waiting, on this process's clock in milliseconds. */
   deadline: number;
   signal: AbortSignal;
+  /** Where the request waits now; updated by the dispatcher. */
+  stage: RequestStage;
 }
 
 /** Sends requests to the servers that may run them, and retries where that is safe. */
@@ -157,6 +160,7 @@
       if (now() >= waitUntil) {
         return response;
       }
+      request.stage = RequestStage.Owner;
       if (owners.ownerOf(pool, shard) === owner) {
         const isAbsent = owner === null || unreachableMs >= UNREACHABLE_MS;
         const waitMs = isAbsent ? waitUntil - now() : SAME_OWNER_RETRY_MS;
@@ -235,14 +239,17 @@
       remainingMs: Math.max(1, request.deadline - at),
       targetMs: Math.max(0, request.targetAt - at),
     };
+    request.stage = RequestStage.Server;
     if (address === self) {
       return await serve(head, request.body, request.signal);
     }
+    request.stage = RequestStage.Dial;
     const linked = await links.get(address);
     owners.recordReachability(address, linked.isOk);
     if (linked.isErr) {
       return notRun(Reason.LinkBroken, linked.error.message, OWNER_RETRY_AFTER_MS);
     }
+    request.stage = RequestStage.Peer;
     const exchange = openExchange(linked.value, head, { body: request.body });
     const cancel = () => exchange.cancel();
     const timer = setTimeout(cancel, request.deadline + DEADLINE_MARGIN_MS - now());
--- a/packages/router/src/dispatcher_test.ts
+++ b/packages/router/src/dispatcher_test.ts
@@ -5,6 +5,7 @@
 import { now, Outcome } from "@bulrushwood/types";
 import { Dispatcher } from "./dispatcher.ts";
 import { REQUEST_HEAD } from "./head_fixture.ts";
+import { RequestStage } from "./request_stage.ts";
 
 const SELF = "10.0.0.1:7000";
 
@@ -53,6 +54,7 @@
     targetAt: startedAt + targetMs,
     deadline: startedAt + 1_000,
     signal: new AbortController().signal,
+    stage: RequestStage.Owner,
   });
   return { ...response.head, attempts, ms: now() - startedAt };
 }
--- a/packages/router/src/event_log.ts
+++ b/packages/router/src/event_log.ts
@@ -32,6 +32,9 @@
   RequestLost = "request-lost",
   RequestResent = "request-sent-again",
   CallerLeft = "caller-left",
+  RequestCancelled = "request-cancelled",
+  RequestDelayed = "request-delayed",
+  LoopDelayed = "loop-delayed",
   PeerMalformed = "peer-malformed",
   TaskFailed = "task-failed",
 }
--- /dev/null
+++ b/packages/router/src/loop_delay.ts
@@ -0,0 +1,43 @@
+/**
+ * Measures how late the event loop runs timers, which shows that a daemon lacks processor time or was stopped.
+ */
+import type { Clock } from "@bulrushwood/types";
+
+/** Time between measurements, in milliseconds. */
+const INTERVAL_MS = 250;
+/** Shortest delay that is reported, in milliseconds. */
+const REPORTED_MS = 250;
+
+export interface LoopDelayOptions {
+  now: Clock;
+  /** Called with each delay that is long enough to be reported, in milliseconds. */
+  onDelay: (ms: number) => void;
+}
+
+/** Monitor of the event loop's delay. */
+export class LoopDelayMonitor {
+  readonly #options: LoopDelayOptions;
+  readonly #timer: NodeJS.Timeout;
+  #measuredAt: number;
+
+  constructor(options: LoopDelayOptions) {
+    this.#options = options;
+    this.#measuredAt = options.now();
+    this.#timer = setInterval(() => this.#measure(), INTERVAL_MS).unref();
+  }
+
+  #measure(): void {
+    const { now, onDelay } = this.#options;
+    const at = now();
+    const delayMs = at - this.#measuredAt - INTERVAL_MS;
+    this.#measuredAt = at;
+    if (delayMs >= REPORTED_MS) {
+      onDelay(delayMs);
+    }
+  }
+
+  /** Stops measuring. */
+  close(): void {
+    clearInterval(this.#timer);
+  }
+}
--- /dev/null
+++ b/packages/router/src/loop_delay_test.ts
@@ -0,0 +1,18 @@
+import { expect } from "chai";
+import { now, sleep } from "@bulrushwood/types";
+import { LoopDelayMonitor } from "./loop_delay.ts";
+
+describe("loop delay monitor", () => {
+  it("reports that the event loop was blocked, and nothing while it runs", async () => {
+    const delays: number[] = [];
+    const monitor = new LoopDelayMonitor({ now, onDelay: (ms) => delays.push(ms) });
+    await sleep(600);
+    const before = delays.length;
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 900);
+    await sleep(300);
+    monitor.close();
+    expect(before).to.equal(0);
+    expect(delays).to.have.length(1);
+    expect(delays[0]).to.be.within(600, 1_200);
+  });
+});
--- a/packages/router/src/metrics.ts
+++ b/packages/router/src/metrics.ts
@@ -5,6 +5,7 @@
 import type { Route } from "@bulrushwood/deployment";
 import type { RequestHead } from "@bulrushwood/protocol";
 import type { RoutedResponse } from "@bulrushwood/routing";
+import type { RequestStage } from "./request_stage.ts";
 import { type ServerResult } from "./server_client.ts";
 
 const LATENCY_BUCKETS_MS = [5, 10, 25, 50, 100, 200, 300, 400, 500, 700, 1_000, 1_500, 2_500];
@@ -30,6 +31,8 @@
   readonly #serverResults: Counter;
   readonly #serverLatency: Histogram;
   readonly #orderFailures: Counter;
+  readonly #cancelled: Counter;
+  readonly #transit: Histogram;
 
   constructor() {
     const registers = [this.registry];
@@ -66,6 +69,28 @@
       labelNames: ["order"],
       registers,
     });
+    this.#cancelled = new Counter({
+      name: "bulrushwood_cancelled_requests_total",
+      help: "Requests whose callers left, by where the requests waited",
+      labelNames: ["stage"],
+      registers,
+    });
+    this.#transit = new Histogram({
+      name: "bulrushwood_transit_milliseconds",
+      help: "Delay of requests from other daemons beyond the fastest one on the same link",
+      buckets: LATENCY_BUCKETS_MS,
+      registers,
+    });
+  }
+
+  /** Counts a request whose caller left while it waited here. */
+  recordCancelled(stage: RequestStage): void {
+    this.#cancelled.inc({ stage });
+  }
+
+  /** Records the time that a forwarded request took from its ingress to here. */
+  recordTransit(ms: number): void {
+    this.#transit.observe(ms);
   }
 
   /** Counts a response to a caller and its latency. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -60,6 +60,7 @@
 import { readHeaders } from "./headers.ts";
 import { CurrentManifest } from "./current_manifest.ts";
 import { KeyTransfers } from "./key_transfers.ts";
+import { LoopDelayMonitor } from "./loop_delay.ts";
 import { Metrics } from "./metrics.ts";
 import { RECORDS_METHOD, Relay } from "./relay.ts";
 import { Runner } from "./runner.ts";
@@ -88,6 +89,8 @@
 const STOP_LINGER_MS = 2_600;
 /** Margin between the end of a graceful stop and the time when the process is killed, in milliseconds. */
 const END_MARGIN_MS = 600;
+/** Shortest delay of a forwarded request in transit that is logged, in milliseconds. */
+const SLOW_TRANSIT_MS = 250;
 /** Time between a stopping daemon's checks for open requests, in milliseconds. */
 const END_CHECK_MS = 20;
 /** Time reserved for the last requests of a stopping daemon, in milliseconds. */
@@ -119,6 +122,7 @@
   readonly #incarnation = randomUUID().slice(0, INCARNATION_CHARACTERS);
   readonly #stop = createStop();
   readonly #metrics = new Metrics();
+  readonly #loopDelay: LoopDelayMonitor;
   /** Store client of this instance without relays; serves the store calls of peers. */
   readonly #directStore: Store;
   readonly #store: RelayedStore;
@@ -164,6 +168,10 @@
     const { peers } = settings.listen;
     this.#self = `${peers.host}:${peers.port}`;
     const call = this.#callPeer.bind(this);
+    this.#loopDelay = new LoopDelayMonitor({
+      now,
+      onDelay: (ms) => log(Event.LoopDelayed, { ms: Math.round(ms) }),
+    });
     this.#directStore = adapter.openStore(settings);
     this.#store = new RelayedStore({
       direct: this.#directStore,
@@ -260,6 +268,10 @@
       drainMs: settings.bounds.drainMs,
       log,
       onResult: (head, result, ms) => this.#metrics.recordServerResult(head, result, ms),
+      onCancelled: ({ id, workClass }, stage, ms) => {
+        this.#metrics.recordCancelled(stage);
+        log(Event.RequestCancelled, { id, route: workClass, stage, ms: Math.round(ms) });
+      },
     });
     this.#view = new ServerView({
       self,
@@ -589,7 +601,12 @@
   }
 
   #handleRequest(exchange: IncomingExchange): void {
-    const { head, signal } = exchange;
+    const { head, signal, transitMs } = exchange;
+    this.#metrics.recordTransit(transitMs);
+    if (transitMs >= SLOW_TRANSIT_MS) {
+      const ms = Math.round(transitMs);
+      this.#log(Event.RequestDelayed, { id: head.id, route: head.workClass, ms });
+    }
     const serve = async (body: Buffer | undefined) => {
       // Frames that arrived together with the request may cancel it.
       await setImmediate();
@@ -650,6 +667,7 @@
   async close(): Promise<void> {
     this.#isEnding = true;
     this.#stop.abort();
+    this.#loopDelay.close();
     this.#sideServers.forEach((side) => side.close());
     await this.#callers.close({ timeoutMs: 0 });
     await this.#links.close();
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -12,6 +12,7 @@
 import { now } from "@bulrushwood/types";
 import { Event, type EventLog } from "./event_log.ts";
 import { toFlatHeaders } from "./headers.ts";
+import { RequestStage } from "./request_stage.ts";
 import { type ServerClient, ServerOutcome, type ServerResult } from "./server_client.ts";
 import type { ServerWatch } from "./server_watch.ts";
 
@@ -35,6 +36,8 @@
   drainMs: number;
   log: EventLog;
   onResult: (head: RequestHead, result: ServerResult, ms: number) => void;
+  /** Called with each request whose caller left before its response, and where it waited. */
+  onCancelled: (head: RequestHead, stage: RequestStage, ms: number) => void;
 }
 
 /** Measured load of this daemon's backend server; `rate` is in requests a second. */
@@ -104,8 +107,12 @@
   ): Promise<RoutedResponse> {
     const arrivedAt = now();
     const deadline = arrivedAt + head.remainingMs;
-    if (signal.aborted) {
+    const cancel = (stage: RequestStage) => {
+      this.#options.onCancelled(head, stage, now() - arrivedAt);
       return notRun(Reason.Cancelled, "The caller left before the request ran");
+    };
+    if (signal.aborted) {
+      return cancel(RequestStage.Arrival);
     }
     if (head.remainingMs <= 0) {
       return notRun(Reason.DeadlinePassed, "The request was held up on its way past its deadline");
@@ -113,7 +120,11 @@
     this.#arrivals++;
     if (head.shard >= 0) {
       this.#meter.record(head.shard);
-      if (!(await this.#awaitKey(head, signal))) {
+      const isGranted = await this.#awaitKey(head, signal);
+      if (signal.aborted) {
+        return cancel(RequestStage.Key);
+      }
+      if (!isGranted) {
         return notRun(Reason.NotHolder, "This daemon does not hold the key", MOVE_RETRY_AFTER_MS);
       }
     }
@@ -132,10 +143,14 @@
       signal,
     });
     if (admitted.isErr) {
-      return toRejection(admitted.error);
+      return signal.aborted ? cancel(RequestStage.Slot) : toRejection(admitted.error);
     }
     try {
-      return await this.#run(head, body, { deadline, signal });
+      const response = await this.#run(head, body, { deadline, signal });
+      if (signal.aborted) {
+        cancel(RequestStage.Server);
+      }
+      return response;
     } finally {
       admitted.value.release();
     }
--- a/packages/router/src/runner_test.ts
+++ b/packages/router/src/runner_test.ts
@@ -9,6 +9,7 @@
 import { Reason } from "@bulrushwood/protocol";
 import { now, Outcome, sleep } from "@bulrushwood/types";
 import { REQUEST_HEAD } from "./head_fixture.ts";
+import { RequestStage } from "./request_stage.ts";
 import { Runner } from "./runner.ts";
 import { type ServerClient, ServerOutcome, type ServerResult } from "./server_client.ts";
 import { ServerWatch } from "./server_watch.ts";
@@ -54,6 +55,7 @@
   const { workMs = 0, state = () => KeyState.Granted } = options;
   const watch = new ServerWatch({ service: SERVICE, now, reportEveryMs: 60_000 });
   const reachedAt: number[] = [];
+  const stages: RequestStage[] = [];
   const client = {
     send: async () => {
       reachedAt.push(now());
@@ -72,8 +74,9 @@
     drainMs: DRAIN_MS,
     log: () => {},
     onResult: () => {},
+    onCancelled: (_head, stage) => stages.push(stage),
   });
-  return { runner, watch, reachedAt };
+  return { runner, watch, reachedAt, stages };
 }
 
 describe("runner", () => {
@@ -133,4 +136,22 @@
     await running;
     expect(reachedAt).to.have.length(1);
   });
+
+  it("reports where a request waited whose caller left", async () => {
+    const leaving = () => {
+      const caller = new AbortController();
+      setTimeout(() => caller.abort(), 30);
+      return caller.signal;
+    };
+    const pending = createRunner({ state: () => KeyState.Pending });
+    pending.watch.apply(report());
+    await pending.runner.serve(HEAD, undefined, leaving());
+    expect(pending.stages).to.deep.equal([RequestStage.Key]);
+    const busy = createRunner({ workMs: 60 });
+    busy.watch.apply(report());
+    await Promise.all([1, 2].map(() => busy.runner.serve(HEAD, undefined, leaving())));
+    expect(busy.stages).to.have.members([RequestStage.Server, RequestStage.Slot]);
+    await busy.runner.serve(HEAD, undefined, AbortSignal.abort());
+    expect(busy.stages.at(-1)).to.equal(RequestStage.Arrival);
+  });
 });
