Watch all links of a daemon with one timer

Callers saw requests rejected or lost on deployments of 60 instances and more, whose daemons were out of processor time. One cause: every link had its own interval of 250 ms, so a daemon with links to 75 others woke up 300 times a second only to find nothing to do. Control grew with the number of instances.

The links of a daemon now share one timer. A second new test holds the unchanged rule that a silent peer breaks its link within 1.8 s.

--- a/packages/protocol/src/link.ts
+++ b/packages/protocol/src/link.ts
@@ -25,7 +25,8 @@
 
 /** Time without a message, while one is expected, after which a link counts as broken, in milliseconds. */
 const SILENCE_TIMEOUT_MS = 1_000;
-const PING_INTERVAL_MS = 250;
+/** Time between two calls of `checkSilence`, and silence after which a peer is pinged, in milliseconds. */
+export const SILENCE_CHECK_MS = 250;
 
 /** Handlers for what the peer sends on a link. */
 export interface LinkHandlers {
@@ -59,7 +60,6 @@
   readonly #calls = new Map<number, PendingCall>();
   readonly #outgoing = new Map<number, OutgoingExchange>();
   readonly #incoming = new Map<number, IncomingExchange>();
-  readonly #timer: NodeJS.Timeout;
   #queue: Frame[] = [];
   #flushScheduled = false;
   #nextId = 1;
@@ -94,7 +94,6 @@
       () => this.#fail(brokenLink("The link was closed")),
     );
     this.#socket.on("error", (error) => this.#fail(brokenLink(error.message)));
-    this.#timer = setInterval(() => this.#checkSilence(), PING_INTERVAL_MS);
     this.send({
       kind: FrameKind.Hello,
       version: PROTOCOL_VERSION,
@@ -339,8 +338,11 @@
     }
   }
 
-  /** Checks for silence and pings only while a message of the peer is expected, so idle links send nothing. */
-  #checkSilence(): void {
+  /**
+   * Checks for silence and pings only while a message of the peer is expected, so idle links send nothing. The
+   * owner of the link calls this every `SILENCE_CHECK_MS`.
+   */
+  checkSilence(): void {
     const isWaiting = this.#calls.size > 0 || this.#outgoing.size > 0 || !this.#hasReceivedHello;
     if (!isWaiting) {
       this.#waitingSince = undefined;
@@ -352,7 +354,7 @@
       this.#fail(brokenLink(`The peer ${this.#peer} was silent for too long`));
       return;
     }
-    if (now - this.#receivedAt >= PING_INTERVAL_MS) {
+    if (now - this.#receivedAt >= SILENCE_CHECK_MS) {
       this.send({ kind: FrameKind.Ping, wantsReply: true });
     }
   }
@@ -362,7 +364,6 @@
       return;
     }
     this.#error = error;
-    clearInterval(this.#timer);
     this.#socket.terminate();
     for (const call of [...this.#calls.values()]) {
       call.settle(Result.err(error));
--- a/packages/protocol/src/links.ts
+++ b/packages/protocol/src/links.ts
@@ -7,7 +7,7 @@
 import type { Address } from "@bulrushwood/types";
 import { MESSAGE_BYTES_MAX } from "./codec.ts";
 import { LinkError, LinkErrorKind } from "./errors.ts";
-import { Link, type LinkHandlers } from "./link.ts";
+import { Link, type LinkHandlers, SILENCE_CHECK_MS } from "./link.ts";
 
 const DIAL_TIMEOUT_MS = 800;
 /** Time after a failed dial for which the peer counts as unreachable without a new dial, in milliseconds. */
@@ -37,6 +37,8 @@
   readonly #failed = new Map<Address, FailedDial>();
   readonly #http: Server;
   readonly #server: WebSocketServer;
+  /** One timer for all links, so that idle links cost no wake-ups; undefined while there are none. */
+  #silenceTimer: NodeJS.Timeout | undefined;
   #isClosed = false;
   /** Bytes sent and received on closed links. */
   #closedBytes = 0;
@@ -97,8 +99,13 @@
       return link;
     }
     this.#all.add(link);
+    this.#silenceTimer ??= setInterval(() => this.#checkSilence(), SILENCE_CHECK_MS);
     link.closed.then(() => {
       this.#all.delete(link);
+      if (this.#all.size === 0) {
+        clearInterval(this.#silenceTimer);
+        this.#silenceTimer = undefined;
+      }
       this.#closedBytes += link.bytesSent + link.bytesReceived;
       if (this.#links.get(link.peer) === link) {
         this.#links.delete(link.peer);
@@ -107,6 +114,10 @@
     return link;
   }
 
+  #checkSilence(): void {
+    this.#all.forEach((link) => link.checkSilence());
+  }
+
   /** Returns the open link to a peer, or undefined when there is none. */
   peek(peer: Address): Link | undefined {
     const link = this.#links.get(peer);
--- a/packages/protocol/src/protocol_test.ts
+++ b/packages/protocol/src/protocol_test.ts
@@ -1,8 +1,11 @@
 import { Buffer } from "node:buffer";
 import { createServer } from "node:net";
+import process from "node:process";
 import { expect } from "chai";
 import { Packr } from "msgpackr";
+import { WebSocketServer } from "ws";
 import { findFreePort } from "@bulrushwood/stand_ins";
+import { sleep } from "@bulrushwood/types";
 import {
   BodyReceiver,
   BodySender,
@@ -12,6 +15,7 @@
   type IncomingExchange,
   LinkErrorKind,
   Links,
+  PROTOCOL_VERSION,
   type RequestHead,
 } from "./mod.ts";
 
@@ -219,4 +223,38 @@
     expect(failure).to.equal(LinkErrorKind.Broken);
     await call;
   });
+
+  it("do not wake an idle daemon more often when there are more of them", async () => {
+    const hub = await listen();
+    const countTimers = () =>
+      process.getActiveResourcesInfo().filter((resource) => resource === "Timeout").length;
+    const peers = await Promise.all(Array.from({ length: 12 }, () => listen()));
+    await hub.links.get(peers[0].address);
+    await sleep(100);
+    const withOne = countTimers();
+    await Promise.all(peers.map(({ address }) => hub.links.get(address)));
+    await sleep(100);
+    expect(hub.links.count).to.equal(12);
+    // Each of the eleven further peers has one timer for its own links.
+    expect(countTimers() - withOne).to.be.at.most(11);
+  });
+
+  it("break when the peer stops responding", async () => {
+    const port = await findFreePort();
+    const peer = new WebSocketServer({ port, host: "127.0.0.1" });
+    peer.on("connection", (socket) => {
+      const address = `127.0.0.1:${port}`;
+      socket.send(
+        new Packr().pack([{ kind: FrameKind.Hello, version: PROTOCOL_VERSION, address }]),
+      );
+    });
+    const left = await listen();
+    const linked = await left.links.get(`127.0.0.1:${port}`);
+    const link = linked.isOk ? linked.value : undefined!;
+    const startedAt = performance.now();
+    const called = await link.call("echo", 1, { timeoutMs: 5_000 });
+    expect(called.isErr && called.error.kind).to.equal(LinkErrorKind.Broken);
+    expect(performance.now() - startedAt).to.be.within(900, 1_800);
+    peer.close();
+  });
 });
