Send all heartbeats that are due from one task

Callers saw requests rejected or lost on large deployments, whose daemons were out of processor time. One cause: each heartbeat peer had a task of its own that woke the daemon every 300 or 500 ms, and a further task chose the peers and hashed the address of every member four times a second.

One task now wakes up every 300 ms, chooses the peers and sends all heartbeats that are due; hubs and sources get them every 600 ms, a third of the silence timeout of large deployments. The rank of a peer is computed once. An unresponsive peer is marked before the choice, since an expired mark made it a hub again for one period; an existing test showed that.

--- a/packages/membership_beats/src/heartbeat_peers.ts
+++ b/packages/membership_beats/src/heartbeat_peers.ts
@@ -31,10 +31,11 @@
 
 /** Options of `chooseHeartbeatPeers`. */
 export interface HeartbeatPeerOptions {
-  self: Address;
   service: string;
   /** All members of the deployment, without this daemon. */
   members: readonly Member[];
+  /** This daemon's order of the others. */
+  rank: (address: Address) => number;
   /** Whether a daemon was sent heartbeats recently and did not reply. */
   isUnresponsive: (address: Address) => boolean;
   /** Services without keys, whose servers every daemon must have the status of. */
@@ -45,15 +46,15 @@
 export function chooseHeartbeatPeers(
   options: HeartbeatPeerOptions,
 ): Map<Address, HeartbeatPeerRole> {
-  const { self, service, members, isUnresponsive, unkeyedServices } = options;
+  const { service, members, rank, isUnresponsive, unkeyedServices } = options;
   if (members.length < FULL_MESH_LIMIT) {
     return new Map(members.map(({ address }) => [address, HeartbeatPeerRole.All]));
   }
   const responsive = members.filter(({ address }) => !isUnresponsive(address));
   const peers = new Map<Address, HeartbeatPeerRole>();
-  const ranked = responsive.map(({ address }) => ({ address, rank: rankOf(self, address) }))
-    .sort((one, other) => one.rank - other.rank);
-  for (const { address } of ranked.slice(0, VOTER_COUNT)) {
+  const ranked = responsive.map(({ address }) => address)
+    .sort((one, other) => rank(one) - rank(other));
+  for (const address of ranked.slice(0, VOTER_COUNT)) {
     peers.set(address, HeartbeatPeerRole.Voter);
   }
   for (const unkeyed of unkeyedServices) {
@@ -75,8 +76,18 @@
     .sort();
 }
 
+/** Creates the order of one daemon, which computes the rank of each other daemon once. */
+export function createRank(self: Address): (other: Address) => number {
+  const ranks = new Map<Address, number>();
+  return (other) => {
+    const rank = ranks.get(other) ?? rankOf(self, other);
+    ranks.set(other, rank);
+    return rank;
+  };
+}
+
 /** Returns a rank by which each daemon orders the others differently (FNV-1a hash). */
-export function rankOf(self: Address, other: Address): number {
+function rankOf(self: Address, other: Address): number {
   let hash = 0x811c9dc5;
   for (const character of `${self}|${other}`) {
     hash = Math.imul(hash ^ character.codePointAt(0)!, 0x01000193);
--- a/packages/membership_beats/src/heartbeat_peers_test.ts
+++ b/packages/membership_beats/src/heartbeat_peers_test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { chooseHeartbeatPeers, HeartbeatPeerRole, type Member } from "./mod.ts";
+import { chooseHeartbeatPeers, createRank, HeartbeatPeerRole, type Member } from "./mod.ts";
 
 const KEYED = "despacho";
 const UNKEYED = "inspeccion";
@@ -18,7 +18,7 @@
 
 function choose(members: Member[], self: Member, unresponsive: ReadonlySet<string> = new Set()) {
   return chooseHeartbeatPeers({
-    self: self.address,
+    rank: createRank(self.address),
     service: self.service,
     members: members.filter((member) => member !== self),
     isUnresponsive: (address) => unresponsive.has(address),
--- a/packages/membership_beats/src/heartbeats.ts
+++ b/packages/membership_beats/src/heartbeats.ts
@@ -1,7 +1,8 @@
 /**
- * Heartbeats between daemons, with one task for each heartbeat peer. They carry the status of a daemon and its
- * server, ask voters for support, and show which peers are unresponsive. In a large deployment, a daemon gets
- * the status of most peers only through others.
+ * Heartbeats between daemons. One task chooses the heartbeat peers and sends all heartbeats that are due, so that a
+ * daemon wakes up equally often however many peers it has. Heartbeats carry the status of a daemon and its server,
+ * ask voters for support, and show which peers are unresponsive. In a large deployment, a daemon gets the status
+ * of most peers only through others.
  */
 import {
   type Address,
@@ -26,7 +27,12 @@
   type StatusUpdate,
 } from "./messages.ts";
 import type { Member } from "./members.ts";
-import { chooseHeartbeatPeers, FULL_MESH_LIMIT, HeartbeatPeerRole } from "./heartbeat_peers.ts";
+import {
+  chooseHeartbeatPeers,
+  createRank,
+  FULL_MESH_LIMIT,
+  HeartbeatPeerRole,
+} from "./heartbeat_peers.ts";
 
 /** Time between heartbeats to a peer, in milliseconds; a quarter of the time for which a vote lasts. */
 export const HEARTBEAT_MS = 300;
@@ -37,9 +43,7 @@
 /** The same in a large deployment, where hubs get heartbeats less often and pass status on with a delay. */
 const LARGE_SILENCE_TIMEOUT_MS = 1_800;
 /** Time between heartbeats to a hub or source in a large deployment, in milliseconds. */
-const HUB_HEARTBEAT_MS = 500;
-/** Time between choices of the heartbeat peers, in milliseconds. */
-const PEER_SELECTION_MS = 250;
+const HUB_HEARTBEAT_MS = 600;
 /** Time for which an unresponsive heartbeat peer is left out of the choice, in milliseconds. */
 const UNRESPONSIVE_RETRY_MS = 8_000;
 /** Silence after which a peer gets heartbeats less often, in milliseconds. */
@@ -90,8 +94,8 @@
   role: HeartbeatPeerRole;
   /** When heartbeats to the peer started, on this process's clock. */
   since: number;
-  stop: AbortController;
-  task: Promise<void>;
+  /** When the last heartbeat was sent, on this process's clock. */
+  sentAt: number;
 }
 
 /** Sends and receives the heartbeats of one daemon, and tracks the status of its peers. */
@@ -107,12 +111,15 @@
   readonly #unresponsiveAt = new Map<Address, number>();
   readonly #stop = createStop();
   readonly #startedAt: number;
+  /** Order of the peers in which this daemon prefers them as voters; each daemon has its own. */
+  readonly rank: (peer: Address) => number;
   #isCatchingUp = false;
-  #selection: Promise<void> | undefined;
+  #task: Promise<void> | undefined;
 
   constructor(options: HeartbeatsOptions) {
     this.#options = options;
     this.#startedAt = options.now();
+    this.rank = createRank(options.self);
   }
 
   /** The latest status of each peer, by address, including unresponsive ones. */
@@ -172,24 +179,44 @@
   add(member: Member): void {
     if (member.address !== this.#options.self) {
       this.#members.set(member.address, member);
-      this.#selection ??= this.#runSelection();
+      this.#task ??= this.#run();
+    }
+  }
+
+  async #run(): Promise<void> {
+    const { signal } = this.#stop;
+    while (!signal.aborted) {
+      await this.#options.sleep(HEARTBEAT_MS, signal);
+      if (!signal.aborted) {
+        this.#selectPeers();
+        this.#sendDue();
+      }
     }
   }
 
-  async #runSelection(): Promise<void> {
-    while (!this.#stop.signal.aborted) {
-      await this.#options.sleep(PEER_SELECTION_MS, this.#stop.signal);
-      this.#selectPeers();
+  /** Sends the heartbeats whose time has come, up to half a period early. */
+  #sendDue(): void {
+    const at = this.#options.now() + HEARTBEAT_MS / 2;
+    for (const [peer, heartbeatPeer] of this.#heartbeatPeers) {
+      if (heartbeatPeer.sentAt + this.#intervalMs(peer, heartbeatPeer) <= at) {
+        heartbeatPeer.sentAt = this.#options.now();
+        this.#sendHeartbeat(peer, heartbeatPeer.role);
+      }
     }
   }
 
   #selectPeers(): void {
     const { self, service, unkeyedServices, requiredPeers, now } = this.#options;
+    for (const [address, { since }] of this.#heartbeatPeers) {
+      if (!this.isResponsive(address) && now() - since > SILENCE_TIMEOUT_MS) {
+        this.#markUnresponsive(address);
+      }
+    }
     const chosen = chooseHeartbeatPeers({
-      self,
       service,
       members: [...this.#members.values()],
       unkeyedServices: unkeyedServices(),
+      rank: this.rank,
       isUnresponsive: (address) => this.#isMarkedUnresponsive(address),
     });
     for (const address of requiredPeers()) {
@@ -198,12 +225,9 @@
       }
     }
     chosen.forEach((role, address) => this.#start(address, role));
-    for (const [address, { stop, since }] of this.#heartbeatPeers) {
+    for (const address of this.#heartbeatPeers.keys()) {
       if (!chosen.has(address)) {
-        stop.abort();
         this.#heartbeatPeers.delete(address);
-      } else if (!this.isResponsive(address) && now() - since > SILENCE_TIMEOUT_MS) {
-        this.#markUnresponsive(address);
       }
     }
   }
@@ -229,22 +253,9 @@
       existing.role = role;
       return;
     }
-    const stop = createStop();
     const since = this.#options.now();
-    const heartbeatPeer: HeartbeatPeer = { role, since, stop, task: Promise.resolve() };
-    this.#heartbeatPeers.set(peer, heartbeatPeer);
+    this.#heartbeatPeers.set(peer, { role, since, sentAt: Number.NEGATIVE_INFINITY });
     this.#unresponsiveAt.delete(peer);
-    heartbeatPeer.task = this.#run(peer, heartbeatPeer);
-  }
-
-  async #run(peer: Address, heartbeatPeer: HeartbeatPeer): Promise<void> {
-    const { sleep, now } = this.#options;
-    const { signal } = heartbeatPeer.stop;
-    while (!signal.aborted) {
-      const startedAt = now();
-      this.#sendHeartbeat(peer, heartbeatPeer.role);
-      await sleep(Math.max(10, startedAt + this.#intervalMs(peer, heartbeatPeer) - now()), signal);
-    }
   }
 
   #intervalMs(peer: Address, { role }: HeartbeatPeer): number {
@@ -387,8 +398,6 @@
   /** Stops all heartbeats. */
   async close(): Promise<void> {
     this.#stop.abort();
-    this.#heartbeatPeers.forEach(({ stop }) => stop.abort());
-    await Promise.all([...this.#heartbeatPeers.values()].map(({ task }) => task));
-    await this.#selection;
+    await this.#task;
   }
 }
--- a/packages/membership_beats/src/heartbeats_test.ts
+++ b/packages/membership_beats/src/heartbeats_test.ts
@@ -10,6 +10,8 @@
 /** A clock whose sleeps end in order of time when the test advances it. */
 class TestClock {
   #time = 0;
+  /** Number of sleeps that have ended. */
+  wakeUps = 0;
   #sleepers: { at: number; wake: () => void }[] = [];
 
   readonly now: Clock = () => this.#time;
@@ -33,6 +35,7 @@
       }
       this.#sleepers.shift();
       this.#time = Math.max(this.#time, next.at);
+      this.wakeUps++;
       next.wake();
     }
   }
@@ -129,6 +132,18 @@
     expect(unkeyed.every(({ address }) => heartbeats.isResponsive(address))).to.equal(true);
   });
 
+  it("do not wake a daemon more often when it has more heartbeat peers", async () => {
+    const wakeUps = [];
+    for (const count of [4, 195]) {
+      const { clock } = startDaemon(createMembers(count));
+      await clock.run(1_500);
+      const before = clock.wakeUps;
+      await clock.run(3_000);
+      wakeUps.push(clock.wakeUps - before);
+    }
+    expect(wakeUps[1]).to.be.at.most(wakeUps[0]);
+  });
+
   it("go to other hubs within three seconds after all hubs are lost", async () => {
     const members = createMembers(195);
     const hubs = members.filter(({ service }) => service === SERVICE).map(({ address }) => address);
--- a/packages/membership_beats/src/mod.ts
+++ b/packages/membership_beats/src/mod.ts
@@ -14,8 +14,8 @@
 export { addMember, type Member, parseMember, readMember } from "./members.ts";
 export {
   chooseHeartbeatPeers,
+  createRank,
   FULL_MESH_LIMIT,
   HeartbeatPeerRole,
-  rankOf,
 } from "./heartbeat_peers.ts";
 export { type AskSeal, isSealedBy, sealTenure } from "./sealing.ts";
--- a/packages/router/src/server_view.ts
+++ b/packages/router/src/server_view.ts
@@ -6,7 +6,7 @@
 import { countKeys, type OwnershipTable, rangesOf } from "@bulrushwood/ledger_store";
 import type { GrantManager } from "@bulrushwood/lease_ranges";
 import type { Voter } from "@bulrushwood/lease_votes";
-import { type Heartbeats, rankOf, type ServerStatus } from "@bulrushwood/membership_beats";
+import { type Heartbeats, type ServerStatus } from "@bulrushwood/membership_beats";
 import { type Candidate, findPlanner, mayOwn, type Piece } from "@bulrushwood/planner_ranges";
 import type { ServerLoad } from "@bulrushwood/routing";
 import { type Address, now } from "@bulrushwood/types";
@@ -117,7 +117,7 @@
     );
     if (!heartbeats.isFullMesh) {
       return reachable
-        .sort(([left], [right]) => rankOf(self, left) - rankOf(self, right))
+        .sort(([left], [right]) => heartbeats.rank(left) - heartbeats.rank(right))
         .map(([address, { status }]) => ({ address, incarnation: status.incarnation }));
     }
     const rank = (address: Address, dataCentre: string) =>
