Ping a peer only once a response has been missing for 400 ms

Callers saw requests rejected or lost on large deployments, whose daemons were out of processor time. One cause: a link that had been idle for 250 ms pinged its peer at the next check after a request was sent, on average 125 ms later.

Silence now counts from when a message was first expected, for pings as for the timeout. A peer that stops responding still breaks the link within 1.8 s, as the test holds.

--- a/packages/protocol/src/link.ts
+++ b/packages/protocol/src/link.ts
@@ -25,7 +25,9 @@
 
 /** Time without a message, while one is expected, after which a link counts as broken, in milliseconds. */
 const SILENCE_TIMEOUT_MS = 1_000;
-/** Time between two calls of `checkSilence`, and silence after which a peer is pinged, in milliseconds. */
+/** Silence after which a peer is pinged, in milliseconds; most requests have their response earlier. */
+const PING_AFTER_MS = 400;
+/** Time between two calls of `checkSilence`, in milliseconds. */
 export const SILENCE_CHECK_MS = 250;
 
 /** Handlers for what the peer sends on a link. */
@@ -350,11 +352,12 @@
     }
     const now = performance.now();
     this.#waitingSince ??= now;
-    if (now - Math.max(this.#receivedAt, this.#waitingSince) > SILENCE_TIMEOUT_MS) {
+    const silentMs = now - Math.max(this.#receivedAt, this.#waitingSince);
+    if (silentMs > SILENCE_TIMEOUT_MS) {
       this.#fail(brokenLink(`The peer ${this.#peer} was silent for too long`));
       return;
     }
-    if (now - this.#receivedAt >= SILENCE_CHECK_MS) {
+    if (silentMs >= PING_AFTER_MS) {
       this.send({ kind: FrameKind.Ping, wantsReply: true });
     }
   }
--- a/packages/protocol/src/protocol_test.ts
+++ b/packages/protocol/src/protocol_test.ts
@@ -239,6 +239,26 @@
     expect(countTimers() - withOne).to.be.at.most(11);
   });
 
+  it("send no pings for requests that have their response soon", async () => {
+    const [left, right] = [
+      await listen(),
+      await listen((exchange) => {
+        setTimeout(() => exchange.respond({ status: 200, headers: [] }, undefined, true), 350);
+      }),
+    ];
+    const linked = await left.links.get(right.address);
+    const link = linked.isOk ? linked.value : undefined!;
+    await sleep(600);
+    for (let round = 0; round < 4; round++) {
+      const exchange = link.open(HEAD, { end: true });
+      await sleep(20);
+      const sent = link.bytesSent;
+      await exchange.response;
+      expect(link.bytesSent - sent).to.equal(0);
+      await sleep(70 * round);
+    }
+  });
+
   it("break when the peer stops responding", async () => {
     const port = await findFreePort();
     const peer = new WebSocketServer({ port, host: "127.0.0.1" });
