Do not forward a request whose caller left while a link was dialled

Callers saw work go on after they had left (GONE). One cause: the dispatcher computed the time left before it dialled a link, which takes up to 800 ms, and did not check the caller afterwards. A signal that has already aborted fires no listener, so such a request was forwarded and never cancelled, with more time than was left for it. This is wrong on an idle instance too; on large deployments most links are dialled on first use, and under load dials are slow.

The caller and the deadline are checked once the link is open, and the time left is computed then. Three new tests failed before: the request was forwarded in both kinds of service, and with 999 of 1,000 ms left after a dial of 150 ms.

--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -233,15 +233,9 @@
   /** Sends a request to one daemon, or runs it here if that is this daemon. */
   async #attempt(request: DispatchRequest, address: Address): Promise<RoutedResponse> {
     const { self, serve, links, owners } = this.#options;
-    const at = now();
-    const head = {
-      ...request.head,
-      remainingMs: Math.max(1, request.deadline - at),
-      targetMs: Math.max(0, request.targetAt - at),
-    };
-    request.stage = RequestStage.Server;
     if (address === self) {
-      return await serve(head, request.body, request.signal);
+      request.stage = RequestStage.Server;
+      return await serve(withTimeLeft(request), request.body, request.signal);
     }
     request.stage = RequestStage.Dial;
     const linked = await links.get(address);
@@ -249,8 +243,14 @@
     if (linked.isErr) {
       return notRun(Reason.LinkBroken, linked.error.message, OWNER_RETRY_AFTER_MS);
     }
+    if (request.signal.aborted) {
+      return notRun(Reason.Cancelled, "The caller left before the request was forwarded");
+    }
+    if (now() >= request.deadline) {
+      return notRun(Reason.DeadlinePassed, "The link to the server opened too late");
+    }
     request.stage = RequestStage.Peer;
-    const exchange = openExchange(linked.value, head, { body: request.body });
+    const exchange = openExchange(linked.value, withTimeLeft(request), { body: request.body });
     const cancel = () => exchange.cancel();
     const timer = setTimeout(cancel, request.deadline + DEADLINE_MARGIN_MS - now());
     request.signal.addEventListener("abort", cancel, { once: true });
@@ -277,3 +277,13 @@
     );
   }
 }
+
+/** Returns the head of a request with the time that is left for it now. */
+function withTimeLeft({ head, deadline, targetAt }: DispatchRequest): RequestHead {
+  const at = now();
+  return {
+    ...head,
+    remainingMs: Math.max(1, deadline - at),
+    targetMs: Math.max(0, targetAt - at),
+  };
+}
--- a/packages/router/src/dispatcher_test.ts
+++ b/packages/router/src/dispatcher_test.ts
@@ -1,13 +1,21 @@
 import { expect } from "chai";
 import { type Route, RouteKind } from "@bulrushwood/deployment";
-import { type Links, Reason } from "@bulrushwood/protocol";
+import {
+  type Link,
+  type Links,
+  type OutgoingExchange,
+  Reason,
+  type RequestHead,
+} from "@bulrushwood/protocol";
 import { notRun, RetryBudget, type RoutedResponse, unknown } from "@bulrushwood/routing";
-import { now, Outcome } from "@bulrushwood/types";
+import { now, Outcome, sleep } from "@bulrushwood/types";
+import { Result } from "true-myth";
 import { Dispatcher } from "./dispatcher.ts";
 import { REQUEST_HEAD } from "./head_fixture.ts";
 import { RequestStage } from "./request_stage.ts";
 
 const SELF = "10.0.0.1:7000";
+const PEER = "10.0.0.2:7000";
 
 const ROUTE: Route = {
   name: "quote",
@@ -101,3 +109,74 @@
     expect(result.ms).to.be.within(200, 600);
   });
 });
+
+/** Dispatches a request to a peer whose link takes `dialMs` to open, for a caller that leaves after `leavesAfterMs`. */
+async function dispatchToPeer(
+  options: { dialMs: number; leavesAfterMs?: number; shard?: number },
+) {
+  const { dialMs, leavesAfterMs, shard = 7 } = options;
+  const heads: RequestHead[] = [];
+  const link = {
+    open: (head: RequestHead) => {
+      heads.push(head);
+      const response = Promise.resolve({
+        head: SUCCESS.head,
+        body: { isWhole: true, takeWhole: () => undefined },
+      });
+      return { response, cancel: () => {} } as unknown as OutgoingExchange;
+    },
+  } as unknown as Link;
+  const links = {
+    get: async () => {
+      await sleep(dialMs);
+      return Result.ok(link);
+    },
+  } as unknown as Links;
+  const dispatcher = new Dispatcher({
+    self: SELF,
+    links,
+    serve: () => Promise.resolve(SUCCESS),
+    owners: {
+      ownerOf: () => PEER,
+      waitForChange: (_service, ms) => sleep(ms),
+      unreachableMs: () => 0,
+      recordReachability: () => {},
+    },
+    choice: { choose: () => [PEER], begin: () => () => {} },
+    budgetOf: () => new RetryBudget(),
+    log: () => {},
+  });
+  const caller = new AbortController();
+  if (leavesAfterMs !== undefined) {
+    setTimeout(() => caller.abort(), leavesAfterMs);
+  }
+  const startedAt = now();
+  const response = await dispatcher.dispatch({
+    head: { ...REQUEST_HEAD, shard },
+    route: ROUTE,
+    body: undefined,
+    targetAt: startedAt + 400,
+    deadline: startedAt + 1_000,
+    signal: caller.signal,
+    stage: RequestStage.Owner,
+  });
+  return { response: response.head, heads };
+}
+
+describe("dispatcher: links that take long to open", () => {
+  for (const shard of [7, -1]) {
+    const kind = shard < 0 ? "without a key" : "with a key";
+    it(`does not forward a request ${kind} whose caller left while the link was dialled`, async () => {
+      const { response, heads } = await dispatchToPeer({ dialMs: 150, leavesAfterMs: 50, shard });
+      expect(heads).to.deep.equal([]);
+      expect(response).to.include({ outcome: Outcome.NotRun, reason: Reason.Cancelled });
+    });
+  }
+
+  it("forwards a request with the time that is left after the link was dialled", async () => {
+    const { heads } = await dispatchToPeer({ dialMs: 150 });
+    expect(heads).to.have.length(1);
+    expect(heads[0].remainingMs).to.be.within(700, 851);
+    expect(heads[0].targetMs).to.be.within(100, 251);
+  });
+});
