--- a/packages/lease_ranges/src/grant_manager.ts
+++ b/packages/lease_ranges/src/grant_manager.ts
@@ -4,7 +4,7 @@
  * stops new work for the keys, waits for the server to release them, and then changes the owner in the store.
  * No other daemon may change the owner of these keys.
  */
-import { firstValueFrom, race, Subject, timer } from "rxjs";
+import { Subject } from "rxjs";
 import { isSameIncarnation, type ServerIdentity } from "@bulrushwood/deployment";
 import {
   assign,
@@ -22,7 +22,14 @@
   without,
 } from "@bulrushwood/ledger_store";
 import type { SuspensionDetector } from "@bulrushwood/lease_votes";
-import { type Address, type Clock, createStop, type Sleep } from "@bulrushwood/types";
+import {
+  type Address,
+  type Clock,
+  createStop,
+  type Sleep,
+  waitForChange,
+  type WaitOptions,
+} from "@bulrushwood/types";
 import {
   endOfGrant,
   type Grant,
@@ -264,10 +271,9 @@
     return await this.#channel.release({ first, last, epoch }, options);
   }
 
-  /** Resolves at the next change, or after `ms` milliseconds. */
-  async waitForChange(ms: number): Promise<void> {
-    const timeout = timer(Math.max(0, ms));
-    await firstValueFrom(race(this.#changed, timeout), { defaultValue: undefined });
+  /** Resolves when the keys that the server may serve could have changed, or at the end of the wait. */
+  async waitForChange(options: WaitOptions): Promise<void> {
+    await waitForChange(this.#changed, options);
   }
 
   /** Stops the renewal of grants and closes the channel to the server. */
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -19,7 +19,7 @@
   unknown,
   waitLimitMs,
 } from "@bulrushwood/routing";
-import { type Address, now, Outcome } from "@bulrushwood/types";
+import { type Address, now, Outcome, type WaitOptions } from "@bulrushwood/types";
 import { Event, type EventLog } from "./event_log.ts";
 import { openExchange, readResponse } from "./exchange.ts";
 import { RequestStage } from "./request_stage.ts";
@@ -57,8 +57,8 @@
 export interface OwnerView {
   /** Returns the owner of a key of a service; null if there is none. */
   ownerOf: (service: string, key: number) => Address | null;
-  /** Resolves when the owners of a service's keys change, or after `ms` milliseconds. */
-  waitForChange: (service: string, ms: number) => Promise<void>;
+  /** Resolves when the owners of a service's keys change, or at the end of the wait. */
+  waitForChange: (service: string, options: WaitOptions) => Promise<void>;
   /** Returns the time for which a daemon has been unreachable, in milliseconds. */
   unreachableMs: (address: Address) => number;
   /** Records whether a daemon could be reached. */
@@ -164,7 +164,7 @@
       if (owners.ownerOf(pool, shard) === owner) {
         const isAbsent = owner === null || unreachableMs >= UNREACHABLE_MS;
         const waitMs = isAbsent ? waitUntil - now() : SAME_OWNER_RETRY_MS;
-        await owners.waitForChange(pool, waitMs);
+        await owners.waitForChange(pool, { ms: waitMs, signal: request.signal });
       }
     }
     return response;
--- a/packages/router/src/dispatcher_test.ts
+++ b/packages/router/src/dispatcher_test.ts
@@ -112,9 +112,9 @@
 
 /** Dispatches a request to a peer whose link takes `dialMs` to open, for a caller that leaves after `leavesAfterMs`. */
 async function dispatchToPeer(
-  options: { dialMs: number; leavesAfterMs?: number; shard?: number },
+  options: { dialMs: number; leavesAfterMs?: number; shard?: number; owner?: string | null },
 ) {
-  const { dialMs, leavesAfterMs, shard = 7 } = options;
+  const { dialMs, leavesAfterMs, shard = 7, owner = PEER } = options;
   const heads: RequestHead[] = [];
   const link = {
     open: (head: RequestHead) => {
@@ -137,8 +137,8 @@
     links,
     serve: () => Promise.resolve(SUCCESS),
     owners: {
-      ownerOf: () => PEER,
-      waitForChange: (_service, ms) => sleep(ms),
+      ownerOf: () => owner,
+      waitForChange: (_service, { ms, signal }) => sleep(ms, signal),
       unreachableMs: () => 0,
       recordReachability: () => {},
     },
@@ -160,10 +160,10 @@
     signal: caller.signal,
     stage: RequestStage.Owner,
   });
-  return { response: response.head, heads };
+  return { response: response.head, heads, ms: now() - startedAt };
 }
 
-describe("dispatcher: links that take long to open", () => {
+describe("dispatcher: callers that leave while their requests wait", () => {
   for (const shard of [7, -1]) {
     const kind = shard < 0 ? "without a key" : "with a key";
     it(`does not forward a request ${kind} whose caller left while the link was dialled`, async () => {
@@ -179,4 +179,10 @@
     expect(heads[0].remainingMs).to.be.within(700, 851);
     expect(heads[0].targetMs).to.be.within(100, 251);
   });
+
+  it("ends the wait for an owner when the caller leaves", async () => {
+    const { heads, ms } = await dispatchToPeer({ dialMs: 0, leavesAfterMs: 50, owner: null });
+    expect(heads).to.deep.equal([]);
+    expect(ms).to.be.below(120);
+  });
 });
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -5,7 +5,7 @@
 import type { Buffer } from "node:buffer";
 import { randomUUID } from "node:crypto";
 import { setImmediate } from "node:timers/promises";
-import { firstValueFrom, race, skip, timer } from "rxjs";
+import { skip } from "rxjs";
 import type { Result } from "true-myth";
 import { z } from "zod";
 import {
@@ -51,7 +51,7 @@
 import { PlannerEvent, RangePlanner, TRANSFER_METHOD } from "@bulrushwood/planner_ranges";
 import { type IncomingExchange, type LinkError, Links } from "@bulrushwood/protocol";
 import { RetryBudget, TwoChoices } from "@bulrushwood/routing";
-import { type Address, createStop, now, sleep } from "@bulrushwood/types";
+import { type Address, createStop, now, sleep, waitForChange } from "@bulrushwood/types";
 import { CallerServer } from "./caller_server.ts";
 import { Departures } from "./departures.ts";
 import { Dispatcher } from "./dispatcher.ts";
@@ -455,7 +455,8 @@
         ownerOf: (service, key) => {
           return rangeOf(this.#tableOf(service).table.value, key).owner;
         },
-        waitForChange: (service, ms) => this.#waitForTable(service, ms),
+        waitForChange: (service, options) =>
+          waitForChange(this.#tableOf(service).table.pipe(skip(1)), options),
         unreachableMs: (address) => this.#heartbeats.unreachableMs(address),
         recordReachability: (address, isReached) =>
           this.#heartbeats.recordReachability(address, isReached),
@@ -469,11 +470,6 @@
     });
   }
 
-  async #waitForTable(service: string, ms: number): Promise<void> {
-    const changed = this.#tableOf(service).table.pipe(skip(1));
-    await firstValueFrom(race(changed, timer(Math.max(0, ms))), { defaultValue: undefined });
-  }
-
   #budgetOf(service: string): RetryBudget {
     const budget = this.#budgets.get(service) ?? new RetryBudget({
       perRequest: this.#settings.bounds.retryShare * RETRY_SHARE_USED,
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -172,7 +172,7 @@
           if (now() >= until) {
             return false;
           }
-          await grantManager.waitForChange(until - now());
+          await grantManager.waitForChange({ ms: until - now(), signal });
       }
     }
     return false;
--- a/packages/router/src/runner_test.ts
+++ b/packages/router/src/runner_test.ts
@@ -7,7 +7,7 @@
 } from "@bulrushwood/deployment";
 import { type GrantManager, KeyState } from "@bulrushwood/lease_ranges";
 import { Reason } from "@bulrushwood/protocol";
-import { now, Outcome, sleep } from "@bulrushwood/types";
+import { now, Outcome, sleep, type WaitOptions } from "@bulrushwood/types";
 import { REQUEST_HEAD } from "./head_fixture.ts";
 import { RequestStage } from "./request_stage.ts";
 import { Runner } from "./runner.ts";
@@ -51,8 +51,10 @@
 }
 
 /** Creates a runner whose server records when each request arrives and responds after `workMs`. */
-function createRunner(options: { workMs?: number; state?: () => KeyState } = {}) {
-  const { workMs = 0, state = () => KeyState.Granted } = options;
+function createRunner(
+  options: { workMs?: number; state?: () => KeyState; changeMs?: number } = {},
+) {
+  const { workMs = 0, state = () => KeyState.Granted, changeMs = 20 } = options;
   const watch = new ServerWatch({ service: SERVICE, now, reportEveryMs: 60_000 });
   const reachedAt: number[] = [];
   const stages: RequestStage[] = [];
@@ -69,7 +71,7 @@
     wire: { requestHeaders: () => [] } as Partial<ServerWire> as ServerWire,
     grantManager: {
       stateOf: state,
-      waitForChange: (ms: number) => sleep(Math.min(ms, 20)),
+      waitForChange: ({ ms, signal }: WaitOptions) => sleep(Math.min(ms, changeMs), signal),
     } as unknown as GrantManager,
     drainMs: DRAIN_MS,
     log: () => {},
@@ -125,6 +127,21 @@
     expect(reachedAt).to.deep.equal([]);
   });
 
+  it("ends the wait for a key when the caller leaves", async () => {
+    const caller = new AbortController();
+    const { runner, watch, reachedAt } = createRunner({
+      state: () => KeyState.Moving,
+      changeMs: 60_000,
+    });
+    watch.apply(report());
+    const startedAt = now();
+    setTimeout(() => caller.abort(), 50);
+    const { head } = await runner.serve(HEAD, undefined, caller.signal);
+    expect(head).to.include({ reason: Reason.Cancelled });
+    expect(now() - startedAt).to.be.below(120);
+    expect(reachedAt).to.deep.equal([]);
+  });
+
   it("does not send a queued request whose caller has left", async () => {
     const caller = new AbortController();
     const { runner, watch, reachedAt } = createRunner({ workMs: 100 });
--- a/packages/types/src/mod.ts
+++ b/packages/types/src/mod.ts
@@ -54,3 +54,4 @@
 export type { CallPeer } from "./call_peer.ts";
 export { createStop, now, sleep } from "./time.ts";
 export { createRandom, type Random } from "./random.ts";
+export { waitForChange, type WaitOptions } from "./wait.ts";
