Do not start a request whose caller left before it was read

Callers saw work go on after they had left (GONE). One cause: when a daemon is late, because it lacks processor time, was suspended or has a long queue of input, callers give up before their requests are read. Node.js reads the data of a connection in one round of the event loop and its end in a later one, so such a request was always forwarded before the daemon learnt that the caller had left. The same holds for requests and cancellations from other daemons that are more than one read apart.

Evidence: the new tests block the event loop for 400 ms, during which a caller on another thread sends a request and leaves after 100 ms. Both failed before: the request was dispatched, on an open and on a new connection.

A request now waits until the event loop has polled all connections once more; requests of one round share the wait. The caller counts as gone at the end of its connection: Node.js sends no response after it, and reports the close of the connection only rounds later. Without either of the two parts both tests fail.

--- a/packages/router/src/caller_connection.ts
+++ b/packages/router/src/caller_connection.ts
@@ -27,11 +27,14 @@
   #close: (() => void) | undefined;
 
   constructor(socket: Socket) {
-    // Node.js emits no event on a queued response when its connection closes, so all requests are aborted here.
-    socket.once("close", () => {
+    // Node.js emits no event on a queued response when its connection closes, so all requests are aborted here. It
+    // sends no responses after a caller's end of the connection either, and emits "close" some time later.
+    const abort = () => {
       this.#isClosing = true;
       this.#abortFrom(0);
-    });
+    };
+    socket.once("end", abort);
+    socket.once("close", abort);
   }
 
   /** Whether the connection is about to close, so that no further requests are accepted. */
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -12,6 +12,7 @@
 import type { Dispatcher, DispatchRequest } from "./dispatcher.ts";
 import { Event, type EventLog } from "./event_log.ts";
 import { readHeaders, toFlatHeaders } from "./headers.ts";
+import { nextPoll } from "./next_poll.ts";
 import { RequestStage } from "./request_stage.ts";
 
 /** Idle connections are kept this much longer than callers keep them, in milliseconds. */
@@ -199,9 +200,12 @@
       targetAt: arrivedAt + route.targetMs - this.#elapsedBeforeMs(route, deadlineMs ?? waitMs),
       deadline: arrivedAt + waitMs,
       signal: exchange.signal,
-      stage: RequestStage.Owner,
+      stage: RequestStage.Arrival,
     };
-    const routed = await this.#options.dispatcher.dispatch(dispatched);
+    await nextPoll();
+    const routed = exchange.signal.aborted
+      ? notRun(Reason.Cancelled, "The caller left before the request was dispatched")
+      : await this.#options.dispatcher.dispatch(dispatched);
     this.#options.onResponse(route, routed, now() - arrivedAt);
     this.#logFailure(routed, dispatched, { ms: now() - arrivedAt });
     await this.#send(response, routed, { id, exchange });
--- a/packages/router/src/caller_server_test.ts
+++ b/packages/router/src/caller_server_test.ts
@@ -1,5 +1,6 @@
 import { Buffer } from "node:buffer";
 import { connect, type Socket } from "node:net";
+import { Worker } from "node:worker_threads";
 import { expect } from "chai";
 import { type Manifest, RouteKind } from "@bulrushwood/deployment";
 import type { RoutedResponse } from "@bulrushwood/routing";
@@ -46,6 +47,7 @@
 }
 
 interface Scenario {
+  port: number;
   dispatcher: FakeDispatcher;
   socket: Socket;
   /** Returns all bytes that the caller has received. */
@@ -79,6 +81,7 @@
   socket.on("close", () => isClosed = true);
   try {
     await test({
+      port,
       dispatcher,
       socket,
       received: () => received,
@@ -203,3 +206,47 @@
     });
   });
 });
+
+/** Runs a script on another thread, which is ready once it has sent a message. */
+async function startThread(script: string): Promise<Worker> {
+  const worker = new Worker(script, { eval: true });
+  await new Promise((resolve) => worker.once("message", resolve));
+  return worker;
+}
+
+/** Blocks this thread's event loop, as when an instance has no processor time. */
+function blockEventLoop(ms: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms);
+}
+
+describe("caller server: callers that leave while the daemon is stalled", () => {
+  for (const isConnected of [true, false]) {
+    const connection = isConnected ? "an open" : "a new";
+    it(`does not dispatch a request on ${connection} connection that closed before it was read`, async () => {
+      await runScenario(async ({ dispatcher, port }) => {
+        const worker = await startThread(`
+          const { connect } = require("node:net");
+          const { parentPort } = require("node:worker_threads");
+          const open = () => connect(${port}, "${HOST}");
+          let socket;
+          if (${isConnected}) {
+            socket = open().on("connect", () => parentPort.postMessage("ready"));
+          } else {
+            parentPort.postMessage("ready");
+          }
+          parentPort.once("message", () => {
+            socket ??= open();
+            socket.write(${JSON.stringify(get("r1"))});
+            setTimeout(() => socket.destroy(), 100);
+          });
+        `);
+        await sleep(50);
+        worker.postMessage("send");
+        blockEventLoop(400);
+        await sleep(100);
+        await worker.terminate();
+        expect([...dispatcher.open.keys()]).to.deep.equal([]);
+      });
+    });
+  }
+});
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -110,6 +110,7 @@
 
   /** Dispatches a request and returns its response. */
   async dispatch(request: DispatchRequest): Promise<RoutedResponse> {
+    request.stage = RequestStage.Owner;
     this.#options.budgetOf(request.head.pool).recordRequest();
     const isKeyed = request.head.shard >= 0;
     const response = isKeyed
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -4,7 +4,6 @@
  */
 import type { Buffer } from "node:buffer";
 import { randomUUID } from "node:crypto";
-import { setImmediate } from "node:timers/promises";
 import { skip } from "rxjs";
 import type { Result } from "true-myth";
 import { z } from "zod";
@@ -62,6 +61,7 @@
 import { KeyTransfers } from "./key_transfers.ts";
 import { LoopDelayMonitor } from "./loop_delay.ts";
 import { Metrics } from "./metrics.ts";
+import { nextPoll } from "./next_poll.ts";
 import { RECORDS_METHOD, Relay } from "./relay.ts";
 import { Runner } from "./runner.ts";
 import { ServerClient } from "./server_client.ts";
@@ -604,8 +604,7 @@
       this.#log(Event.RequestDelayed, { id: head.id, route: head.workClass, ms });
     }
     const serve = async (body: Buffer | undefined) => {
-      // Frames that arrived together with the request may cancel it.
-      await setImmediate();
+      await nextPoll();
       return await this.#runner.serve(head, body, signal);
     };
     serveExchange(exchange, serve).catch(
