Receive long bodies a few at a time, and only once they are requested

Callers saw too little served (SHORT) and work that went on after they had left (GONE). One cause: a body of up to 256 KB was sent together with its request. On large deployments all uploads go to the few servers without keys, over links of 7 to 20 Mbit/s, and everything else for those daemons, calls, cancellations, heartbeats, queued behind them.

By the site's figures, uploads alone are 7.5 Mbit/s on the mean for each of 14 links of 10 Mbit/s.

Bodies above 16 KB now wait at their ingress until the daemon of the server requests them, three at a time, in the order and with the early rejection of the gate for slots. A body whose sender stalls for 200 ms gives up its turn. The time that the body took is deducted from the time left. Credit is granted for half a window at a time.

--- a/packages/protocol/src/body.ts
+++ b/packages/protocol/src/body.ts
@@ -7,6 +7,8 @@
 
 /** Initial credit of a stream: granted when the receiver starts to read, or present at once, in bytes. */
 export const INITIAL_CREDIT_BYTES = 256 * 1024;
+/** Bytes that the reader takes from a body before it grants credit for them, in bytes. */
+const CREDIT_STEP_BYTES = INITIAL_CREDIT_BYTES / 2;
 /** Largest part of a body in one frame, in bytes. */
 export const PART_BYTES_MAX = 32 * 1024;
 
@@ -92,6 +94,8 @@
 
   /** Credit to grant when the reader starts, in bytes. */
   #openingCreditBytes: number;
+  /** Bytes that were read since credit was granted last. */
+  #readBytes = 0;
 
   constructor(
     grantCredit: (bytes: number) => void,
@@ -137,7 +141,11 @@
       const part = this.#parts.shift();
       if (part !== undefined) {
         yield part;
-        this.#grantCredit(part.length);
+        this.#readBytes += part.length;
+        if (this.#readBytes >= CREDIT_STEP_BYTES && !this.#ended) {
+          this.#grantCredit(this.#readBytes);
+          this.#readBytes = 0;
+        }
         continue;
       }
       if (this.#error !== undefined) {
--- a/packages/protocol/src/link.ts
+++ b/packages/protocol/src/link.ts
@@ -387,8 +387,8 @@
   }
 }
 
-/** Deducts the delay of a request in transit from the time left for it. */
-function deductDelay(head: RequestHead, delayMs: number): RequestHead {
+/** Deducts a delay of a request from the time left for it. */
+export function deductDelay(head: RequestHead, delayMs: number): RequestHead {
   return {
     ...head,
     remainingMs: head.remainingMs - delayMs,
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -6,5 +6,5 @@
 export { LinkError, LinkErrorKind } from "./errors.ts";
 export { IncomingExchange, type IncomingResponse, OutgoingExchange } from "./exchange.ts";
 export * from "./frames.ts";
-export { Link, type LinkHandlers, type LinkOptions } from "./link.ts";
+export { deductDelay, Link, type LinkHandlers, type LinkOptions } from "./link.ts";
 export { Links, type LinksOptions } from "./links.ts";
--- a/packages/router/src/exchange.ts
+++ b/packages/router/src/exchange.ts
@@ -11,8 +11,8 @@
 } from "@bulrushwood/protocol";
 import type { RoutedResponse } from "@bulrushwood/routing";
 
-/** Largest body that is sent in the first frame, in bytes. */
-const FIRST_FRAME_BYTES = 256 * 1024;
+/** Largest body that is sent in the first frame, in bytes; longer ones are sent once the peer requests them. */
+const FIRST_FRAME_BYTES = 16 * 1024;
 
 /** Joins all parts of a body; undefined if there are none. */
 export async function readParts(parts: AsyncIterable<Buffer>): Promise<Buffer | undefined> {
@@ -48,14 +48,11 @@
   return { head, body: body.isWhole ? body.takeWhole() : await readParts(body) };
 }
 
-/** Reads a request from a link, runs it and sends the response. */
-export async function serveExchange(
+/** Sends the response to a request from a link. */
+export async function sendResponse(
   exchange: IncomingExchange,
-  serve: (body: Buffer | undefined) => Promise<RoutedResponse>,
+  { head, body }: RoutedResponse,
 ): Promise<void> {
-  const { requestBody } = exchange;
-  const whole = requestBody.isWhole ? requestBody.takeWhole() : await readParts(requestBody);
-  const { head, body } = await serve(whole);
   const bytes = Buffer.isBuffer(body) ? body : undefined;
   if (bytes === undefined || bytes.length <= FIRST_FRAME_BYTES) {
     exchange.respond(head, bytes, true);
--- /dev/null
+++ b/packages/router/src/long_bodies.ts
@@ -0,0 +1,63 @@
+/**
+ * Receives the long bodies of forwarded requests. Only a few are received at a time, since bodies that many daemons
+ * send at once would delay every other message on this instance's link by seconds. The others wait at their
+ * ingress, and those that would not arrive in time are rejected before they are sent.
+ */
+import { Buffer } from "node:buffer";
+import { Gate } from "@bulrushwood/admission";
+import { deductDelay, type IncomingExchange, type RequestHead } from "@bulrushwood/protocol";
+import type { RoutedResponse } from "@bulrushwood/routing";
+import { now } from "@bulrushwood/types";
+import { toRejection } from "./runner.ts";
+
+/** Number of bodies that are received at a time, so that the link stays busy while the next ones are requested. */
+const CONCURRENT_BODIES = 3;
+/** Time without a part after which a body no longer counts as being received, in milliseconds. */
+const STALLED_MS = 200;
+
+/** A forwarded request with its whole body and the time that is left for it, or the reason why it is rejected. */
+export type ReceivedRequest =
+  | { head: RequestHead; body: Buffer | undefined }
+  | { rejection: RoutedResponse };
+
+/** Receives long bodies, a few at a time. */
+export class LongBodies {
+  readonly #gate = new Gate({ now, random: Math.random, limit: () => CONCURRENT_BODIES });
+
+  /** Receives the body of a request; short bodies have arrived with the request. */
+  async receive(exchange: IncomingExchange): Promise<ReceivedRequest> {
+    const { head, requestBody, signal } = exchange;
+    if (requestBody.isWhole) {
+      return { head, body: requestBody.takeWhole() };
+    }
+    const arrivedAt = now();
+    const admitted = await this.#gate.enter({
+      workClass: head.workClass,
+      priority: head.priority ?? 0,
+      targetAt: arrivedAt + (head.targetMs ?? head.remainingMs),
+      deadline: arrivedAt + head.remainingMs,
+      signal,
+    });
+    if (admitted.isErr) {
+      return { rejection: toRejection(admitted.error) };
+    }
+    const { release } = admitted.value;
+    const stalled = setTimeout(release, STALLED_MS);
+    try {
+      const parts: Buffer[] = [];
+      for await (const part of requestBody) {
+        parts.push(part);
+        stalled.refresh();
+      }
+      return { head: deductDelay(head, now() - arrivedAt), body: Buffer.concat(parts) };
+    } finally {
+      clearTimeout(stalled);
+      release();
+    }
+  }
+
+  /** Rejects all requests whose bodies have not been requested yet. */
+  close(): void {
+    this.#gate.close();
+  }
+}
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -2,7 +2,6 @@
  * The daemon for a deployment whose backend servers own ranges of keys: connects its parts, and starts
  * and stops them.
  */
-import type { Buffer } from "node:buffer";
 import { randomUUID } from "node:crypto";
 import { skip } from "rxjs";
 import type { Result } from "true-myth";
@@ -48,21 +47,28 @@
   readMember,
 } from "@bulrushwood/membership_beats";
 import { PlannerEvent, RangePlanner, TRANSFER_METHOD } from "@bulrushwood/planner_ranges";
-import { type IncomingExchange, type LinkError, Links } from "@bulrushwood/protocol";
+import {
+  type IncomingExchange,
+  type LinkError,
+  Links,
+  type RequestHead,
+} from "@bulrushwood/protocol";
 import { RetryBudget, TwoChoices } from "@bulrushwood/routing";
 import { type Address, createStop, now, sleep, waitForChange } from "@bulrushwood/types";
 import { CallerServer } from "./caller_server.ts";
 import { Departures } from "./departures.ts";
 import { Dispatcher } from "./dispatcher.ts";
 import { Event, type EventLog } from "./event_log.ts";
-import { serveExchange } from "./exchange.ts";
+import { sendResponse } from "./exchange.ts";
 import { readHeaders } from "./headers.ts";
 import { CurrentManifest } from "./current_manifest.ts";
 import { KeyTransfers } from "./key_transfers.ts";
+import { LongBodies } from "./long_bodies.ts";
 import { LoopDelayMonitor } from "./loop_delay.ts";
 import { Metrics } from "./metrics.ts";
 import { nextPoll } from "./next_poll.ts";
 import { RECORDS_METHOD, Relay } from "./relay.ts";
+import { RequestStage } from "./request_stage.ts";
 import { Runner } from "./runner.ts";
 import { ServerClient } from "./server_client.ts";
 import { ServerView } from "./server_view.ts";
@@ -140,6 +146,7 @@
   #reportChannel: ReportChannel | undefined;
   readonly #voteManager: VoteManager;
   readonly #heartbeats: Heartbeats;
+  readonly #longBodies = new LongBodies();
   readonly #runner: Runner;
   readonly #view: ServerView;
   readonly #keyTransfers: KeyTransfers;
@@ -268,10 +275,7 @@
       drainMs: settings.bounds.drainMs,
       log,
       onResult: (head, result, ms) => this.#metrics.recordServerResult(head, result, ms),
-      onCancelled: ({ id, workClass }, stage, ms) => {
-        this.#metrics.recordCancelled(stage);
-        log(Event.RequestCancelled, { id, route: workClass, stage, ms: Math.round(ms) });
-      },
+      onCancelled: (head, stage, ms) => this.#logCancelled(head, stage, ms),
     });
     this.#view = new ServerView({
       self,
@@ -603,16 +607,30 @@
       const ms = Math.round(transitMs);
       this.#log(Event.RequestDelayed, { id: head.id, route: head.workClass, ms });
     }
-    const serve = async (body: Buffer | undefined) => {
-      await nextPoll();
-      return await this.#runner.serve(head, body, signal);
-    };
-    serveExchange(exchange, serve).catch(
-      (error: Error) => {
+    this.#serveExchange(exchange).catch((error: Error) => {
+      if (signal.aborted) {
+        this.#logCancelled(head, RequestStage.Arrival, 0);
+      } else {
         this.#log(Event.TaskFailed, { task: "peer request", id: head.id, reason: error.message });
-        exchange.abort();
-      },
-    );
+      }
+      exchange.abort();
+    });
+  }
+
+  async #serveExchange(exchange: IncomingExchange): Promise<void> {
+    const received = await this.#longBodies.receive(exchange);
+    if ("rejection" in received) {
+      await sendResponse(exchange, received.rejection);
+      return;
+    }
+    await nextPoll();
+    const { head, body } = received;
+    await sendResponse(exchange, await this.#runner.serve(head, body, exchange.signal));
+  }
+
+  #logCancelled({ id, workClass }: RequestHead, stage: RequestStage, ms: number): void {
+    this.#metrics.recordCancelled(stage);
+    this.#log(Event.RequestCancelled, { id, route: workClass, stage, ms: Math.round(ms) });
   }
 
   #addGauges(): void {
@@ -651,6 +669,7 @@
       Promise.all([transferred, closed]),
       sleep(endAt - LAST_REQUESTS_MS - now()),
     ]);
+    this.#longBodies.close();
     this.#runner.rejectNew();
     while (this.#runner.open > 0 && now() < endAt) {
       await sleep(END_CHECK_MS);
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -263,7 +263,8 @@
   }
 }
 
-function toRejection(error: AdmissionError): RoutedResponse {
+/** Returns the response to a request that was not admitted. */
+export function toRejection(error: AdmissionError): RoutedResponse {
   const reason = error.kind === AdmissionErrorKind.Cancelled ? Reason.Cancelled : Reason.Overloaded;
   return notRun(reason, error.message, error.retryAfterMs);
 }
