Order grants from the server only when they are new or noticeably longer

Callers saw requests rejected or lost on large deployments, whose daemons were out of processor time. One cause: every change of the ownership table made every owner send all its grants to its server again, one call each, although nearly all changes concern other owners. The work of each daemon grew with the changes of the whole deployment.

--- a/packages/lease_ranges/src/grant_manager_test.ts
+++ b/packages/lease_ranges/src/grant_manager_test.ts
@@ -220,4 +220,23 @@
     expect(rangeOf(daemon.table.table.value, 5).epoch).to.equal(2);
     await daemon.close();
   });
+
+  it("does not send its grants again whenever the keys of other daemons change their owner", async () => {
+    const { table, sent, manager, close } = await startDaemon();
+    await manager.transfer(
+      () => [{ first: 100, last: KEYS - 1, to: OTHER, handover: null }],
+      { leave: false, isServerLost: false },
+    );
+    const before = sent.length;
+    const startedAt = now();
+    for (let first = 1_000; first < 1_030; first++) {
+      await table.change((current) =>
+        assign(current, [{ first, last: first, to: OTHER, handover: null }])
+      );
+    }
+    const renewals = (now() - startedAt) / 200;
+    expect(sent.length - before).to.be.at.most(Math.ceil(renewals) + 1);
+    expect(manager.stateOf(50)).to.equal(KeyState.Granted);
+    await close();
+  });
 });
--- a/packages/lease_ranges/src/order_channel.ts
+++ b/packages/lease_ranges/src/order_channel.ts
@@ -16,6 +16,11 @@
   type Handover,
 } from "./grant_channel.ts";
 
+/**
+ * Shortest extension of a confirmed grant that is worth an order, in milliseconds. Most changes of the table concern
+ * other owners and leave this daemon's grants as they are.
+ */
+const EXTENSION_MIN_MS = 200;
 /** Timeout of an order, in milliseconds; the server is on the same instance. */
 const ORDER_TIMEOUT_MS = 400;
 /** Delay before an order is retried, in milliseconds. */
@@ -65,15 +70,23 @@
   }
 
   renew(): void {
-    const { now, grants, grantableMs } = this.#context;
-    for (const grant of grants()) {
-      if (!this.#inFlight.has(grant) && grantableMs(now()) >= GRANT_MIN_MS) {
+    for (const grant of this.#context.grants()) {
+      if (!this.#inFlight.has(grant) && this.#isDue(grant)) {
         this.#inFlight.add(grant);
         this.#send(grant).finally(() => this.#inFlight.delete(grant));
       }
     }
   }
 
+  /** Whether a grant is new, or an order now would extend it noticeably. */
+  #isDue(grant: Grant): boolean {
+    const { now, grantableMs } = this.#context;
+    const at = now();
+    const durationMs = grantableMs(at);
+    const isExtended = at + durationMs >= grant.until + EXTENSION_MIN_MS;
+    return durationMs >= GRANT_MIN_MS && (!grant.isConfirmed || isExtended);
+  }
+
   /** Retries a grant until the server confirms it, or the grant is replaced or no longer supported. */
   async #send(grant: Grant): Promise<void> {
     const { now, sleep, grants, grantableMs } = this.#context;
