Cut the keys into pieces of equal load only for the planner

Callers saw requests rejected or lost on large deployments, whose daemons were out of processor time. A daemon scanned the load of all 65,536 keys several times a second for every heartbeat, although only the planner reads the pieces, which is one of 13 heartbeat peers.

The pieces are now cut when they are sent.

--- a/packages/router/src/server_view.ts
+++ b/packages/router/src/server_view.ts
@@ -34,13 +34,9 @@
 export class ServerView {
   readonly #options: ServerViewOptions;
   #measuredAt = Number.NEGATIVE_INFINITY;
-  #measuredLoad: MeasuredLoad & { pieces: Piece[] } = {
-    rate: 0,
-    serviceMs: 0,
-    running: 0,
-    waiting: 0,
-    pieces: [],
-  };
+  #measuredLoad: MeasuredLoad = { rate: 0, serviceMs: 0, running: 0, waiting: 0 };
+  #cutAt = Number.NEGATIVE_INFINITY;
+  #pieces: Piece[] = [];
 
   constructor(options: ServerViewOptions) {
     this.#options = options;
@@ -138,7 +134,8 @@
     if (report === undefined) {
       return null;
     }
-    const { rate, serviceMs, running, waiting, pieces } = this.#measure();
+    const { rate, serviceMs, running, waiting } = this.#measure();
+    const pieces = options.withPieces ? this.#cutPieces() : [];
     return {
       id: report.id,
       bornMs: report.bornMs,
@@ -146,20 +143,28 @@
       state: leavingSince === undefined ? ServerState.Ready : ServerState.Draining,
       isCold,
       isReachable,
-      load: { rate, serviceMs, running, waiting, pieces: options.withPieces ? pieces : [] },
+      load: { rate, serviceMs, running, waiting, pieces },
     };
   }
 
-  #measure(): MeasuredLoad & { pieces: Piece[] } {
-    const { runner, grantManager, isKeyed } = this.#options;
+  #measure(): MeasuredLoad {
     if (now() - this.#measuredAt > MEASURE_INTERVAL_MS) {
       this.#measuredAt = now();
-      const pieces = isKeyed() ? runner.meter.cut(grantManager.ownRanges) : [];
-      this.#measuredLoad = { ...runner.measure(), pieces };
+      this.#measuredLoad = this.#options.runner.measure();
     }
     return this.#measuredLoad;
   }
 
+  /** Cuts the own keys into pieces of equal load, which takes a pass over all keys; only the planner needs them. */
+  #cutPieces(): Piece[] {
+    const { runner, grantManager, isKeyed } = this.#options;
+    if (now() - this.#cutAt > MEASURE_INTERVAL_MS) {
+      this.#cutAt = now();
+      this.#pieces = isKeyed() ? runner.meter.cut(grantManager.ownRanges) : [];
+    }
+    return this.#pieces;
+  }
+
   /** Returns the servers of this daemon's service that may own keys. */
   candidates(): Candidate[] {
     const { self, settings, heartbeats, watch, isEnding } = this.#options;
