Grant 64 KB of credit for a long body, to two senders at a time

With three bodies at a time and 256 KB of credit for each, up to 0.6 s of a link of 10 Mbit/s could still be queued ahead of calls.

Two senders at a time now have 64 KB each, so that a body is under way while the next one is requested, and at most 100 ms of that link are queued.

--- a/packages/protocol/src/body.ts
+++ b/packages/protocol/src/body.ts
@@ -7,8 +7,13 @@
 
 /** Initial credit of a stream: granted when the receiver starts to read, or present at once, in bytes. */
 export const INITIAL_CREDIT_BYTES = 256 * 1024;
-/** Bytes that the reader takes from a body before it grants credit for them, in bytes. */
-const CREDIT_STEP_BYTES = INITIAL_CREDIT_BYTES / 2;
+/**
+ * Initial credit of a request's body, in bytes; a twentieth of a second at 10 Mbit/s. The bodies that many daemons
+ * send to one must not fill the queue of its link, since every other message waits in it.
+ */
+export const REQUEST_CREDIT_BYTES = 64 * 1024;
+/** Share of the initial credit that is read before credit is granted again. */
+const CREDIT_STEP = 0.5;
 /** Largest part of a body in one frame, in bytes. */
 export const PART_BYTES_MAX = 32 * 1024;
 
@@ -94,6 +99,8 @@
 
   /** Credit to grant when the reader starts, in bytes. */
   #openingCreditBytes: number;
+  /** Number of bytes that are read before credit is granted for them. */
+  readonly #stepBytes: number;
   /** Bytes that were read since credit was granted last. */
   #readBytes = 0;
 
@@ -103,6 +110,7 @@
   ) {
     this.#grantCredit = grantCredit;
     this.#openingCreditBytes = options.openingCreditBytes;
+    this.#stepBytes = options.openingCreditBytes * CREDIT_STEP;
   }
 
   /** Adds a part that arrived. */
@@ -142,7 +150,7 @@
       if (part !== undefined) {
         yield part;
         this.#readBytes += part.length;
-        if (this.#readBytes >= CREDIT_STEP_BYTES && !this.#ended) {
+        if (this.#readBytes >= this.#stepBytes && !this.#ended) {
           this.#grantCredit(this.#readBytes);
           this.#readBytes = 0;
         }
--- a/packages/protocol/src/exchange.ts
+++ b/packages/protocol/src/exchange.ts
@@ -2,7 +2,7 @@
  * One request and its response on a link, for the side that opened it and for the side that serves it.
  */
 import type { Buffer } from "node:buffer";
-import { BodyReceiver, BodySender, INITIAL_CREDIT_BYTES } from "./body.ts";
+import { BodyReceiver, BodySender, INITIAL_CREDIT_BYTES, REQUEST_CREDIT_BYTES } from "./body.ts";
 import { LinkError, LinkErrorKind } from "./errors.ts";
 import { type Frame, FrameKind, type RequestHead, type ResponseHead } from "./frames.ts";
 
@@ -128,7 +128,7 @@
       if (!this.#isOver) {
         send({ kind: FrameKind.Credit, stream, ofRequest: true, bytes });
       }
-    }, { openingCreditBytes: INITIAL_CREDIT_BYTES });
+    }, { openingCreditBytes: REQUEST_CREDIT_BYTES });
     this.responseBody = new BodySender((body, end) => {
       this.#finishIf(end);
       send({ kind: FrameKind.Body, stream, ofRequest: false, body, end });
--- a/packages/router/src/long_bodies.ts
+++ b/packages/router/src/long_bodies.ts
@@ -10,8 +10,8 @@
 import { now } from "@bulrushwood/types";
 import { toRejection } from "./runner.ts";
 
-/** Number of bodies that are received at a time, so that the link stays busy while the next ones are requested. */
-const CONCURRENT_BODIES = 3;
+/** Number of bodies that are received at a time, so that the link stays busy while the next one is requested. */
+const CONCURRENT_BODIES = 2;
 /** Time without a part after which a body no longer counts as being received, in milliseconds. */
 const STALLED_MS = 200;
 
@@ -56,6 +56,11 @@
     }
   }
 
+  /** Number of bodies that are received or wait to be requested. */
+  get open(): number {
+    return this.#gate.running + this.#gate.waiting;
+  }
+
   /** Rejects all requests whose bodies have not been requested yet. */
   close(): void {
     this.#gate.close();
--- a/packages/router/src/long_bodies_test.ts
+++ b/packages/router/src/long_bodies_test.ts
@@ -89,11 +89,31 @@
     });
   });
 
+  it("have at most a tenth of a second of a 10 Mbit/s link on their way", async () => {
+    const longBodies = new LongBodies();
+    let unread = 0;
+    const handle = async (exchange: IncomingExchange) => {
+      // Parts that arrive are not read for a while, as if they still were on the link.
+      exchange.requestBody.push = (part) => {
+        unread += part?.length ?? 0;
+      };
+      await longBodies.receive(exchange).catch(() => undefined);
+    };
+    await withLink(handle, async (link) => {
+      const responses = Array.from({ length: UPLOADS }, () => {
+        return openExchange(link, REQUEST_HEAD, { body: Buffer.alloc(300_000) });
+      });
+      await sleep(150);
+      expect(unread).to.be.within(60_000, 10e6 / 8 / 10 + 10_000);
+      responses.forEach((exchange) => exchange.cancel());
+    });
+  });
+
   it("do not wait for one whose sender has stalled", async () => {
     const longBodies = new LongBodies();
     const received: string[] = [];
     await withLink(receiveAll(longBodies, received), async (link) => {
-      const stalled = Array.from({ length: 3 }, (_, index) => {
+      const stalled = Array.from({ length: 2 }, (_, index) => {
         return link.open({ ...REQUEST_HEAD, id: `stalled-${index}`, remainingMs: 5_000 }, {
           end: false,
         });
@@ -111,7 +131,7 @@
     const longBodies = new LongBodies();
     const received: string[] = [];
     await withLink(receiveAll(longBodies, received), async (link, receiver) => {
-      const stalled = Array.from({ length: 3 }, () => link.open(REQUEST_HEAD, { end: false }));
+      const stalled = Array.from({ length: 2 }, () => link.open(REQUEST_HEAD, { end: false }));
       await sleep(20);
       const before = receiver.bytes;
       const { head } = await readResponse(upload(link, { remainingMs: 20 }));
