--- a/packages/routing/src/response.ts
+++ b/packages/routing/src/response.ts
@@ -15,6 +15,11 @@
   body: Buffer | AsyncIterable<Buffer> | undefined;
 }
 
+/** Status that guarantees that the request was not run, so that any caller may send it again. */
+const STATUS_NOT_RUN = 503;
+/** Status that guarantees nothing. */
+const STATUS_UNKNOWN = 502;
+
 /** HTTP status for each reason why the backend server did not respond. */
 const STATUS_OF_REASON: Record<Reason, number> = {
   [Reason.NotHolder]: 503,
@@ -29,6 +34,15 @@
   [Reason.Repeated]: 409,
 };
 
+/** Returns the status for a reason, which guarantees that the request was not run exactly if that is certain. */
+function statusOf(outcome: Outcome, reason: Reason): number {
+  const status = STATUS_OF_REASON[reason];
+  if (outcome === Outcome.NotRun) {
+    return status === 502 || status === 504 ? STATUS_NOT_RUN : status;
+  }
+  return status === STATUS_NOT_RUN ? STATUS_UNKNOWN : status;
+}
+
 /** Makes the response for a request that the backend server did not respond to. */
 export function outcomeResponse(
   outcome: Outcome,
@@ -43,7 +57,7 @@
     );
     headers.push({ name: "retry-after", value: String(seconds) });
   }
-  const status = STATUS_OF_REASON[reason];
+  const status = statusOf(outcome, reason);
   const { detail, retryAfterMs } = options;
   return {
     head: { status, headers, outcome, reason, detail, retryAfterMs },
--- a/packages/routing/src/routing_test.ts
+++ b/packages/routing/src/routing_test.ts
@@ -250,3 +250,12 @@
     expect(choices.choose(["frozen", "good"])).to.deep.equal(["good"]);
   });
 });
+
+describe("statuses of requests without a response of their server", () => {
+  it("let callers retry every request that was not run, and no other", () => {
+    for (const reason of Object.values(Reason)) {
+      expect([502, 504], reason).to.not.include(notRun(reason, "", 100).head.status);
+      expect([408, 421, 429, 503], reason).to.not.include(unknown(reason, "").head.status);
+    }
+  });
+});
