Hold requests back from daemons that reject or do not answer one after the other

The daemon that owned the hot keys logged 569 requests delayed by 250 ms or more in transit and was up to 558 ms late. Of the callers that left while their request was at a peer, 3,461 have no line of any other daemon.

Cause: every ingress goes on forwarding to a daemon that has long since more requests than it can even reject. Each costs it as much processor time as one that it serves, so it answers none in time: an overload that feeds itself. The callers wait instead of learning when to come back.

After two consecutive requests of a priority that a daemon rejected for lack of room, or left without a response past the target, its ingress rejects requests of that and lower priorities at once, for the time that the daemon asked for, twice as long after each further failure, up to 1 s. Services without keys use their other servers meanwhile. Two tests of the dispatcher failed before: 5 of 5 requests were forwarded to a daemon that had rejected two.

--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -22,6 +22,7 @@
 import { type Address, now, Outcome, type WaitOptions } from "@bulrushwood/types";
 import { Event, type EventLog } from "./event_log.ts";
 import { openExchange, readResponse } from "./exchange.ts";
+import { OverloadBackoff } from "./overload_backoff.ts";
 import { RequestStage } from "./request_stage.ts";
 
 /** Largest number of times that one request is sent to an owner of its key. */
@@ -41,6 +42,8 @@
 const SAME_OWNER_RETRY_MS = 60;
 /** Retry-after time for callers whose key has no reachable owner, in milliseconds. */
 const OWNER_RETRY_AFTER_MS = 300;
+/** Shortest retry-after time for callers whose requests are held back, in milliseconds. */
+const BACKOFF_RETRY_AFTER_MIN_MS = 60;
 /** Share of the route's target that must be left before the deadline for a request to be resent. */
 const RESEND_SHARE = 0.4;
 /** Extra time for a response that is sent at the deadline, in milliseconds. */
@@ -67,8 +70,8 @@
 
 /** Load balancing among the servers of a service without keys. */
 export interface ServerChoice {
-  /** Returns the servers in order of preference. */
-  choose: (service: string) => Address[];
+  /** Returns the servers that may be used, in order of preference. */
+  choose: (service: string, mayUse: (address: Address) => boolean) => Address[];
   /** Records that a request was sent to a server; the returned function is called once, when it has ended. */
   begin: (address: Address) => (succeeded: boolean) => void;
 }
@@ -103,6 +106,7 @@
   readonly #options: DispatcherOptions;
   /** Requests with an earlier attempt that may have run. */
   readonly #mayHaveRun = new WeakSet<DispatchRequest>();
+  readonly #backoff = new OverloadBackoff(now);
 
   constructor(options: DispatcherOptions) {
     this.#options = options;
@@ -151,6 +155,10 @@
           OWNER_RETRY_AFTER_MS,
         );
       }
+      const backoffMs = owner === null ? 0 : this.#backoffMs(request, owner);
+      if (backoffMs > 0) {
+        return overloaded(`The key's owner ${owner} is overloaded`, backoffMs);
+      }
       if (owner !== null && unreachableMs < UNREACHABLE_MS) {
         response = await this.#attempt(request, owner);
         if (!this.#mayRetryAtOwner(request, response)) {
@@ -208,9 +216,11 @@
       OWNER_RETRY_AFTER_MS,
     );
     while (tried.size < request.route.attemptsMax && !request.signal.aborted) {
-      const server = choice.choose(pool).find((address) => !tried.has(address));
+      const mayUse = (address: Address) =>
+        !tried.has(address) && this.#backoffMs(request, address) === 0;
+      const [server] = choice.choose(pool, mayUse);
       if (server === undefined) {
-        return response;
+        return tried.size > 0 ? response : this.#withoutServer(request, response);
       }
       tried.add(server);
       const end = choice.begin(server);
@@ -231,6 +241,20 @@
     return response;
   }
 
+  /** Time for which a request should not be sent to a daemon, in milliseconds; 0 for none. */
+  #backoffMs({ head }: DispatchRequest, address: Address): number {
+    return this.#backoff.remainingMs(address, head.priority ?? 0);
+  }
+
+  /** Response to a request for which no server may be used: each is unreachable or overloaded. */
+  #withoutServer(request: DispatchRequest, unreachable: RoutedResponse): RoutedResponse {
+    const servers = this.#options.choice.choose(request.head.pool, () => true);
+    return servers.length === 0 ? unreachable : overloaded(
+      "All servers of the service are overloaded",
+      Math.min(...servers.map((address) => this.#backoffMs(request, address))),
+    );
+  }
+
   /** Sends a request to one daemon, or runs it here if that is this daemon. */
   async #attempt(request: DispatchRequest, address: Address): Promise<RoutedResponse> {
     const { self, serve, links, owners } = this.#options;
@@ -254,10 +278,16 @@
     const exchange = openExchange(linked.value, withTimeLeft(request), { body: request.body });
     const cancel = () => exchange.cancel();
     const timer = setTimeout(cancel, request.deadline + DEADLINE_MARGIN_MS - now());
+    const forwardedAt = now();
     request.signal.addEventListener("abort", cancel, { once: true });
     try {
-      return await readResponse(exchange);
+      const response = await readResponse(exchange);
+      this.#recordResponse(request, address, response);
+      return response;
     } catch (error) {
+      if (now() - forwardedAt >= request.route.targetMs) {
+        this.#backoff.recordUnanswered(address, request.head.priority ?? 0);
+      }
       return this.#toLinkErrorResponse(request, error as LinkError);
     } finally {
       clearTimeout(timer);
@@ -265,6 +295,19 @@
     }
   }
 
+  /** Records what a daemon's response shows about its load. */
+  #recordResponse(
+    { head: { priority = 0 } }: DispatchRequest,
+    address: Address,
+    { head }: RoutedResponse,
+  ): void {
+    if (head.outcome === undefined) {
+      this.#backoff.recordServed(address, priority);
+    } else if (head.reason === Reason.Overloaded) {
+      this.#backoff.recordRejected(address, priority, head.retryAfterMs ?? 0);
+    }
+  }
+
   #toLinkErrorResponse(request: DispatchRequest, error: LinkError): RoutedResponse {
     if (error.kind === LinkErrorKind.Unreachable) {
       return notRun(Reason.LinkBroken, error.message, OWNER_RETRY_AFTER_MS);
@@ -279,6 +322,10 @@
   }
 }
 
+function overloaded(detail: string, backoffMs: number): RoutedResponse {
+  return notRun(Reason.Overloaded, detail, Math.max(BACKOFF_RETRY_AFTER_MIN_MS, backoffMs));
+}
+
 /** Returns the head of a request with the time that is left for it now. */
 function withTimeLeft({ head, deadline, targetAt }: DispatchRequest): RequestHead {
   const at = now();
--- a/packages/router/src/dispatcher_test.ts
+++ b/packages/router/src/dispatcher_test.ts
@@ -10,7 +10,7 @@
 import { notRun, RetryBudget, type RoutedResponse, unknown } from "@bulrushwood/routing";
 import { now, Outcome, sleep } from "@bulrushwood/types";
 import { Result } from "true-myth";
-import { Dispatcher } from "./dispatcher.ts";
+import { Dispatcher, type DispatchRequest } from "./dispatcher.ts";
 import { REQUEST_HEAD } from "./head_fixture.ts";
 import { RequestStage } from "./request_stage.ts";
 
@@ -50,7 +50,7 @@
       unreachableMs: () => 60_000,
       recordReachability: () => {},
     },
-    choice: { choose: () => [SELF], begin: () => () => {} },
+    choice: { choose: (_service, mayUse) => [SELF].filter(mayUse), begin: () => () => {} },
     budgetOf: () => new RetryBudget(),
     log: () => {},
   });
@@ -110,20 +110,28 @@
   });
 });
 
-/** Dispatches a request to a peer whose link takes `dialMs` to open, for a caller that leaves after `leavesAfterMs`. */
-async function dispatchToPeer(
-  options: { dialMs: number; leavesAfterMs?: number; shard?: number; owner?: string | null },
-) {
-  const { dialMs, leavesAfterMs, shard = 7, owner = PEER } = options;
+interface PeerOptions {
+  /** Time that the link takes to open, in milliseconds. */
+  dialMs?: number;
+  owner?: string | null;
+  /** Response of the peer. */
+  response?: RoutedResponse;
+}
+
+/** Creates a dispatcher whose peer responds to all requests; `heads` are the heads of those that reached it. */
+function createPeerDispatcher(options: PeerOptions = {}) {
+  const { dialMs = 0, owner = PEER, response = SUCCESS } = options;
   const heads: RequestHead[] = [];
   const link = {
     open: (head: RequestHead) => {
       heads.push(head);
-      const response = Promise.resolve({
-        head: SUCCESS.head,
-        body: { isWhole: true, takeWhole: () => undefined },
-      });
-      return { response, cancel: () => {} } as unknown as OutgoingExchange;
+      return {
+        response: Promise.resolve({
+          head: response.head,
+          body: { isWhole: true, takeWhole: () => undefined },
+        }),
+        cancel: () => {},
+      } as unknown as OutgoingExchange;
     },
   } as unknown as Link;
   const links = {
@@ -142,24 +150,37 @@
       unreachableMs: () => 0,
       recordReachability: () => {},
     },
-    choice: { choose: () => [PEER], begin: () => () => {} },
+    choice: { choose: (_service, mayUse) => [PEER].filter(mayUse), begin: () => () => {} },
     budgetOf: () => new RetryBudget(),
     log: () => {},
   });
-  const caller = new AbortController();
-  if (leavesAfterMs !== undefined) {
-    setTimeout(() => caller.abort(), leavesAfterMs);
-  }
+  return { dispatcher, heads };
+}
+
+function createRequest(options: { shard?: number; signal?: AbortSignal } = {}): DispatchRequest {
+  const { shard = 7, signal = new AbortController().signal } = options;
   const startedAt = now();
-  const response = await dispatcher.dispatch({
+  return {
     head: { ...REQUEST_HEAD, shard },
     route: ROUTE,
     body: undefined,
     targetAt: startedAt + 400,
     deadline: startedAt + 1_000,
-    signal: caller.signal,
+    signal,
     stage: RequestStage.Owner,
-  });
+  };
+}
+
+/** Dispatches a request to a peer for a caller that leaves after `leavesAfterMs`. */
+async function dispatchToPeer(options: PeerOptions & { leavesAfterMs?: number; shard?: number }) {
+  const { leavesAfterMs, shard } = options;
+  const { dispatcher, heads } = createPeerDispatcher(options);
+  const caller = new AbortController();
+  if (leavesAfterMs !== undefined) {
+    setTimeout(() => caller.abort(), leavesAfterMs);
+  }
+  const startedAt = now();
+  const response = await dispatcher.dispatch(createRequest({ shard, signal: caller.signal }));
   return { response: response.head, heads, ms: now() - startedAt };
 }
 
@@ -186,3 +207,25 @@
     expect(ms).to.be.below(120);
   });
 });
+
+describe("dispatcher: overloaded daemons", () => {
+  for (const shard of [7, -1]) {
+    const kind = shard < 0 ? "without keys" : "with keys";
+    it(`does not forward requests ${kind} to a daemon that rejects one after the other`, async () => {
+      const response = notRun(Reason.Overloaded, "full", 500);
+      const { dispatcher, heads } = createPeerDispatcher({ response });
+      const responses = [];
+      for (let index = 0; index < 5; index++) {
+        responses.push((await dispatcher.dispatch(createRequest({ shard }))).head);
+      }
+      expect(heads).to.have.length(2);
+      for (const { outcome, reason, retryAfterMs } of responses) {
+        expect({ outcome, reason }).to.deep.equal({
+          outcome: Outcome.NotRun,
+          reason: Reason.Overloaded,
+        });
+        expect(retryAfterMs).to.be.within(60, 500);
+      }
+    });
+  }
+});
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -466,7 +466,8 @@
           this.#heartbeats.recordReachability(address, isReached),
       },
       choice: {
-        choose: (service) => this.#choices.choose(this.#view.serversOf(service)),
+        choose: (service, mayUse) =>
+          this.#choices.choose(this.#view.serversOf(service).filter(mayUse)),
         begin: (address) => this.#choices.begin(address),
       },
       budgetOf: (service) => this.#budgetOf(service),
