--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -284,6 +284,7 @@
       watch: this.#watch,
       runner: this.#runner,
       grantManager: this.#grantManager,
+      openBodies: () => this.#longBodies.open,
       table: () => table.table.value,
       isKeyed: () => this.#isKeyed,
       isEnding: () => this.#isEnding,
--- a/packages/router/src/server_view.ts
+++ b/packages/router/src/server_view.ts
@@ -23,6 +23,8 @@
   watch: ServerWatch;
   runner: Runner;
   grantManager: GrantManager;
+  /** Returns the number of requests whose bodies are received or wait for it. */
+  openBodies: () => number;
   /** Ownership table of this daemon's service. */
   table: () => OwnershipTable;
   /** Whether this daemon's service has keys. */
@@ -150,7 +152,9 @@
   #measure(): MeasuredLoad {
     if (now() - this.#measuredAt > MEASURE_INTERVAL_MS) {
       this.#measuredAt = now();
-      this.#measuredLoad = this.#options.runner.measure();
+      const { runner, openBodies } = this.#options;
+      const load = runner.measure();
+      this.#measuredLoad = { ...load, waiting: load.waiting + openBodies() };
     }
     return this.#measuredLoad;
   }
--- a/packages/router/src/server_view_test.ts
+++ b/packages/router/src/server_view_test.ts
@@ -11,6 +11,28 @@
 
 const REPORT: Partial<ServerReport> = { id: "s1", bornMs: 1, slots: 4, state: ServerState.Ready };
 
+/** Creates the view of a daemon whose server has `openBodies` requests with bodies under way. */
+function createView(options: { meter?: LoadMeter; openBodies?: number } = {}) {
+  const { meter = new LoadMeter(now), openBodies = 0 } = options;
+  return new ServerView({
+    self: "d1",
+    settings: {} as DeploymentSettings,
+    heartbeats: {} as Heartbeats,
+    watch: { report: REPORT, isReachable: true, isCold: false } as ServerWatch,
+    runner: {
+      meter,
+      measure: () => ({ rate: 5, serviceMs: 20, running: 1, waiting: 2 }),
+    } as Runner,
+    grantManager: {
+      ownRanges: [{ first: 0, last: 99, owner: "d1", epoch: 1, handover: null }],
+    } as unknown as GrantManager,
+    openBodies: () => openBodies,
+    table: emptyTable,
+    isKeyed: () => true,
+    isEnding: () => false,
+  });
+}
+
 describe("server view", () => {
   it("does not scan all keys for heartbeats to daemons that do not plan", () => {
     let cuts = 0;
@@ -20,22 +42,7 @@
       cuts++;
       return cut(spans);
     };
-    const view = new ServerView({
-      self: "d1",
-      settings: {} as DeploymentSettings,
-      heartbeats: {} as Heartbeats,
-      watch: { report: REPORT, isReachable: true, isCold: false } as ServerWatch,
-      runner: {
-        meter,
-        measure: () => ({ rate: 5, serviceMs: 20, running: 1, waiting: 0 }),
-      } as Runner,
-      grantManager: {
-        ownRanges: [{ first: 0, last: 99, owner: "d1", epoch: 1, handover: null }],
-      } as unknown as GrantManager,
-      table: emptyTable,
-      isKeyed: () => true,
-      isEnding: () => false,
-    });
+    const view = createView({ meter });
     expect(view.status({ withPieces: false })?.load).to.include({ rate: 5, running: 1 });
     expect(cuts).to.equal(0);
     expect(view.status({ withPieces: true })?.load.pieces).to.deep.equal([
@@ -44,4 +51,9 @@
     view.status({ withPieces: true });
     expect(cuts).to.equal(1);
   });
+
+  it("reports uploads that wait for the link as load, so that other servers get the next ones", () => {
+    const { load } = createView({ openBodies: 3 }).status({ withPieces: false })!;
+    expect(load.waiting).to.equal(2 + 3);
+  });
 });
