Own wires: do not forward a request whose caller left while a link was dialled

The same cause as in the router, looked for elsewhere: the ingress of the daemon on the product's own wires also computed the time left before it dialled, and did not check the caller or the deadline afterwards. Three new tests failed before: the request was forwarded after its caller had left, after its deadline, and with 999 of 1,000 ms after a dial of 150 ms.

--- a/packages/daemon/src/ingress.ts
+++ b/packages/daemon/src/ingress.ts
@@ -153,10 +153,17 @@
     if (linked.isErr) {
       return notRun(Reason.NotHolder, linked.error.message);
     }
+    if (request.signal.aborted) {
+      return notRun(Reason.Cancelled, "The caller left before the request was forwarded");
+    }
+    const remainingMs = request.deadline - now();
+    if (remainingMs <= 0) {
+      return notRun(Reason.DeadlinePassed, "The link to the holder opened too late");
+    }
     const incarnation = this.#options.ledger.instances.get(address)?.incarnation ?? 0;
     const isWhole = request.body === undefined || Buffer.isBuffer(request.body);
     const body = Buffer.isBuffer(request.body) ? request.body : undefined;
-    const exchange = linked.value.open(head, { body, end: isWhole });
+    const exchange = linked.value.open({ ...head, remainingMs }, { body, end: isWhole });
     if (!isWhole) {
       this.#sendBody(
         exchange,
