--- a/scripts/capacity.ts
+++ b/scripts/capacity.ts
@@ -278,8 +278,8 @@
 ([design](design/platform.md)) has not been measured at this size. From its design:
 
 - Beyond 30 daemons, each sends heartbeats to at most 13 heartbeat peers, 8 of them 3.3 times a second and 5
-  twice, so 36 a second and as many replies, whatever the number of daemons.
-- A hub of a service gets two heartbeats a second from each daemon of the service, 1,780 at 890 daemons. A small
+  1.7 times, so 35 a second and as many replies, in 3.3 wake-ups a second, whatever the number of daemons.
+- A hub of a service gets 1.7 heartbeats a second from each daemon of the service, 1,480 at 890 daemons. A small
   instance cannot handle that; the heartbeats would have to be aggregated for each data centre first.
 - The ownership table is some 0.1 KB for each daemon, and each change writes the whole table.
 - Each daemon reads each change, at most four times a second, so a few daemons will have to read and send the
