Apply a transfer only to keys that still have the epoch that was released

Cause: a daemon released keys and wrote their new owner; the append took effect, but its response was lost, and other daemons wrote on top. The daemon could then not find its write and repeated the change on the newest table. It checked only who owned the first key. That key had come back meanwhile, the others belonged to another daemon: the whole span was assigned away from an owner that still held it.

A transfer now names the epoch that was released, and is applied only to those of its keys that the daemon still has with this epoch; keys that came back have a newer one.

--- a/packages/lease_checker/src/ranges/range_run_test.ts
+++ b/packages/lease_checker/src/ranges/range_run_test.ts
@@ -32,6 +32,7 @@
   // Seeds that once led to two owners, each with its cause.
   for (
     const [seed, cause] of [
+      [6, "a transfer was repeated after its lost append had taken effect"],
       [21, "a restarted daemon did not release the grants of its previous incarnation"],
       [42, "the same while appends were lost"],
       [59, "the same during a cut"],
--- a/packages/lease_ranges/src/grant_manager.ts
+++ b/packages/lease_ranges/src/grant_manager.ts
@@ -36,7 +36,6 @@
   type GrantChannel,
   type GrantContext,
   grantMsUntil,
-  type Handover,
   type OpenGrantChannel,
 } from "./grant_channel.ts";
 import type { TenureManager } from "./tenure_manager.ts";
@@ -56,6 +55,12 @@
   Elsewhere = "elsewhere",
 }
 
+/** Keys that the server released, with their new owner. */
+interface Transfer extends Assignment {
+  /** Epoch of the keys when they were released. */
+  epoch: number;
+}
+
 /** Dependencies and limits of the grants of one daemon. */
 export interface GrantManagerOptions {
   self: Address;
@@ -202,10 +207,11 @@
     const assignments = this.#clipToOwn([...chosen, ...others]);
     this.#transferring.push(...assignments);
     this.#updateGrants();
-    const released = new Map<KeySpan, Assignment[]>();
+    const released = new Map<KeySpan, Transfer[]>();
     const outcomes = await Promise.all(assignments.map(async (assignment) => {
-      const handovers = await this.#release(assignment, options);
-      released.set(assignment, handovers.map((part) => ({ ...part, to: assignment.to })));
+      const { epoch } = rangeOf(this.#options.table.table.value, assignment.first);
+      const handovers = await this.#channel.release({ ...assignment, epoch }, options);
+      released.set(assignment, handovers.map((part) => ({ ...part, to: assignment.to, epoch })));
       return await this.#transferReleased(released, options);
     }));
     if (outcomes.length === 0) {
@@ -216,7 +222,7 @@
 
   /** Writes the new owners of all spans released so far; none of them is granted again until that is done. */
   async #transferReleased(
-    released: Map<KeySpan, Assignment[]>,
+    released: Map<KeySpan, Transfer[]>,
     options: { leave: boolean },
   ): Promise<ChangeOutcome> {
     let written: KeySpan[] = [];
@@ -247,11 +253,11 @@
 
   #applyTransfers(
     table: OwnershipTable,
-    assignments: Assignment[],
+    transfers: Transfer[],
     options: { leave: boolean },
   ): OwnershipTable | undefined {
     const { self } = this.#options;
-    const own = assignments.filter(({ first }) => rangeOf(table, first).owner === self)
+    const own = transfers.flatMap((transfer) => clipToEpoch(table, transfer, self))
       .map((assignment) => ({ ...assignment, to: enteredOwner(table, assignment.to) }));
     const updated = own.length === 0 ? table : assign(table, own);
     const isEntered = updated.hosts[self] !== undefined;
@@ -262,15 +268,6 @@
     return own.length === 0 ? undefined : updated;
   }
 
-  /** Revokes keys; resolves once the server can no longer run work for them. */
-  async #release(
-    { first, last }: KeySpan,
-    options: { isServerLost: boolean },
-  ): Promise<Handover[]> {
-    const { epoch } = rangeOf(this.#options.table.table.value, first);
-    return await this.#channel.release({ first, last, epoch }, options);
-  }
-
   /** Resolves when the keys that the server may serve could have changed, or at the end of the wait. */
   async waitForChange(options: WaitOptions): Promise<void> {
     await waitForChange(this.#changed, options);
@@ -285,6 +282,21 @@
   }
 }
 
+/**
+ * Returns the parts of a transfer whose keys the owner still has with the epoch that was released. An append whose
+ * response was lost may have taken effect, and some of the keys may have come back since, with a newer epoch.
+ */
+function clipToEpoch(table: OwnershipTable, transfer: Transfer, owner: Address): Assignment[] {
+  return rangesOf(table, owner)
+    .filter((range) => range.epoch === transfer.epoch && overlaps(range, transfer))
+    .map((range) => ({
+      first: Math.max(range.first, transfer.first),
+      last: Math.min(range.last, transfer.last),
+      to: transfer.to,
+      handover: transfer.handover,
+    }));
+}
+
 /** Creates a grant for part of the keys of `source`, with its confirmation, or an unconfirmed one. */
 function deriveGrant(
   source: Grant | undefined,
--- a/packages/lease_ranges/src/grant_manager_test.ts
+++ b/packages/lease_ranges/src/grant_manager_test.ts
@@ -239,4 +239,36 @@
     expect(manager.stateOf(50)).to.equal(KeyState.Granted);
     await close();
   });
+
+  it("does not repeat a transfer that took effect without a response, after some of the keys came back", async () => {
+    const { manager, table, close } = await startDaemon(async (sent) => {
+      if (sent.kind === "release") {
+        // Meanwhile the lost append takes effect, and other daemons move the keys on.
+        await table.change((current) =>
+          assign(current, [{ first: 10, last: 20, to: OTHER, handover: null }])
+        );
+        await table.change((current) =>
+          assign(current, [{ first: 10, last: 14, to: SELF, handover: "back" }])
+        );
+      }
+      return respondOk(sent);
+    });
+    await manager.transfer(
+      () => [{ first: 10, last: 20, to: OTHER, handover: null }],
+      { leave: false, isServerLost: false },
+    );
+    expect(rangeOf(table.table.value, 12)).to.include({
+      owner: SELF,
+      first: 10,
+      last: 14,
+      epoch: 3,
+    });
+    expect(rangeOf(table.table.value, 17)).to.include({
+      owner: OTHER,
+      first: 15,
+      last: 20,
+      epoch: 2,
+    });
+    await close();
+  });
 });
