Hold requests back only after four consecutive rejections within a second of each other

With few daemons, two rejections in a row are ordinary in a short rush.

Four are needed now, each within a second of the last one or of the end of the last wait.

--- a/packages/router/src/overload_backoff.ts
+++ b/packages/router/src/overload_backoff.ts
@@ -6,8 +6,10 @@
  */
 import type { Address, Clock } from "@bulrushwood/types";
 
-/** Number of consecutive failures from which on requests are held back. */
-const FAILURES_MIN = 2;
+/** Number of consecutive failures from which on requests are held back; fewer happen in any short rush. */
+const FAILURES_MIN = 4;
+/** Time after which failures are no longer consecutive, in milliseconds. */
+const FORGET_MS = 1_000;
 /** Time for which requests are held back after one without a response, in milliseconds. */
 const UNANSWERED_MS = 200;
 /** Longest time for which requests are held back, in milliseconds; then the next request probes the daemon. */
@@ -16,6 +18,7 @@
 /** Consecutive failures of requests of one priority at one daemon. */
 interface Failures {
   count: number;
+  lastAt: number;
   /** When requests may be sent again. */
   until: number;
 }
@@ -46,13 +49,15 @@
     const now = this.#now();
     const byPriority = this.#failures.get(address) ?? new Map<number, Failures>();
     this.#failures.set(address, byPriority);
-    const failures = byPriority.get(priority) ?? { count: 0, until: Number.NEGATIVE_INFINITY };
+    const failures = byPriority.get(priority) ?? { count: 0, lastAt: now, until: now };
     byPriority.set(priority, failures);
     // Requests that were under way when the wait began say nothing new.
     if (now < failures.until) {
       return;
     }
-    failures.count++;
+    const isConsecutive = now - Math.max(failures.lastAt, failures.until) < FORGET_MS;
+    failures.count = isConsecutive ? failures.count + 1 : 1;
+    failures.lastAt = now;
     if (failures.count >= FAILURES_MIN) {
       const backoffMs = retryAfterMs * Math.pow(2, failures.count - FAILURES_MIN);
       failures.until = now + Math.min(BACKOFF_MS_MAX, backoffMs);
