Know the delay of the first request on a link from its hello

Callers saw work go on after they had left (GONE). One cause, traced: a request that was held up on a link for longer than its caller waited was sent to its server although its time was over.

A daemon deducts the delay in transit from the time left, but it knew only the difference between requests on the same link: the delay of the first request counted as none, and among many daemons nearly every request is one of the first on its link.

A hello now carries when it was sent, which gives the difference between the two clocks before any request; daemons without the field are handled as before. The new test has a request that was delayed by 1,500 ms behind its hello: 400 ms were left for it before, its whole time; it is rejected now.

--- a/packages/protocol/src/codec.ts
+++ b/packages/protocol/src/codec.ts
@@ -73,7 +73,7 @@
 };
 
 const fieldsOfKind: Record<FrameKind, Fields> = {
-  [FrameKind.Hello]: { version: isNumber, address: isString },
+  [FrameKind.Hello]: { version: isNumber, address: isString, sentAt: optional(isNumber) },
   [FrameKind.Ping]: { wantsReply: isBoolean },
   [FrameKind.Call]: { call: isNumber, method: isString, payload: isAnything },
   [FrameKind.Reply]: {
--- a/packages/protocol/src/frames.ts
+++ b/packages/protocol/src/frames.ts
@@ -25,6 +25,11 @@
   kind: FrameKind.Hello;
   version: number;
   address: Address;
+  /**
+   * When the frame was queued, on the sender's monotonic clock in milliseconds, so that the delay of the first request
+   * on the link is known; absent in hellos of older daemons.
+   */
+  sentAt?: number;
 }
 
 /** Keep-alive frame, which may ask the peer for one in return. */
--- a/packages/protocol/src/link.ts
+++ b/packages/protocol/src/link.ts
@@ -16,6 +16,7 @@
   type CreditFrame,
   type Frame,
   FrameKind,
+  type Hello,
   PROTOCOL_VERSION,
   type Reply,
   type RequestFrame,
@@ -71,7 +72,7 @@
   /** Since when a message of the peer has been expected; undefined while none is. */
   #waitingSince: number | undefined;
   #error: LinkError | undefined;
-  /** Smallest difference so far between the arrival and sending times of a request, on the two ends' clocks. */
+  /** Smallest difference so far between the arrival and sending times of a frame, on the two ends' clocks. */
   #minClockOffsetMs = Number.POSITIVE_INFINITY;
   #peer: Address;
   #settleReady!: (result: Result<Link, LinkError>) => void;
@@ -100,6 +101,7 @@
       kind: FrameKind.Hello,
       version: PROTOCOL_VERSION,
       address: options.self,
+      sentAt: performance.now(),
     });
   }
 
@@ -227,7 +229,7 @@
     }
     switch (frame.kind) {
       case FrameKind.Hello:
-        return this.#handleHello(frame.version, frame.address);
+        return this.#handleHello(frame);
       case FrameKind.Ping:
         if (frame.wantsReply) {
           this.send({ kind: FrameKind.Ping, wantsReply: false });
@@ -250,7 +252,7 @@
     }
   }
 
-  #handleHello(version: number, address: Address): void {
+  #handleHello({ version, address, sentAt }: Hello): void {
     const isOtherPeer = this.#peer !== "" && this.#peer !== address;
     if (version !== PROTOCOL_VERSION || isOtherPeer) {
       const message = `The peer at ${this.#peer} says it is ${address} with protocol ${version}`;
@@ -259,6 +261,9 @@
     }
     this.#peer = address;
     this.#hasReceivedHello = true;
+    if (typeof sentAt === "number") {
+      this.#transitMs(sentAt);
+    }
     this.#settleReady(Result.ok(this));
   }
 
@@ -288,7 +293,7 @@
 
   #handleRequest(frame: RequestFrame): void {
     const { stream } = frame;
-    const transitMs = this.#transitMs(frame);
+    const transitMs = this.#transitMs(frame.sentAt);
     const exchange = new IncomingExchange({
       stream,
       send: (reply) => this.send(reply),
@@ -300,11 +305,11 @@
   }
 
   /**
-   * Delay of a request in transit, in milliseconds. The clocks of the two ends differ by a constant, which is
-   * estimated from the fastest request so far.
+   * Delay of a frame in transit, in milliseconds. The clocks of the two ends differ by a constant, which is
+   * estimated from the fastest hello or request so far.
    */
-  #transitMs(frame: RequestFrame): number {
-    const offsetMs = performance.now() - frame.sentAt;
+  #transitMs(sentAt: number): number {
+    const offsetMs = performance.now() - sentAt;
     this.#minClockOffsetMs = Math.min(this.#minClockOffsetMs, offsetMs);
     return offsetMs - this.#minClockOffsetMs;
   }
--- a/packages/protocol/src/link_age_test.ts
+++ b/packages/protocol/src/link_age_test.ts
@@ -30,30 +30,57 @@
   terminate(): void {}
 }
 
+/** Receives frames of a peer on a link; returns the heads of the requests among them. */
+function receiveFrames(batches: (() => Frame[])[]): RequestHead[] {
+  const socket = new FakeSocket();
+  const heads: RequestHead[] = [];
+  const link = new Link({
+    socket: socket as unknown as WebSocket,
+    self: "a",
+    handlers: {
+      onCall: () => Promise.resolve(null),
+      onRequest: ({ head }) => heads.push(head),
+      onMalformed: () => {},
+    },
+  });
+  const peer = new Codec();
+  batches.forEach((createFrames) => socket.emit("message", peer.encode(createFrames())));
+  link.close();
+  return heads;
+}
+
 describe("link: requests delayed in transit", () => {
+  it("deducts the delay of the first request on a link, which its hello preceded", () => {
+    const clockOffsetMs = 1_000_000;
+    const sentAt = (delayMs: number) => performance.now() - delayMs + clockOffsetMs;
+    const [head] = receiveFrames([
+      () => [{
+        kind: FrameKind.Hello,
+        version: PROTOCOL_VERSION,
+        address: "b",
+        sentAt: sentAt(0),
+      }],
+      () => [{ kind: FrameKind.Request, stream: 1, head: HEAD, end: true, sentAt: sentAt(1_500) }],
+    ]);
+    expect(head.remainingMs).to.be.closeTo(400 - 1_500, 20);
+  });
+
   it("deducts the delay from the time left, whatever the offset between the clocks of the two ends", () => {
-    const socket = new FakeSocket();
-    const heads: RequestHead[] = [];
-    const link = new Link({
-      socket: socket as unknown as WebSocket,
-      self: "a",
-      handlers: {
-        onCall: () => Promise.resolve(null),
-        onRequest: ({ head }) => heads.push(head),
-        onMalformed: () => {},
-      },
-    });
-    const peer = new Codec();
-    const receive = (frames: Frame[]) => socket.emit("message", peer.encode(frames));
-    receive([{ kind: FrameKind.Hello, version: PROTOCOL_VERSION, address: "b" }]);
     const clockOffsetMs = 1_000_000;
-    for (const delayMs of [0, 250]) {
-      const sentAt = performance.now() - delayMs + clockOffsetMs;
-      receive([{ kind: FrameKind.Request, stream: delayMs, head: HEAD, end: true, sentAt }]);
-    }
+    const request = (delayMs: number): Frame => ({
+      kind: FrameKind.Request,
+      stream: delayMs,
+      head: HEAD,
+      end: true,
+      sentAt: performance.now() - delayMs + clockOffsetMs,
+    });
+    const heads = receiveFrames([
+      () => [{ kind: FrameKind.Hello, version: PROTOCOL_VERSION, address: "b" }],
+      () => [request(0)],
+      () => [request(250)],
+    ]);
     expect(heads[0].remainingMs).to.be.closeTo(400, 20);
     expect(heads[1].remainingMs).to.be.closeTo(150, 20);
     expect(heads[1].targetMs).to.be.closeTo(-130, 20);
-    link.close();
   });
 });
