Do not take the store for lost while nothing is written to it

Cause: a daemon counts the store as unreachable when the records that it has were confirmed more than 4.7 s ago, and a read confirms the time at which it was sent. A read waits up to 4 s for a record. So while nothing is written, the confirmation is 4 to 8 s old, and the daemon takes the store for lost most of the time: it does not plan, it tells its peers so, and keys are not moved. The fewer changes a deployment makes, the longer the next rush waits for the planner.

The daemon now goes by the time of the last reply: while the store responds, one comes at least every 4 s. Voters still go by what is confirmed. The new test reads bulrushwood_store_reachable of a quiet deployment for 8 s: it was 0 in many of the samples before, and is always 1 now.

--- a/packages/ledger_store/src/keyed_follower.ts
+++ b/packages/ledger_store/src/keyed_follower.ts
@@ -37,6 +37,7 @@
   readonly #stop = createStop();
   #end: Offset = 0;
   #confirmedAt = Number.NEGATIVE_INFINITY;
+  #repliedAt = Number.NEGATIVE_INFINITY;
   #isReachable = false;
   #task: Promise<void> | undefined;
   #interrupt = new AbortController();
@@ -75,6 +76,11 @@
     return this.#confirmedAt;
   }
 
+  /** Time of the last reply; while the store responds, the next one comes within the longest wait of a read. */
+  get repliedAt(): number {
+    return this.#repliedAt;
+  }
+
   /** Reads all newest records, retrying until the store replies; then follows the topic in the background. */
   async start(): Promise<void> {
     await this.#readAllNewest();
@@ -183,6 +189,7 @@
 
   #recordSuccess(sentAt: number): void {
     this.#confirmedAt = sentAt;
+    this.#repliedAt = this.#options.now();
     if (!this.#isReachable) {
       this.#isReachable = true;
       this.#options.onReachable(true, "");
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -487,7 +487,7 @@
 
   /** Whether the store responds; an overdue read is noticed here before it times out. */
   get #hasStore(): boolean {
-    const sinceMs = now() - this.#system.confirmedAt;
+    const sinceMs = now() - this.#system.repliedAt;
     return this.#system.isReachable && sinceMs < SYSTEM_WAIT_MS + STORE_MARGIN_MS;
   }
 
--- a/packages/router/src/router_test.ts
+++ b/packages/router/src/router_test.ts
@@ -281,6 +281,7 @@
 }
 
 interface Instance {
+  metrics: { host: string; port: number };
   router: Router;
   server: FakeServer;
   callers: number;
@@ -325,7 +326,7 @@
   server.report(reports);
   const cutStore = () => isCut = true;
   const stopReports = () => server.stopReports();
-  return { router, server, callers: callers.port, cutStore, stopReports };
+  return { metrics, router, server, callers: callers.port, cutStore, stopReports };
 }
 
 let nextId = 0;
@@ -519,3 +520,29 @@
     await closeAll(instances);
   });
 });
+
+/** Time after the start until nothing is written to the store any more. */
+const QUIET_AFTER_MS = 7_000;
+/** Longest wait of a read of the store; the time in question is twice as long. */
+const READ_WAIT_MS = 4_000;
+
+async function readMetric({ metrics }: Instance, name: string): Promise<number> {
+  const page = await fetch(`http://${metrics.host}:${metrics.port}/metrics`);
+  const line = (await page.text()).split("\n").find((text) => text.startsWith(`${name} `));
+  return Number(line?.split(" ")[1]);
+}
+
+describe("router: quiet deployment", () => {
+  it("does not take a store for lost, and stop planning, when nothing is written for some seconds", async () => {
+    const instances = await startThree(GrantDelivery.Orders);
+    await sleep(QUIET_AFTER_MS);
+    const until = now() + 2 * READ_WAIT_MS;
+    const reachable: number[] = [];
+    while (now() < until) {
+      reachable.push(await readMetric(instances[0], "bulrushwood_store_reachable"));
+      await sleep(200);
+    }
+    expect(reachable.filter((value) => value !== 1), "samples without the store").to.deep.equal([]);
+    await closeAll(instances);
+  });
+});
