Tell peers about a daemon's clock again after it was suspended

The monotonic clock of a suspended instance stands still. A peer that kept its link then takes every later request from it for as late as the suspension was long, and rejects it as held up past its deadline, as long as the link lives.

After a suspension, which the two clocks of the instance show within 250 ms, a daemon sends a hello on all its links, and the peer takes the difference between the clocks from that. A time of day that was set forward looks like a suspension; the hello does no harm then. The new test of the link left -1,596 of 400 ms for a request after a suspension of 2 s before, and 400 now.

--- a/packages/protocol/src/link.ts
+++ b/packages/protocol/src/link.ts
@@ -59,6 +59,7 @@
 export class Link {
   readonly #socket: WebSocket;
   readonly #handlers: LinkHandlers;
+  readonly #self: Address;
   readonly #codec = new Codec();
   readonly #calls = new Map<number, PendingCall>();
   readonly #outgoing = new Map<number, OutgoingExchange>();
@@ -97,10 +98,16 @@
       () => this.#fail(brokenLink("The link was closed")),
     );
     this.#socket.on("error", (error) => this.#fail(brokenLink(error.message)));
+    this.#self = options.self;
+    this.synchronise();
+  }
+
+  /** Sends a hello, by which the peer learns how its clock differs from this process's clock now. */
+  synchronise(): void {
     this.send({
       kind: FrameKind.Hello,
       version: PROTOCOL_VERSION,
-      address: options.self,
+      address: this.#self,
       sentAt: performance.now(),
     });
   }
@@ -262,6 +269,8 @@
     this.#peer = address;
     this.#hasReceivedHello = true;
     if (typeof sentAt === "number") {
+      // A later hello follows a suspension of the peer, during which its clock stood still.
+      this.#minClockOffsetMs = Number.POSITIVE_INFINITY;
       this.#transitMs(sentAt);
     }
     this.#settleReady(Result.ok(this));
--- a/packages/protocol/src/link_age_test.ts
+++ b/packages/protocol/src/link_age_test.ts
@@ -50,6 +50,28 @@
 }
 
 describe("link: requests delayed in transit", () => {
+  it("does not deduct the time for which the peer's clock stood still while it was suspended", () => {
+    const hello = (sentAt: number): Frame => ({
+      kind: FrameKind.Hello,
+      version: PROTOCOL_VERSION,
+      address: "b",
+      sentAt,
+    });
+    const standstillMs = 2_000;
+    const [head] = receiveFrames([
+      () => [hello(performance.now())],
+      () => [hello(performance.now() - standstillMs)],
+      () => [{
+        kind: FrameKind.Request,
+        stream: 1,
+        head: HEAD,
+        end: true,
+        sentAt: performance.now() - standstillMs,
+      }],
+    ]);
+    expect(head.remainingMs).to.be.closeTo(400, 20);
+  });
+
   it("deducts the delay of the first request on a link, which its hello preceded", () => {
     const clockOffsetMs = 1_000_000;
     const sentAt = (delayMs: number) => performance.now() - delayMs + clockOffsetMs;
--- a/packages/protocol/src/links.ts
+++ b/packages/protocol/src/links.ts
@@ -118,6 +118,11 @@
     this.#all.forEach((link) => link.checkSilence());
   }
 
+  /** Lets all peers know this process's clock again, for use when it stood still while the instance was suspended. */
+  synchronise(): void {
+    this.#all.forEach((link) => link.synchronise());
+  }
+
   /** Returns the open link to a peer, or undefined when there is none. */
   peek(peer: Address): Link | undefined {
     const link = this.#links.get(peer);
--- a/packages/router/src/loop_delay.ts
+++ b/packages/router/src/loop_delay.ts
@@ -1,6 +1,8 @@
 /**
- * Measures how late the event loop runs timers, which shows that a daemon lacks processor time or was stopped.
+ * Measures how late the event loop runs timers, which shows that a daemon lacks processor time or was stopped, and
+ * detects that the instance was suspended.
  */
+import type { SuspensionDetector } from "@bulrushwood/lease_votes";
 import type { Clock } from "@bulrushwood/types";
 
 /** Time between measurements, in milliseconds. */
@@ -12,6 +14,9 @@
   now: Clock;
   /** Called with each delay that is long enough to be reported, in milliseconds. */
   onDelay: (ms: number) => void;
+  suspension: SuspensionDetector;
+  /** Called after a suspension, during which this process's clock stood still. */
+  onSuspended: () => void;
 }
 
 /** Monitor of the event loop's delay. */
@@ -27,13 +32,16 @@
   }
 
   #measure(): void {
-    const { now, onDelay } = this.#options;
+    const { now, onDelay, suspension, onSuspended } = this.#options;
     const at = now();
     const delayMs = at - this.#measuredAt - INTERVAL_MS;
     this.#measuredAt = at;
     if (delayMs >= REPORTED_MS) {
       onDelay(delayMs);
     }
+    if (suspension.check() > 0) {
+      onSuspended();
+    }
   }
 
   /** Stops measuring. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -178,6 +178,8 @@
     this.#loopDelay = new LoopDelayMonitor({
       now,
       onDelay: (ms) => log(Event.LoopDelayed, { ms: Math.round(ms) }),
+      suspension: new SuspensionDetector(now),
+      onSuspended: () => this.#links?.synchronise(),
     });
     this.#directStore = adapter.openStore(settings);
     this.#store = new RelayedStore({
