--- a/packages/ledger_store/src/table_store_test.ts
+++ b/packages/ledger_store/src/table_store_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { AppendFault, followTable, KeyedStoreService } from "@bulrushwood/stand_ins";
-import { sleep } from "@bulrushwood/types";
+import { now, sleep } from "@bulrushwood/types";
 import { assign, ChangeOutcome, KEYS, type OwnershipTable, rangesOf, SYSTEM_TOPIC } from "./mod.ts";
 
 /** Returns a change that assigns all keys to an owner unless it has keys. */
@@ -33,6 +33,21 @@
     await Promise.all(daemons.map(({ close }) => close()));
   });
 
+  it("writes the transfers of one plan within a second, without leaving keys unowned for longer", async () => {
+    const owners = 12;
+    const service = new KeyedStoreService({ sleep, callMs: 4 });
+    const daemons = await Promise.all(
+      Array.from({ length: owners }, () => followTable(service, { paceMs: 250 })),
+    );
+    const startedAt = now();
+    await Promise.all(
+      daemons.map(({ table }, index) => table.change(assignKey(index * 10, `owner-${index}`))),
+    );
+    expect(now() - startedAt).to.be.below(1_000);
+    expect(service.endOf(SYSTEM_TOPIC)).to.equal(owners);
+    await Promise.all(daemons.map(({ close }) => close()));
+  });
+
   for (const fault of [AppendFault.LostResponse, AppendFault.LostRequest, AppendFault.Late]) {
     it(`applies a change once when an append has the fault ${fault}`, async function () {
       const faults = [fault];
--- a/packages/stand_ins/src/followed_table.ts
+++ b/packages/stand_ins/src/followed_table.ts
@@ -21,6 +21,7 @@
 /** Starts to follow a table, by default in a new and empty store. */
 export async function followTable(
   service = new KeyedStoreService({ sleep }),
+  options: { paceMs?: number } = {},
 ): Promise<FollowedTable> {
   const store = service.connect();
   const follower = new KeyedFollower({
@@ -29,6 +30,7 @@
     now,
     sleep,
     waitMs: READ_WAIT_MS,
+    paceMs: () => options.paceMs ?? 0,
     onReachable: () => {},
   });
   const table = new TableStore({
