--- a/packages/deployment/src/mod.ts
+++ b/packages/deployment/src/mod.ts
@@ -11,6 +11,7 @@
   Order,
   ReleaseOrder,
   ServerLoad,
+  ServerNotice,
   ServerRequest,
   ServerResponseHead,
   ServerWire,
--- a/packages/deployment/src/server_wire.ts
+++ b/packages/deployment/src/server_wire.ts
@@ -36,6 +36,15 @@
   /** Whether the response has the origin marker; a success without it did not come from the server. */
   hasOriginMarker: boolean;
   load: ServerLoad | undefined;
+  notice: ServerNotice;
+}
+
+/** What a server says about itself in each response. */
+export interface ServerNotice {
+  /** Requests a second that the server accepts from all daemons together; undefined if it names no limit. */
+  requestsPerSecond: number | undefined;
+  /** Whether the server is about to stop. */
+  isLeaving: boolean;
 }
 
 /** An HTTP request that grants or releases keys at a server. */
--- a/packages/router/src/metrics.ts
+++ b/packages/router/src/metrics.ts
@@ -18,6 +18,8 @@
 export interface GaugeSources {
   running: () => number;
   waiting: () => number;
+  /** 0 while the server names no limit. */
+  requestLimit: () => number;
   ownKeys: () => number;
   supportedMs: () => number;
   isStoreReachable: () => boolean;
@@ -121,6 +123,7 @@
     const gauges: [string, string, () => number][] = [
       ["running_requests", "Requests that run at the backend server", sources.running],
       ["waiting_requests", "Requests that wait for the backend server", sources.waiting],
+      ["request_limit", "Requests a second that the backend server accepts", sources.requestLimit],
       ["own_keys", "Keys that the backend server beside this daemon owns", sources.ownKeys],
       ["lease_milliseconds", "Time for which grants may still be extended", sources.supportedMs],
       ["store_reachable", "1 while the store answers", () => Number(sources.isStoreReachable())],
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -545,14 +545,17 @@
     };
   }
 
-  /** Logs each new incarnation or state of the backend server. */
+  /** Logs each new incarnation, state or request limit of the backend server. */
   #logServerState(): void {
-    const { report, leavingSince } = this.#watch;
+    const { report, leavingSince, limit, hasAnnouncedLeaving } = this.#watch;
+    const { requestsPerSecond } = limit;
     const state = leavingSince === undefined ? ServerState.Ready : ServerState.Draining;
-    const name = `${report?.id}@${report?.bornMs} ${state}`;
+    const name =
+      `${report?.id}@${report?.bornMs} ${state} ${requestsPerSecond} ${hasAnnouncedLeaving}`;
     if (name !== this.#loggedServerState) {
       this.#loggedServerState = name;
-      this.#log(Event.ServerReported, { server: report?.id, bornMs: report?.bornMs, state });
+      const fields = { state, requestsPerSecond, hasAnnouncedLeaving };
+      this.#log(Event.ServerReported, { server: report?.id, bornMs: report?.bornMs, ...fields });
     }
   }
 
@@ -641,6 +644,7 @@
     this.#metrics.addGauges({
       running: () => this.#view.measuredLoad.running,
       waiting: () => this.#view.measuredLoad.waiting,
+      requestLimit: () => this.#watch.limit.requestsPerSecond ?? 0,
       ownKeys: () => countKeys(this.#grantManager.ownRanges),
       supportedMs: () => Math.max(0, this.#tenure.supportedUntil - now()),
       isStoreReachable: () => this.#hasStore,
--- a/packages/router/src/router_test.ts
+++ b/packages/router/src/router_test.ts
@@ -243,6 +243,7 @@
     isMisdirected: status === 421,
     hasOriginMarker: headers.mark !== undefined,
     load: undefined,
+    notice: { requestsPerSecond: undefined, isLeaving: false },
   }),
   grant: (order: GrantOrder) => toOrder("/grant", order),
   release: (order: ReleaseOrder) => toOrder("/release", order),
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -216,6 +216,9 @@
     }));
     const result = await client.send({ head, headers, body, deadline, signal });
     onResult(head, result, now() - startedAt);
+    if (result.notice !== undefined) {
+      watch.recordNotice(report, result.notice, { sentAt: startedAt });
+    }
     return this.#toResponse(head, result, options);
   }
 
--- a/packages/router/src/runner_test.ts
+++ b/packages/router/src/runner_test.ts
@@ -42,6 +42,7 @@
   headers: [],
   body: undefined,
   load: undefined,
+  notice: undefined,
   isConnectionRefused: false,
   isUnframed: false,
 };
--- a/packages/router/src/server_client.ts
+++ b/packages/router/src/server_client.ts
@@ -10,6 +10,7 @@
   Endpoint,
   Order,
   ServerLoad,
+  ServerNotice,
   ServerResponseHead,
   ServerWire,
 } from "@bulrushwood/deployment";
@@ -48,6 +49,8 @@
   headers: Header[];
   body: Buffer | undefined;
   load: ServerLoad | undefined;
+  /** What the response says of the server; undefined without a response that certainly is the server's. */
+  notice: ServerNotice | undefined;
   /** Whether the server refused the connection. */
   isConnectionRefused: boolean;
   /** Whether the body ended only with the connection, without a length or chunked encoding. */
@@ -196,12 +199,12 @@
     const { readHeaders } = this.#options;
     const status = message.statusCode ?? 0;
     const { responseHead } = options;
-    const { load } = responseHead;
+    const { load, notice } = responseHead;
     if (responseHead.isMisdirected) {
       return { ...noResponse(ServerOutcome.Misdirected, `status ${status}`), load };
     }
     if (responseHead.isNotRun) {
-      return { ...noResponse(ServerOutcome.NotRun, `refused with status ${status}`), load };
+      return { ...noResponse(ServerOutcome.NotRun, `refused with status ${status}`), load, notice };
     }
     const headers = readHeaders(message.rawHeaders);
     const outcome = ServerOutcome.Responded;
@@ -214,6 +217,7 @@
       headers,
       body,
       load,
+      notice,
       isConnectionRefused: false,
       isUnframed,
     };
@@ -263,6 +267,7 @@
     headers: [],
     body: undefined,
     load: undefined,
+    notice: undefined,
     isConnectionRefused: false,
     isUnframed: false,
   };
--- a/packages/router/src/server_client_test.ts
+++ b/packages/router/src/server_client_test.ts
@@ -15,6 +15,7 @@
     isMisdirected: status === 421,
     hasOriginMarker: headers.mark !== undefined,
     load: undefined,
+    notice: { requestsPerSecond: undefined, isLeaving: false },
   }),
 } as Partial<ServerWire> as ServerWire;
 
--- /dev/null
+++ b/packages/router/src/server_limit.ts
@@ -0,0 +1,44 @@
+/**
+ * The request limit of one incarnation of a backend server, as its responses name it. The limit applies until a
+ * response to a request that was sent after the limit was last named does not name it: responses to earlier
+ * requests may have been written before the limit began.
+ */
+import type { ServerNotice } from "@bulrushwood/deployment";
+import type { Clock } from "@bulrushwood/types";
+
+/** Tracks the request limit of one incarnation. */
+export class ServerLimit {
+  readonly #now: Clock;
+  #requestsPerSecond: number | undefined;
+  #namedAt = Number.NEGATIVE_INFINITY;
+  #isKnown = false;
+
+  constructor(now: Clock) {
+    this.#now = now;
+  }
+
+  /** Whether a response has shown whether there is a limit. */
+  get isKnown(): boolean {
+    return this.#isKnown;
+  }
+
+  /** Requests a second that the server accepts from all daemons together; undefined if there is no limit. */
+  get requestsPerSecond(): number | undefined {
+    return this.#requestsPerSecond;
+  }
+
+  /** Applies a response to a request that was sent at `sentAt` on this process's clock; returns whether the limit changed. */
+  apply({ requestsPerSecond }: ServerNotice, options: { sentAt: number }): boolean {
+    this.#isKnown = true;
+    const isOutdated = requestsPerSecond === undefined && options.sentAt < this.#namedAt;
+    if (isOutdated) {
+      return false;
+    }
+    if (requestsPerSecond !== undefined) {
+      this.#namedAt = this.#now();
+    }
+    const hasChanged = requestsPerSecond !== this.#requestsPerSecond;
+    this.#requestsPerSecond = requestsPerSecond;
+    return hasChanged;
+  }
+}
--- a/packages/router/src/server_watch.ts
+++ b/packages/router/src/server_watch.ts
@@ -6,11 +6,13 @@
 import {
   isSameIncarnation,
   type ServerIdentity,
+  type ServerNotice,
   type ServerReport,
   ServerState,
   type StatusReport,
 } from "@bulrushwood/deployment";
 import type { Clock } from "@bulrushwood/types";
+import { ServerLimit } from "./server_limit.ts";
 
 /** Report intervals without a report or response after which a server counts as unreachable. */
 const SILENT_REPORT_INTERVALS = 2.3;
@@ -38,13 +40,17 @@
   #receivedAt = Number.NEGATIVE_INFINITY;
   #connectionRefusedAt = Number.NEGATIVE_INFINITY;
   #leavingSince: number | undefined;
+  /** The incarnation that announced in a response that it leaves. */
+  #announcedLeaving: ServerIdentity | undefined;
+  #limit: ServerLimit;
   #coldUntil = Number.NEGATIVE_INFINITY;
 
   constructor(options: ServerWatchOptions) {
     this.#options = options;
+    this.#limit = new ServerLimit(options.now);
   }
 
-  /** Emits after each accepted report, farewell or stored departure. */
+  /** Emits after each accepted report, farewell, stored departure or changed notice in a response. */
   get changes(): Subject<void> {
     return this.#changes;
   }
@@ -64,6 +70,17 @@
     return this.#leavingSince;
   }
 
+  /** The request limit of the current incarnation. */
+  get limit(): ServerLimit {
+    return this.#limit;
+  }
+
+  /** Whether the current incarnation announced in a response that it leaves. */
+  get hasAnnouncedLeaving(): boolean {
+    return this.#report !== undefined &&
+      isSameIncarnation(this.#report, this.#announcedLeaving);
+  }
+
   /** Whether the server is still in its warm-up after a start. */
   get isCold(): boolean {
     return this.#options.now() < this.#coldUntil;
@@ -94,6 +111,7 @@
     this.#coldUntil = this.#receivedAt + report.coldMs;
     if (isNewIncarnation) {
       this.#leavingSince = undefined;
+      this.#limit = new ServerLimit(this.#options.now);
     }
     if (isSameIncarnation(report, this.#storedDeparture)) {
       this.#leavingSince ??= LONG_AGO;
@@ -138,6 +156,21 @@
     return report.sequence > latest.sequence;
   }
 
+  /** Records what a response of a server says of itself; `sentAt` is when its request was sent. */
+  recordNotice(server: ServerIdentity, notice: ServerNotice, options: { sentAt: number }): void {
+    if (!isSameIncarnation(server, this.#report)) {
+      return;
+    }
+    let hasChanged = this.#limit.apply(notice, options);
+    if (notice.isLeaving && !this.hasAnnouncedLeaving) {
+      this.#announcedLeaving = server;
+      hasChanged = true;
+    }
+    if (hasChanged) {
+      this.#changes.next();
+    }
+  }
+
   /** Records that the server responded. */
   recordResponse(): void {
     this.#receivedAt = this.#options.now();
