Send a backend server no more requests than the limit that it names

Callers saw no failure, but a server in need got up to 1.7 times what LIMIT allows. Evidence: with the limit logged and no logic changed, servers named 13.8 to 24.1 a second from 6.005 s on and still got 155 and 210 requests in 4 s.

The gate of the server's daemon, through which the requests of all daemons pass (also those that the server rejects, retries and calls between servers), spaces out starts with a token bucket. The wait for a start counts in admission: what would be late is rejected at once, with the time after which a start is free, and urgent requests go first. A restarted daemon does not know the limit, so it sends at most four requests until the first response.

--- a/packages/admission/src/gate.ts
+++ b/packages/admission/src/gate.ts
@@ -3,11 +3,13 @@
  * not run in time. Under overload, more urgent work goes first, and the queue is kept short enough for queued
  * requests to meet their targets: retrying after an early rejection is better for a caller than a wait that
  * ends without a response. Requests that can no longer meet their target are queued while their wait is short.
+ * A server that accepts only some requests a second gets no more than those, also while it has free slots.
  */
 import { Result } from "true-myth";
 import type { Clock } from "@bulrushwood/types";
 import type { Slot } from "./admission.ts";
 import { AdmissionError, AdmissionErrorKind } from "./errors.ts";
+import { StartRate } from "./start_rate.ts";
 
 /** Weight of the newest service time in the moving means. */
 const SERVICE_WEIGHT = 0.08;
@@ -48,6 +50,8 @@
   now: Clock;
   /** Returns the number of requests that the backend server may run at once. */
   limit: () => number;
+  /** Returns the requests a second that the backend server accepts; undefined, also where left out, for no limit. */
+  perSecond?: () => number | undefined;
   /** Returns a random number from 0 to 1. */
   random: () => number;
 }
@@ -69,13 +73,18 @@
   readonly #options: GateOptions;
   #queue: QueuedRequest[] = [];
   readonly #runs = new Set<Run>();
+  readonly #startRate: StartRate;
   /** Mean service time of each class of work, in milliseconds. */
   readonly #serviceMsOf = new Map<string, number>();
   #serviceMs = 0;
   #expiryTimer: NodeJS.Timeout | undefined;
+  /** Runs when the start rate allows the next queued request to start. */
+  #startTimer: NodeJS.Timeout | undefined;
 
   constructor(options: GateOptions) {
     this.#options = options;
+    const { now, perSecond = () => undefined } = options;
+    this.#startRate = new StartRate({ now, perSecond });
   }
 
   /** Number of running requests. */
@@ -130,7 +139,8 @@
     if (request.signal.aborted) {
       return Promise.resolve(cancelled());
     }
-    if (this.running < limit() && this.#queue.length === 0) {
+    const mayStart = this.running < limit() && this.#startRate.waitMs(0) === 0;
+    if (mayStart && this.#queue.length === 0) {
       return Promise.resolve(Result.ok(this.#takeSlot(request.workClass, now())));
     }
     const waitMs = this.#expectedWaitMs(request);
@@ -145,17 +155,28 @@
     return this.#enqueue(request);
   }
 
+  /** Expected time until a new request starts, in milliseconds. */
+  #expectedWaitMs(request: GateRequest): number {
+    const at = this.#options.now();
+    const ahead = this.#queue.filter((queued) => this.#precedes(queued.request, request, at));
+    return this.#waitBehindMs(ahead);
+  }
+
   /**
-   * Expected time until a new request gets a slot, in milliseconds: the work queued ahead of it and one
-   * running request, divided by the slots.
+   * Expected time until a request behind queued ones starts, in milliseconds: until the start rate allows it, and,
+   * where the slots are taken, the work ahead and one running request, divided by the slots.
    */
-  #expectedWaitMs(request: GateRequest): number {
-    const { now, limit } = this.#options;
-    const at = now();
-    const workMs = this.#queue
-      .filter((queued) => this.#precedes(queued.request, request, at))
-      .reduce((sum, queued) => sum + this.#serviceMsFor(queued.request.workClass), 0);
-    return (workMs + this.#meanServiceMs) / Math.max(1, limit());
+  #waitBehindMs(ahead: QueuedRequest[]): number {
+    const slots = Math.max(1, this.#options.limit());
+    const rateMs = this.#startRate.waitMs(ahead.length);
+    if (this.running + ahead.length < slots) {
+      return rateMs;
+    }
+    const workMs = ahead.reduce(
+      (sum, queued) => sum + this.#serviceMsFor(queued.request.workClass),
+      0,
+    );
+    return Math.max(rateMs, (workMs + this.#meanServiceMs) / slots);
   }
 
   /** Whether one request should run before another. */
@@ -194,6 +215,9 @@
       request.signal.addEventListener("abort", cancel, { once: true });
       this.#queue.push(queued);
       this.#expiryTimer ??= setInterval(() => this.#rejectExpired(), EXPIRY_CHECK_MS);
+      if (this.running < this.#options.limit() && this.#startTimer === undefined) {
+        this.#dispatch();
+      }
     });
   }
 
@@ -201,25 +225,40 @@
     this.#queue = this.#queue.filter((other) => other !== queued);
     if (this.#queue.length === 0) {
       clearInterval(this.#expiryTimer);
+      clearTimeout(this.#startTimer);
       this.#expiryTimer = undefined;
+      this.#startTimer = undefined;
     }
   }
 
   #rejectExpired(): void {
     const now = this.#options.now();
-    const isExpired = ({ request: { deadline, workClass } }: QueuedRequest) =>
-      deadline < now + this.#serviceMsFor(workClass) * MIN_SERVICE_SHARE;
-    for (const queued of this.#queue.filter(isExpired)) {
+    const isExpired = ({ request: { deadline, workClass } }: QueuedRequest, waitMs: number) =>
+      deadline < now + waitMs + this.#serviceMsFor(workClass) * MIN_SERVICE_SHARE;
+    const expired = this.#startRate.isLimited
+      ? this.#inOrder(now).filter((queued, index) =>
+        isExpired(queued, this.#startRate.waitMs(index))
+      )
+      : this.#queue.filter((queued) => isExpired(queued, 0));
+    for (const queued of expired) {
       this.#remove(queued);
       queued.settle(this.#reject(this.#expectedWaitMs(queued.request)));
     }
   }
 
+  /** Returns the queued requests, the one that runs next first. */
+  #inOrder(now: number): QueuedRequest[] {
+    const precedes = (one: QueuedRequest, other: QueuedRequest) =>
+      Number(this.#precedes(one.request, other.request, now));
+    return [...this.#queue].sort((one, other) => precedes(other, one) - precedes(one, other));
+  }
+
   #takeSlot(workClass: string, since: number): Slot {
     const { now } = this.#options;
     const startedAt = now();
     const run = { workClass, startedAt };
     this.#runs.add(run);
+    this.#startRate.recordStart();
     const release = () => {
       if (!this.#runs.delete(run)) {
         return;
@@ -239,11 +278,18 @@
     }
   }
 
-  /** Starts queued requests while slots are free. */
+  /** Starts queued requests while slots are free and the start rate allows it. */
   #dispatch(): void {
     const { now, limit } = this.#options;
+    clearTimeout(this.#startTimer);
+    this.#startTimer = undefined;
     this.#rejectExpired();
     while (this.running < limit() && this.#queue.length > 0) {
+      const waitMs = this.#startRate.waitMs(0);
+      if (waitMs > 0) {
+        this.#startTimer = setTimeout(() => this.#dispatch(), Math.ceil(waitMs));
+        return;
+      }
       const at = now();
       const next = this.#queue.reduce((first, queued) =>
         this.#precedes(first.request, queued.request, at) ? first : queued
--- a/packages/admission/src/gate_test.ts
+++ b/packages/admission/src/gate_test.ts
@@ -1,10 +1,13 @@
 import { expect } from "chai";
+import { now } from "@bulrushwood/types";
 import { AdmissionErrorKind, Gate, type GateRequest } from "./mod.ts";
 
 const NEVER = new AbortController().signal;
 
-function createGate(clock: { now: number }, limit = 1) {
-  return new Gate({ now: () => clock.now, limit: () => limit, random: () => 0.5 });
+function createGate(clock: { now: number }, limit = 1, options: { perSecond?: number } = {}) {
+  const { perSecond } = options;
+  const random = () => 0.5;
+  return new Gate({ now: () => clock.now, limit: () => limit, perSecond: () => perSecond, random });
 }
 
 function createRequest(fields: Partial<GateRequest> = {}): GateRequest {
@@ -158,6 +161,47 @@
     gate.close();
   });
 
+  it("queues requests beyond the start rate though slots are free, the urgent ones first", async () => {
+    const gate = new Gate({ now, limit: () => 8, perSecond: () => 50, random: () => 0.5 });
+    const startedAt = now();
+    const order: string[] = [];
+    const enter = async (name: string, priority: number) => {
+      const deadline = startedAt + 1_000;
+      const entered = await gate.enter(createRequest({ priority, deadline, targetAt: deadline }));
+      order.push(name);
+      entered.unwrapOr(undefined!).release();
+    };
+    await Promise.all([enter("first", 2), enter("later", 2), enter("urgent", 0)]);
+    expect(order.slice(0, 2)).to.include("urgent");
+    expect(order.at(-1)).to.not.equal("urgent");
+    // Three starts at 50 a second; the bucket was empty.
+    expect(now() - startedAt).to.be.within(55, 300);
+    gate.close();
+  });
+
+  it("rejects at once what the start rate would delay past its target", async () => {
+    const gate = createGate({ now: 0 }, 8, { perSecond: 10 });
+    const results = Array.from({ length: 40 }, () => gate.enter(createRequest()));
+    expect(gate.waiting, "queued").to.be.within(1, 9);
+    gate.close();
+    const rejected = (await Promise.all(results)).at(-1)!;
+    expect(rejected.isErr && rejected.error.kind).to.equal(AdmissionErrorKind.Overloaded);
+    // A start is free in about as many tenths of a second as requests are queued.
+    expect(rejected.isErr && rejected.error.retryAfterMs).to.be.within(300, 1_000);
+  });
+
+  it("rejects a queued request at once when urgent ones take the starts before its deadline", async () => {
+    const clock = { now: 0 };
+    const gate = createGate(clock, 8, { perSecond: 10 });
+    const last = gate.enter(createRequest({ priority: 2, targetAt: 400, deadline: 500 }));
+    const urgent = createRequest({ priority: 0, targetAt: 700, deadline: 900 });
+    Array.from({ length: 6 }, () => gate.enter(urgent));
+    const rejected = await last;
+    expect(rejected.isErr && rejected.error.kind).to.equal(AdmissionErrorKind.Overloaded);
+    expect(clock.now).to.equal(0);
+    gate.close();
+  });
+
   it("removes the request of a caller that left from the queue", async () => {
     const gate = createGate({ now: 0 });
     await gate.enter(createRequest());
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -22,6 +22,11 @@
 const MOVE_RETRY_AFTER_MS = 150;
 /** Slots that are assumed before a server's first status report. */
 const UNKNOWN_SLOTS = 1;
+/**
+ * Requests that are sent at once until a first response shows whether the server has a request limit. A restarted
+ * daemon does not know the limit that the server named before.
+ */
+const FIRST_REQUESTS = 4;
 /** Time before the drain bound at which a leaving server stops getting requests, in milliseconds. */
 const LEAVING_MARGIN_MS = 500;
 /** Weight of the newest interval of 300 ms in the moving average of the request rate. */
@@ -64,7 +69,8 @@
     this.#gate = new Gate({
       now,
       random: Math.random,
-      limit: () => watch.report?.slots ?? UNKNOWN_SLOTS,
+      limit: () => this.#concurrencyMax(),
+      perSecond: () => watch.limit.requestsPerSecond,
     });
   }
 
@@ -178,6 +184,13 @@
     return false;
   }
 
+  /** Number of requests that the server may run at once. */
+  #concurrencyMax(): number {
+    const { report, limit } = this.#options.watch;
+    const slots = report?.slots ?? UNKNOWN_SLOTS;
+    return limit.isKnown ? slots : Math.min(slots, FIRST_REQUESTS);
+  }
+
   /** Whether the server may get further requests. */
   #mayStart(): boolean {
     const { watch, drainMs } = this.#options;
--- a/packages/router/src/runner_test.ts
+++ b/packages/router/src/runner_test.ts
@@ -53,17 +53,24 @@
 
 /** Creates a runner whose server records when each request arrives and responds after `workMs`. */
 function createRunner(
-  options: { workMs?: number; state?: () => KeyState; changeMs?: number } = {},
+  options: {
+    workMs?: number;
+    state?: () => KeyState;
+    changeMs?: number;
+    reachedAt?: number[];
+    respond?: (count: number) => ServerResult;
+  } = {},
 ) {
-  const { workMs = 0, state = () => KeyState.Granted, changeMs = 20 } = options;
+  const { workMs = 0, state = () => KeyState.Granted, changeMs = 20, reachedAt = [] } = options;
+  const { respond = () => RESPONDED } = options;
   const watch = new ServerWatch({ service: SERVICE, now, reportEveryMs: 60_000 });
-  const reachedAt: number[] = [];
   const stages: RequestStage[] = [];
   const client = {
     send: async () => {
       reachedAt.push(now());
+      const result = respond(reachedAt.length);
       await sleep(workMs);
-      return RESPONDED;
+      return result;
     },
   } as unknown as ServerClient;
   const runner = new Runner({
@@ -82,7 +89,43 @@
   return { runner, watch, reachedAt, stages };
 }
 
+/** Sends a runner `perSecond` requests a second for some time. */
+async function load(runner: Runner, options: { perSecond: number; forMs: number }) {
+  const responses = [];
+  const until = now() + options.forMs;
+  while (now() < until) {
+    responses.push(runner.serve(HEAD, undefined, NEVER));
+    await sleep(1_000 / options.perSecond);
+  }
+  return await Promise.all(responses);
+}
+
 describe("runner", () => {
+  it("sends a server no more requests than the limit that it names, also after a restart of the daemon", async () => {
+    const [perSecond, windowMs] = [20, 4_000];
+    const reachedAt: number[] = [];
+    const notice = { requestsPerSecond: perSecond, isLeaving: false };
+    // Every third request is rejected by the server; it counts as well.
+    const respond = (count: number): ServerResult => ({
+      ...RESPONDED,
+      notice,
+      outcome: count % 3 === 0 ? ServerOutcome.NotRun : ServerOutcome.Responded,
+    });
+    for (let start = 0; start < 3; start++) {
+      const { runner, watch } = createRunner({ workMs: 50, reachedAt, respond });
+      watch.apply(report({ slots: 12 }));
+      const responses = await load(runner, { perSecond: 120, forMs: windowMs / 2 });
+      const rejected = responses.filter(({ head }) => head.reason === Reason.Overloaded);
+      expect(rejected.length).to.be.above(0);
+      expect(Math.min(...rejected.map(({ head }) => head.retryAfterMs ?? 0))).to.be.above(0);
+    }
+    const counts = reachedAt.map((from) =>
+      reachedAt.filter((at) => at >= from && at < from + windowMs).length
+    );
+    expect(Math.max(...counts)).to.be.at.most(1.5 * perSecond * windowMs / 1_000 + 5);
+    expect(reachedAt.length).to.be.above(0.8 * perSecond * 1.5 * windowMs / 1_000);
+  });
+
   it("sends nothing to a server after the drain bound has passed since its leaving was accepted", async () => {
     const { runner, watch, reachedAt } = createRunner({ workMs: 60 });
     watch.apply(report());
