Bind each ingress to the leaving that a server announces in its responses

What could happen: a server that leaves says so in its responses. The daemon that passes such a response to its caller may send the server nothing new after the drain bound, with or without the store. Leaving was known only from status reports, at the server's own daemon: announcements in responses were ignored, and a daemon that restarted without the store counted the drain time anew from the next report, so that requests reached the server long after an ingress had passed the announcement on.

The server's daemon starts the drain time with the first response that announces it. Responses between daemons name the leaving incarnation; each ingress remembers it, and names it as excluded in requests after the drain bound. The server's daemon rejects those, and ends the drain time for all.

Three new tests failed before: the announcement was not used, and an excluded server got requests.

--- a/packages/deployment/src/mod.ts
+++ b/packages/deployment/src/mod.ts
@@ -18,6 +18,7 @@
 } from "./server_wire.ts";
 export {
   type HeldKeys,
+  incarnationName,
   isSameIncarnation,
   type ReleasedKeys,
   type ServerIdentity,
--- a/packages/deployment/src/server_report.ts
+++ b/packages/deployment/src/server_report.ts
@@ -24,6 +24,11 @@
   return one.id === other?.id && one.bornMs === other.bornMs;
 }
 
+/** Returns a name that no other incarnation has. */
+export function incarnationName({ id, bornMs }: ServerIdentity): string {
+  return `${id}@${bornMs}`;
+}
+
 /** Keys from `first` to `last`, both included, that a server holds or still runs requests for. */
 export interface HeldKeys {
   first: number;
--- a/packages/protocol/src/codec.ts
+++ b/packages/protocol/src/codec.ts
@@ -60,6 +60,7 @@
   firstAttempt: isBoolean,
   priority: optional(isNumber),
   targetMs: optional(isNumber),
+  excludedServer: optional(isString),
 };
 
 const responseHead: Fields = {
@@ -70,6 +71,7 @@
   detail: optional(isString),
   retryAfterMs: optional(isNumber),
   isUnframed: optional(isBoolean),
+  leavingServer: optional(isString),
 };
 
 const fieldsOfKind: Record<FrameKind, Fields> = {
--- a/packages/protocol/src/frames.ts
+++ b/packages/protocol/src/frames.ts
@@ -87,6 +87,8 @@
   priority?: number;
   /** Time left until the target when the frame was sent, in milliseconds. */
   targetMs?: number;
+  /** Name of a server incarnation that must not run the request, since it announced to the ingress that it leaves. */
+  excludedServer?: string;
 }
 
 /** Head of a response. */
@@ -103,6 +105,8 @@
   retryAfterMs?: number;
   /** Whether the body had no length or chunks, so that only the close of the server's connection ended it. */
   isUnframed?: boolean;
+  /** Name of the server incarnation that announced with this response that it leaves. */
+  leavingServer?: string;
 }
 
 /** Reason why a backend server did not respond to a request. */
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -22,6 +22,7 @@
 import { type Address, now, Outcome, type WaitOptions } from "@bulrushwood/types";
 import { Event, type EventLog } from "./event_log.ts";
 import { openExchange, readResponse } from "./exchange.ts";
+import { LeavingServers } from "./leaving_servers.ts";
 import { OverloadBackoff } from "./overload_backoff.ts";
 import { RequestStage } from "./request_stage.ts";
 
@@ -84,6 +85,8 @@
   choice: ServerChoice;
   /** Returns the retry budget of a service. */
   budgetOf: (service: string) => RetryBudget;
+  /** Time after the announcement that a server leaves, after which no new request may reach it, in milliseconds. */
+  drainMs: number;
   log: EventLog;
 }
 
@@ -107,9 +110,11 @@
   /** Requests with an earlier attempt that may have run. */
   readonly #mayHaveRun = new WeakSet<DispatchRequest>();
   readonly #backoff = new OverloadBackoff(now);
+  readonly #leavingServers: LeavingServers;
 
   constructor(options: DispatcherOptions) {
     this.#options = options;
+    this.#leavingServers = new LeavingServers({ now, drainMs: options.drainMs });
   }
 
   /** Dispatches a request and returns its response. */
@@ -255,12 +260,22 @@
     );
   }
 
-  /** Sends a request to one daemon, or runs it here if that is this daemon. */
+  /** Sends a request to one daemon, and records what the response shows of its server. */
   async #attempt(request: DispatchRequest, address: Address): Promise<RoutedResponse> {
+    const response = await this.#send(request, address);
+    const { leavingServer } = response.head;
+    if (leavingServer !== undefined) {
+      this.#leavingServers.record(address, leavingServer);
+    }
+    return response;
+  }
+
+  /** Sends a request to one daemon, or runs it here if that is this daemon. */
+  async #send(request: DispatchRequest, address: Address): Promise<RoutedResponse> {
     const { self, serve, links, owners } = this.#options;
     if (address === self) {
       request.stage = RequestStage.Server;
-      return await serve(withTimeLeft(request), request.body, request.signal);
+      return await serve(this.#headFor(request, address), request.body, request.signal);
     }
     request.stage = RequestStage.Dial;
     const linked = await links.get(address);
@@ -275,7 +290,9 @@
       return notRun(Reason.DeadlinePassed, "The link to the server opened too late");
     }
     request.stage = RequestStage.Peer;
-    const exchange = openExchange(linked.value, withTimeLeft(request), { body: request.body });
+    const exchange = openExchange(linked.value, this.#headFor(request, address), {
+      body: request.body,
+    });
     const cancel = () => exchange.cancel();
     const timer = setTimeout(cancel, request.deadline + DEADLINE_MARGIN_MS - now());
     const forwardedAt = now();
@@ -295,6 +312,13 @@
     }
   }
 
+  /** Returns the head that one daemon gets. */
+  #headFor(request: DispatchRequest, address: Address): RequestHead {
+    const head = withTimeLeft(request);
+    const excludedServer = this.#leavingServers.excludedAt(address);
+    return excludedServer === undefined ? head : { ...head, excludedServer };
+  }
+
   /** Records what a daemon's response shows about its load. */
   #recordResponse(
     { head: { priority = 0 } }: DispatchRequest,
--- a/packages/router/src/dispatcher_test.ts
+++ b/packages/router/src/dispatcher_test.ts
@@ -10,7 +10,7 @@
 import { notRun, RetryBudget, type RoutedResponse, unknown } from "@bulrushwood/routing";
 import { now, Outcome, sleep } from "@bulrushwood/types";
 import { Result } from "true-myth";
-import { Dispatcher, type DispatchRequest } from "./dispatcher.ts";
+import { Dispatcher, type DispatchRequest, type Serve } from "./dispatcher.ts";
 import { REQUEST_HEAD } from "./head_fixture.ts";
 import { RequestStage } from "./request_stage.ts";
 
@@ -29,21 +29,19 @@
   shares: [],
 };
 
+const DRAIN_MS = 700;
+
 const SUCCESS: RoutedResponse = { head: { status: 200, headers: [] }, body: undefined };
 const UNKNOWN = unknown(Reason.ServerFailed, "no answer");
 const SHED = notRun(Reason.ServerRejected, "full", 100);
 
-/** Dispatches a request to a local server that responds with `responses` in turn. */
-async function dispatch(
-  responses: RoutedResponse[],
-  options: { kind?: RouteKind; shard?: number; owner?: string | null; targetMs?: number } = {},
-) {
-  const { kind = RouteKind.Idempotent, shard = 7, owner = SELF, targetMs = 400 } = options;
-  let attempts = 0;
-  const dispatcher = new Dispatcher({
+/** Creates a dispatcher whose own server runs all requests by `serve`. */
+function createDispatcher(options: { serve: Serve; owner?: string | null }): Dispatcher {
+  const { serve, owner = SELF } = options;
+  return new Dispatcher({
     self: SELF,
     links: {} as Links,
-    serve: () => Promise.resolve(responses[attempts++] ?? SUCCESS),
+    serve,
     owners: {
       ownerOf: () => owner,
       waitForChange: () => new Promise((resolve) => setTimeout(resolve, 20)),
@@ -52,18 +50,40 @@
     },
     choice: { choose: (_service, mayUse) => [SELF].filter(mayUse), begin: () => () => {} },
     budgetOf: () => new RetryBudget(),
+    drainMs: DRAIN_MS,
     log: () => {},
   });
+}
+
+function createRequest(
+  options: { kind?: RouteKind; shard?: number; targetMs?: number; signal?: AbortSignal } = {},
+): DispatchRequest {
+  const { kind = RouteKind.Idempotent, shard = 7, targetMs = 400 } = options;
+  const { signal = new AbortController().signal } = options;
   const startedAt = now();
-  const response = await dispatcher.dispatch({
+  return {
     head: { ...REQUEST_HEAD, shard },
     route: { ...ROUTE, kind },
     body: undefined,
     targetAt: startedAt + targetMs,
     deadline: startedAt + 1_000,
-    signal: new AbortController().signal,
+    signal,
     stage: RequestStage.Owner,
+  };
+}
+
+/** Dispatches a request to a local server that responds with `responses` in turn. */
+async function dispatch(
+  responses: RoutedResponse[],
+  options: { kind?: RouteKind; shard?: number; owner?: string | null; targetMs?: number } = {},
+) {
+  let attempts = 0;
+  const dispatcher = createDispatcher({
+    owner: options.owner,
+    serve: () => Promise.resolve(responses[attempts++] ?? SUCCESS),
   });
+  const startedAt = now();
+  const response = await dispatcher.dispatch(createRequest(options));
   return { ...response.head, attempts, ms: now() - startedAt };
 }
 
@@ -83,6 +103,23 @@
     expect(result.status).to.equal(502);
   });
 
+  it("excludes a server that announced its leaving from all requests past the drain bound", async () => {
+    const leavingServer = "s1@1";
+    const excluded: (string | undefined)[] = [];
+    const dispatcher = createDispatcher({
+      serve: ({ excludedServer }) => {
+        excluded.push(excludedServer);
+        return Promise.resolve({ head: { ...SUCCESS.head, leavingServer }, body: undefined });
+      },
+    });
+    const until = now() + DRAIN_MS + 100;
+    while (now() < until) {
+      await dispatcher.dispatch(createRequest());
+      await sleep(DRAIN_MS / 3);
+    }
+    expect([excluded[0], excluded.at(-1)]).to.deep.equal([undefined, leavingServer]);
+  });
+
   it("retries a non-idempotent request that the server shed", async () => {
     expect(await dispatch([SHED], { kind: RouteKind.Once })).to.include({
       status: 200,
@@ -152,25 +189,12 @@
     },
     choice: { choose: (_service, mayUse) => [PEER].filter(mayUse), begin: () => () => {} },
     budgetOf: () => new RetryBudget(),
+    drainMs: DRAIN_MS,
     log: () => {},
   });
   return { dispatcher, heads };
 }
 
-function createRequest(options: { shard?: number; signal?: AbortSignal } = {}): DispatchRequest {
-  const { shard = 7, signal = new AbortController().signal } = options;
-  const startedAt = now();
-  return {
-    head: { ...REQUEST_HEAD, shard },
-    route: ROUTE,
-    body: undefined,
-    targetAt: startedAt + 400,
-    deadline: startedAt + 1_000,
-    signal,
-    stage: RequestStage.Owner,
-  };
-}
-
 /** Dispatches a request to a peer for a caller that leaves after `leavesAfterMs`. */
 async function dispatchToPeer(options: PeerOptions & { leavesAfterMs?: number; shard?: number }) {
   const { leavesAfterMs, shard } = options;
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -474,6 +474,7 @@
         begin: (address) => this.#choices.begin(address),
       },
       budgetOf: (service) => this.#budgetOf(service),
+      drainMs: this.#settings.bounds.drainMs,
       log: this.#log,
     });
   }
@@ -547,14 +548,13 @@
 
   /** Logs each new incarnation, state or request limit of the backend server. */
   #logServerState(): void {
-    const { report, leavingSince, limit, hasAnnouncedLeaving } = this.#watch;
+    const { report, leavingSince, limit } = this.#watch;
     const { requestsPerSecond } = limit;
     const state = leavingSince === undefined ? ServerState.Ready : ServerState.Draining;
-    const name =
-      `${report?.id}@${report?.bornMs} ${state} ${requestsPerSecond} ${hasAnnouncedLeaving}`;
+    const name = `${report?.id}@${report?.bornMs} ${state} ${requestsPerSecond}`;
     if (name !== this.#loggedServerState) {
       this.#loggedServerState = name;
-      const fields = { state, requestsPerSecond, hasAnnouncedLeaving };
+      const fields = { state, requestsPerSecond };
       this.#log(Event.ServerReported, { server: report?.id, bornMs: report?.bornMs, ...fields });
     }
   }
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -4,7 +4,7 @@
  */
 import type { Buffer } from "node:buffer";
 import { type AdmissionError, AdmissionErrorKind, Gate } from "@bulrushwood/admission";
-import type { ServerWire } from "@bulrushwood/deployment";
+import { incarnationName, type ServerWire } from "@bulrushwood/deployment";
 import { type GrantManager, KeyState } from "@bulrushwood/lease_ranges";
 import { LoadMeter } from "@bulrushwood/planner_ranges";
 import { Reason, type RequestHead } from "@bulrushwood/protocol";
@@ -12,6 +12,7 @@
 import { now } from "@bulrushwood/types";
 import { Event, type EventLog } from "./event_log.ts";
 import { toFlatHeaders } from "./headers.ts";
+import { LEAVING_MARGIN_MS } from "./leaving_servers.ts";
 import { RequestStage } from "./request_stage.ts";
 import { type ServerClient, ServerOutcome, type ServerResult } from "./server_client.ts";
 import type { ServerWatch } from "./server_watch.ts";
@@ -27,8 +28,6 @@
  * daemon does not know the limit that the server named before.
  */
 const FIRST_REQUESTS = 4;
-/** Time before the drain bound at which a leaving server stops getting requests, in milliseconds. */
-const LEAVING_MARGIN_MS = 500;
 /** Weight of the newest interval of 300 ms in the moving average of the request rate. */
 const RATE_WEIGHT = 0.3;
 const MS_PER_SECOND = 1_000;
@@ -134,7 +133,7 @@
         return notRun(Reason.NotHolder, "This daemon does not hold the key", MOVE_RETRY_AFTER_MS);
       }
     }
-    if (!this.#mayStart()) {
+    if (!this.#mayStart(head)) {
       return notRun(
         Reason.Draining,
         "The backend server here takes no new work",
@@ -191,12 +190,16 @@
     return limit.isKnown ? slots : Math.min(slots, FIRST_REQUESTS);
   }
 
-  /** Whether the server may get further requests. */
-  #mayStart(): boolean {
+  /** Whether the server may get a request. */
+  #mayStart({ excludedServer }: RequestHead): boolean {
     const { watch, drainMs } = this.#options;
-    if (watch.report === undefined || !watch.isReachable || this.#isClosed) {
+    const { report } = watch;
+    if (report === undefined || !watch.isReachable || this.#isClosed) {
       return false;
     }
+    if (incarnationName(report) === excludedServer) {
+      watch.endDrain();
+    }
     const { leavingSince } = watch;
     return leavingSince === undefined || now() < leavingSince + drainMs - LEAVING_MARGIN_MS;
   }
@@ -209,7 +212,7 @@
     const { client, watch, grantManager, wire, onResult } = this.#options;
     const { deadline, signal } = options;
     const { report } = watch;
-    if (report === undefined || !this.#mayStart()) {
+    if (report === undefined || !this.#mayStart(head)) {
       return notRun(
         Reason.Draining,
         "The backend server here takes no new work",
@@ -232,7 +235,11 @@
     if (result.notice !== undefined) {
       watch.recordNotice(report, result.notice, { sentAt: startedAt });
     }
-    return this.#toResponse(head, result, options);
+    const response = this.#toResponse(head, result, options);
+    if (result.notice?.isLeaving) {
+      response.head.leavingServer = incarnationName(report);
+    }
+    return response;
   }
 
   #toResponse(
--- a/packages/router/src/runner_test.ts
+++ b/packages/router/src/runner_test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import {
+  incarnationName,
   type ServerReport,
   ServerState,
   type ServerWire,
@@ -143,6 +144,36 @@
     expect(last).to.include({ outcome: Outcome.NotRun, reason: Reason.Draining });
   });
 
+  it("sends nothing to a server after the drain bound has passed since it announced its leaving in a response", async () => {
+    const respond = (): ServerResult => ({
+      ...RESPONDED,
+      notice: { requestsPerSecond: undefined, isLeaving: true },
+    });
+    const { runner, watch, reachedAt } = createRunner({ respond });
+    watch.apply(report());
+    const { head } = await runner.serve(HEAD, undefined, NEVER);
+    const announcedAt = now();
+    expect(head.leavingServer).to.equal(incarnationName(REPORT));
+    watch.apply(report({ sequence: 2 }));
+    while (now() < announcedAt + DRAIN_MS + 200) {
+      await runner.serve(HEAD, undefined, NEVER);
+      await sleep(10);
+    }
+    expect(Math.max(...reachedAt)).to.be.below(announcedAt + DRAIN_MS);
+  });
+
+  it("sends nothing to a server that has left for a peer, although it reports to a restarted daemon", async () => {
+    const { runner, watch, reachedAt } = createRunner();
+    const excluded = { ...HEAD, excludedServer: incarnationName(REPORT) };
+    watch.apply(report({ state: ServerState.Draining }));
+    const { head } = await runner.serve(excluded, undefined, NEVER);
+    expect(head).to.include({ outcome: Outcome.NotRun, reason: Reason.Draining });
+    await runner.serve(HEAD, undefined, NEVER);
+    expect(reachedAt).to.deep.equal([]);
+    watch.apply(report({ bornMs: 2 }));
+    expect((await runner.serve(excluded, undefined, NEVER)).head.status).to.equal(200);
+  });
+
   it("sends nothing to a server that sent its farewell without draining first", async () => {
     const { runner, watch, reachedAt } = createRunner();
     watch.apply(report());
--- a/packages/router/src/server_watch.ts
+++ b/packages/router/src/server_watch.ts
@@ -40,8 +40,6 @@
   #receivedAt = Number.NEGATIVE_INFINITY;
   #connectionRefusedAt = Number.NEGATIVE_INFINITY;
   #leavingSince: number | undefined;
-  /** The incarnation that announced in a response that it leaves. */
-  #announcedLeaving: ServerIdentity | undefined;
   #limit: ServerLimit;
   #coldUntil = Number.NEGATIVE_INFINITY;
 
@@ -75,12 +73,6 @@
     return this.#limit;
   }
 
-  /** Whether the current incarnation announced in a response that it leaves. */
-  get hasAnnouncedLeaving(): boolean {
-    return this.#report !== undefined &&
-      isSameIncarnation(this.#report, this.#announcedLeaving);
-  }
-
   /** Whether the server is still in its warm-up after a start. */
   get isCold(): boolean {
     return this.#options.now() < this.#coldUntil;
@@ -132,6 +124,14 @@
     }
   }
 
+  /** Ends the time for new requests to the current incarnation, which announced to a peer that it leaves. */
+  endDrain(): void {
+    if (this.#leavingSince !== LONG_AGO) {
+      this.#leavingSince = LONG_AGO;
+      this.#changes.next();
+    }
+  }
+
   #applyFarewell(id: string): boolean {
     this.#departedIds.add(id);
     if (this.#report?.id !== id) {
@@ -162,8 +162,8 @@
       return;
     }
     let hasChanged = this.#limit.apply(notice, options);
-    if (notice.isLeaving && !this.hasAnnouncedLeaving) {
-      this.#announcedLeaving = server;
+    if (notice.isLeaving && this.#leavingSince === undefined) {
+      this.#leavingSince = this.#options.now();
       hasChanged = true;
     }
     if (hasChanged) {
