Do not take a repeated rejection of a server for that of the next request

Cause: a rejection without an id was accepted on any connection, and both attempts of a request may share one. A rejection without an id now counts only as the first response on its connection, where no earlier request can have caused it; otherwise the outcome is unknown. A request that the server rejected before is sent on a connection of its own.

The three new tests failed before: "not-run" instead of "unknown", and no response instead of that of the run.

--- a/packages/router/src/server_client.ts
+++ b/packages/router/src/server_client.ts
@@ -25,6 +25,8 @@
 const DEADLINE_MARGIN_MS = 40;
 /** Timeout of a health check, in milliseconds. */
 const HEALTH_TIMEOUT_MS = 400;
+/** Rejected requests that are remembered; a request that is sent once more follows its rejection within seconds. */
+const REJECTED_MAX = 1_000;
 const STATUS_OK = 200;
 /** Statuses that suggest that a request was not run; they count only with the server's own guarantee. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
@@ -84,6 +86,8 @@
     scheduling: "lifo",
   });
   readonly #orderAgent = new Agent({ keepAlive: true, timeout: IDLE_TIMEOUT_MS });
+  /** Ids of the last requests that the server rejected, the oldest first. */
+  readonly #rejectedIds = new Set<string>();
 
   constructor(options: ServerClientOptions) {
     this.#options = options;
@@ -120,7 +124,8 @@
     const { host, port } = this.#options.endpoint;
     const length = body === undefined ? [] : ["content-length", String(body.length)];
     const outgoing = request({
-      agent: this.#requestAgent,
+      // A rejection may be repeated on its connection, where it would look like that of the next attempt.
+      agent: this.#rejectedIds.has(head.id) ? false : this.#requestAgent,
       host,
       port,
       method: head.method,
@@ -169,7 +174,8 @@
       const message = await responded;
       const status = message.statusCode ?? 0;
       const responseHead = this.#options.wire.readResponse(status, message.headers);
-      const rejected = rejectHead(call, status, { responseHead });
+      const isFirstOnConnection = !outgoing.reusedSocket;
+      const rejected = rejectHead(call, status, { responseHead, isFirstOnConnection });
       if (rejected !== undefined) {
         // The next response on this connection may belong to an earlier request. Node.js detaches the socket
         // from the message at its end, when the agent may reuse it for the next request.
@@ -179,7 +185,7 @@
       // Node.js reports a response without a length as complete even if its connection was reset.
       const reset = new Promise<never>((_, reject) => outgoing.on("error", reject));
       const whole = await Promise.race([readBody(message), reset]);
-      const result = this.#classify(message, whole, { responseHead });
+      const result = this.#classify(message, whole, { id: call.head.id, responseHead });
       if (!outgoing.writableFinished) {
         usedSocket?.destroy();
       }
@@ -194,12 +200,15 @@
   #classify(
     message: IncomingMessage,
     body: Buffer,
-    options: { responseHead: ServerResponseHead },
+    options: { id: string; responseHead: ServerResponseHead },
   ): ServerResult {
     const { readHeaders } = this.#options;
     const status = message.statusCode ?? 0;
     const { responseHead } = options;
     const { load, notice } = responseHead;
+    if (responseHead.isMisdirected || responseHead.isNotRun) {
+      this.#recordRejected(options.id);
+    }
     if (responseHead.isMisdirected) {
       return { ...noResponse(ServerOutcome.Misdirected, `status ${status}`), load };
     }
@@ -223,6 +232,14 @@
     };
   }
 
+  #recordRejected(id: string): void {
+    this.#rejectedIds.add(id);
+    if (this.#rejectedIds.size > REJECTED_MAX) {
+      const [oldest] = this.#rejectedIds;
+      this.#rejectedIds.delete(oldest);
+    }
+  }
+
   /** Closes all connections and aborts requests in flight. */
   close(): void {
     this.#requestAgent.destroy();
@@ -234,12 +251,14 @@
 function rejectHead(
   call: ServerCall,
   status: number,
-  options: { responseHead: ServerResponseHead },
+  options: { responseHead: ServerResponseHead; isFirstOnConnection: boolean },
 ): ServerResult | undefined {
-  const { responseHead } = options;
+  const { responseHead, isFirstOnConnection } = options;
   const isRejection = responseHead.isMisdirected || responseHead.isNotRun;
-  // A late response to an earlier request, also a rejection, may arrive in place of this request's response.
-  if (responseHead.id !== call.head.id && !(isRejection && responseHead.id === undefined)) {
+  // A late response to an earlier request, also a rejection, may arrive in place of this request's response. Without
+  // an id, only the first response on a connection certainly belongs to its request.
+  const mayLackId = isRejection && isFirstOnConnection;
+  if (responseHead.id !== call.head.id && !(mayLackId && responseHead.id === undefined)) {
     return noResponse(
       ServerOutcome.Unknown,
       `an answer to request ${responseHead.id ?? "without id"}`,
--- a/packages/router/src/server_client_test.ts
+++ b/packages/router/src/server_client_test.ts
@@ -133,6 +133,64 @@
     expect((await withServer([script], send)).outcome).to.equal(ServerOutcome.NotRun);
   });
 
+  it("does not take an earlier rejection that is repeated without an id for that of the next request", async () => {
+    const rejection = "HTTP/1.1 503 No\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
+    const scripts: Script[] = [
+      (socket) => socket.write(rejection),
+      (socket) => socket.write(rejection),
+    ];
+    const outcomes = await withServer(scripts, async (client) => {
+      const first = await send(client);
+      return [first.outcome, (await send(client, { id: "r2" })).outcome];
+    });
+    expect(outcomes).to.deep.equal([ServerOutcome.NotRun, ServerOutcome.Unknown]);
+  });
+
+  for (const status of ["503 No", "421 No"]) {
+    it(`does not take the repeated rejection ${status} of an earlier attempt for that of the next one`, async () => {
+      const rejection = `HTTP/1.1 ${status}\r\nid: r1\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n`;
+      let rejectedOn: Socket | undefined;
+      const reject: Script = (socket) => {
+        rejectedOn = socket;
+        socket.write(rejection);
+      };
+      const run: Script = (socket) => {
+        const repeated = socket === rejectedOn ? rejection : "";
+        socket.write(repeated + encodeResponse("r1", "run"));
+      };
+      const result = await withServer([reject, run], async (client) => {
+        await send(client);
+        return await send(client);
+      });
+      expect(result.body?.toString()).to.equal("run");
+    });
+  }
+
+  for (
+    const [framing, whole] of [
+      ["a length", encodeResponse("r1", "the whole body")],
+      [
+        "chunks",
+        "HTTP/1.1 200 OK\r\nid: r1\r\nmark: m\r\ntransfer-encoding: chunked\r\n\r\n3\r\nthe\r\n0\r\n\r\n",
+      ],
+    ]
+  ) {
+    it(`reports an unknown outcome after a response with ${framing} that was cut at any byte`, async () => {
+      const scripts = Array.from(
+        { length: whole.length },
+        (_, end): Script => (socket) => socket.end(whole.slice(0, end)),
+      );
+      const outcomes = await withServer(scripts, async (client) => {
+        const results = [];
+        for (let cut = 0; cut < whole.length; cut++) {
+          results.push((await send(client)).outcome);
+        }
+        return results;
+      });
+      expect(outcomes).to.deep.equal(outcomes.map(() => ServerOutcome.Unknown));
+    });
+  }
+
   it("flags a response whose body ends only with the connection", async () => {
     const script: Script = (socket) =>
       socket.end("HTTP/1.1 200 OK\r\nid: r1\r\nmark: m\r\n\r\nall");
