Reject late requests of a stopping daemon, and respond to all open ones before it ends

Cause: no decision compared a request's deadline with the end of the stop, the stop waited for the requests at its own server only, and the end closed all connections of callers whatever was open. `Shutdown` decides which requests are still accepted: all soon after the signal, later only those whose deadlines pass before the end; the others are rejected at once. The stop waits for the requests of callers at other servers too, and those still open get a response that says that they may have run.

The two new tests of the router failed before, with a cut connection each: one request that ran at another instance's server for 1.8 s, and one that ran but could not end in time, which is now rejected and not run.

--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -6,7 +6,7 @@
 import type { Socket } from "node:net";
 import type { CallerWire, Endpoint, Manifest, Route } from "@bulrushwood/deployment";
 import { type Header, Reason, type RequestHead } from "@bulrushwood/protocol";
-import { ManifestRoutes, notRun, type RoutedResponse } from "@bulrushwood/routing";
+import { ManifestRoutes, notRun, type RoutedResponse, unknown } from "@bulrushwood/routing";
 import { now, Outcome } from "@bulrushwood/types";
 import { CallerConnection, type Exchange } from "./caller_connection.ts";
 import type { Dispatcher, DispatchRequest } from "./dispatcher.ts";
@@ -14,6 +14,7 @@
 import { readHeaders, toFlatHeaders } from "./headers.ts";
 import { nextPoll } from "./next_poll.ts";
 import { RequestStage } from "./request_stage.ts";
+import type { Shutdown } from "./shutdown.ts";
 
 /** Idle connections are kept this much longer than callers keep them, in milliseconds. */
 const IDLE_MARGIN_MS = 2_000;
@@ -36,7 +37,7 @@
   manifest: () => Manifest | undefined;
   dispatcher: Dispatcher;
   log: EventLog;
-  isEnding: () => boolean;
+  shutdown: Shutdown;
   onResponse: (route: Route, response: RoutedResponse, ms: number) => void;
 }
 
@@ -56,6 +57,8 @@
   #longestDeadlines = new Map<string, number>();
   readonly #connections = new WeakMap<Socket, CallerConnection>();
   #openRequests = 0;
+  /** Sends a response to each dispatched request that has none yet. */
+  readonly #undecided = new Set<(response: RoutedResponse) => void>();
 
   private constructor(options: CallerServerOptions) {
     this.#options = options;
@@ -179,6 +182,13 @@
       });
       return;
     }
+    const waitMs = Math.min(deadlineMs ?? route.timeoutMs, route.timeoutMs);
+    const deadline = arrivedAt + waitMs;
+    if (!this.#options.shutdown.mayAccept(deadline)) {
+      request.resume();
+      await this.#send(response, this.#rejectLate(), { id, exchange });
+      return;
+    }
     const body = await readBody(request, manifest.limits.bodyBytes);
     if (body === TOO_LARGE) {
       const detail = `The body must have at most ${manifest.limits.bodyBytes} bytes`;
@@ -191,26 +201,45 @@
     }
     const service = this.#routesFor(manifest).chooseService(route) ?? "";
     const isKeyed = manifest.services.get(service)?.isKeyed ?? false;
-    const waitMs = Math.min(deadlineMs ?? route.timeoutMs, route.timeoutMs);
     const head = this.#toHead(request, { id, route, service, key: isKeyed ? key : undefined });
     const dispatched: DispatchRequest = {
       head: { ...head, remainingMs: waitMs },
       route,
       body,
       targetAt: arrivedAt + route.targetMs - this.#elapsedBeforeMs(route, deadlineMs ?? waitMs),
-      deadline: arrivedAt + waitMs,
+      deadline,
       signal: exchange.signal,
       stage: RequestStage.Arrival,
     };
     await nextPoll();
-    const routed = exchange.signal.aborted
-      ? notRun(Reason.Cancelled, "The caller left before the request was dispatched")
-      : await this.#options.dispatcher.dispatch(dispatched);
+    const routed = await this.#dispatch(dispatched);
     this.#options.onResponse(route, routed, now() - arrivedAt);
     this.#logFailure(routed, dispatched, { ms: now() - arrivedAt });
     await this.#send(response, routed, { id, exchange });
   }
 
+  async #dispatch(request: DispatchRequest): Promise<RoutedResponse> {
+    const { dispatcher, shutdown } = this.#options;
+    if (request.signal.aborted) {
+      return notRun(Reason.Cancelled, "The caller left before the request was dispatched");
+    }
+    // The body may have taken long to arrive.
+    if (!shutdown.mayAccept(request.deadline)) {
+      return this.#rejectLate();
+    }
+    return await new Promise((resolve, reject) => {
+      this.#undecided.add(resolve);
+      dispatcher.dispatch(request)
+        .then(resolve, reject)
+        .finally(() => this.#undecided.delete(resolve));
+    });
+  }
+
+  #rejectLate(): RoutedResponse {
+    const { retryAfterMs } = this.#options.shutdown;
+    return notRun(Reason.Draining, "This daemon stops before the request's deadline", retryAfterMs);
+  }
+
   #routesFor(manifest: Manifest): ManifestRoutes {
     if (this.#routes === undefined || this.#routesManifest !== manifest) {
       this.#routes = new ManifestRoutes(manifest);
@@ -288,7 +317,7 @@
 
   /** Whether the response closes the connection: a stopping daemon closes it after the last request read from it. */
   #mustClose(exchange: Exchange): boolean {
-    const mustClose = this.#options.isEnding() && exchange.isLast;
+    const mustClose = this.#options.shutdown.isEnding && exchange.isLast;
     if (mustClose) {
       exchange.closeAfterResponse();
     }
@@ -341,13 +370,28 @@
     return toFlatHeaders(headers);
   }
 
+  /** Responds to all open requests, which may have run. */
+  #respondToOpen(): void {
+    const response = unknown(
+      Reason.LinkBroken,
+      "This daemon stops before the server has responded",
+    );
+    this.#undecided.forEach((respond) => respond(response));
+  }
+
   /** Stops accepting connections; resolves when all requests have their responses or the timeout has passed. */
   async close(options: { timeoutMs: number }): Promise<void> {
+    const { shutdown } = this.#options;
     const closed = new Promise<void>((resolve) => this.#server.close(() => resolve()));
     this.#server.closeIdleConnections();
-    const timer = setTimeout(() => this.#server.closeAllConnections(), options.timeoutMs);
+    const { timeoutMs } = options;
+    const respondAfterMs = Math.min(timeoutMs, shutdown.lastResponsesAt - now());
+    const timers = [
+      setTimeout(() => this.#respondToOpen(), respondAfterMs),
+      setTimeout(() => this.#server.closeAllConnections(), timeoutMs),
+    ];
     await closed;
-    clearTimeout(timer);
+    timers.forEach((timer) => clearTimeout(timer));
   }
 }
 
--- a/packages/router/src/caller_server_test.ts
+++ b/packages/router/src/caller_server_test.ts
@@ -5,10 +5,11 @@
 import { type Manifest, RouteKind } from "@bulrushwood/deployment";
 import type { RoutedResponse } from "@bulrushwood/routing";
 import { findFreePort } from "@bulrushwood/stand_ins";
-import { sleep } from "@bulrushwood/types";
+import { now, sleep } from "@bulrushwood/types";
 import { PIPELINED_MAX } from "./caller_connection.ts";
 import { CallerServer } from "./caller_server.ts";
 import type { Dispatcher, DispatchRequest } from "./dispatcher.ts";
+import { Shutdown } from "./shutdown.ts";
 
 const HOST = "127.0.0.1";
 const MANIFEST: Manifest = {
@@ -59,7 +60,7 @@
 async function runScenario(test: (scenario: Scenario) => Promise<void>): Promise<void> {
   const dispatcher = new FakeDispatcher();
   const port = await findFreePort();
-  let isEnding = false;
+  const shutdown = new Shutdown({ now, shutdownMs: 6_000 });
   const server = await CallerServer.listen({
     endpoint: { host: HOST, port },
     wire: {
@@ -71,7 +72,7 @@
     manifest: () => MANIFEST,
     dispatcher: dispatcher as unknown as Dispatcher,
     log: () => {},
-    isEnding: () => isEnding,
+    shutdown,
     onResponse: () => {},
   });
   let received = "";
@@ -86,7 +87,7 @@
       socket,
       received: () => received,
       isClosed: () => isClosed,
-      end: () => isEnding = true,
+      end: () => shutdown.begin(),
     });
   } finally {
     socket.destroy();
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -73,6 +73,7 @@
 import { ServerClient } from "./server_client.ts";
 import { ServerView } from "./server_view.ts";
 import { ServerWatch } from "./server_watch.ts";
+import { Shutdown } from "./shutdown.ts";
 import { handleReadiness, handleReports, SideServer } from "./side_servers.ts";
 
 /** Longest wait of a read of the manifest's topic, in milliseconds; peers send newer records as well. */
@@ -93,8 +94,6 @@
 const SAVED_RETRIES_MAX = 5;
 /** Time from the stop signal until the caller listener closes, so that readiness checks fail first, in milliseconds. */
 const STOP_LINGER_MS = 2_600;
-/** Margin between the end of a graceful stop and the time when the process is killed, in milliseconds. */
-const END_MARGIN_MS = 600;
 /** Shortest delay of a forwarded request in transit that is logged, in milliseconds. */
 const SLOW_TRANSIT_MS = 250;
 /** Time between a stopping daemon's checks for open requests, in milliseconds. */
@@ -164,7 +163,7 @@
   #callers!: CallerServer;
   /** Services without keys; any of their servers may run a request. */
   #unkeyedServices: ReadonlySet<string> = new Set();
-  #isEnding = false;
+  readonly #shutdown: Shutdown;
   #loggedServerState = "";
 
   private constructor(options: RouterOptions) {
@@ -172,6 +171,7 @@
     this.#settings = settings;
     this.#adapter = adapter;
     this.#log = log;
+    this.#shutdown = new Shutdown({ now, ...settings.bounds });
     const { peers } = settings.listen;
     this.#self = `${peers.host}:${peers.port}`;
     const call = this.#callPeer.bind(this);
@@ -289,7 +289,7 @@
       openBodies: () => this.#longBodies.open,
       table: () => table.table.value,
       isKeyed: () => this.#isKeyed,
-      isEnding: () => this.#isEnding,
+      isEnding: () => this.#shutdown.isEnding,
     });
     this.#keyTransfers = new KeyTransfers({
       self,
@@ -300,7 +300,7 @@
       candidates: () => this.#view.candidates(),
       probe: () => this.#probe(),
       notifyPeers: () => this.#heartbeats.sendNow(),
-      isEnding: () => this.#isEnding,
+      isEnding: () => this.#shutdown.isEnding,
       hasStore: () => this.#hasStore,
       log,
     });
@@ -312,7 +312,7 @@
       supportMs,
       table,
       heartbeats: this.#heartbeats,
-      mayPlan: () => this.#isKeyed && !this.#isEnding && this.#reachesStore,
+      mayPlan: () => this.#isKeyed && !this.#shutdown.isEnding && this.#reachesStore,
       candidates: () => this.#view.candidates(),
       call,
       transferOwn: (moves) => this.#keyTransfers.transferMoves(moves),
@@ -330,7 +330,7 @@
   async #start(): Promise<void> {
     const { listen, instance, service, dataCentre } = this.#settings;
     this.#log(Event.Started, { address: this.#self, incarnation: this.#incarnation, service });
-    const isReady = () => this.#currentManifest.manifest !== undefined && !this.#isEnding;
+    const isReady = () => this.#currentManifest.manifest !== undefined && !this.#shutdown.isEnding;
     await this.#listenSide(listen.ready, handleReadiness(isReady));
     const channel = this.#reportChannel;
     const respond = channel && channel.respond.bind(channel);
@@ -359,7 +359,7 @@
       manifest: () => this.#currentManifest.manifest,
       dispatcher: this.#createDispatcher(),
       log: this.#log,
-      isEnding: () => this.#isEnding,
+      shutdown: this.#shutdown,
       onResponse: (route, response, ms) => this.#metrics.recordResponse(route, response, ms),
     });
     this.#currentManifest.changes.subscribe((manifest) => {
@@ -505,7 +505,8 @@
 
   /** Returns the backend server if it may be entered as an owner of keys. */
   #ownServer(): OwnServer | undefined {
-    const mayNotOwn = this.#isEnding || this.#keyTransfers.isTransferring || !this.#isKeyed;
+    const mayNotOwn = this.#shutdown.isEnding || this.#keyTransfers.isTransferring ||
+      !this.#isKeyed;
     return mayNotOwn ? undefined : this.#watch.ready;
   }
 
@@ -526,7 +527,7 @@
       incarnation: this.#incarnation,
       service,
       dataCentre,
-      isLeaving: this.#isEnding,
+      isLeaving: this.#shutdown.isEnding,
       hasStore: this.#reachesStore,
       server: this.#view.status(options),
     };
@@ -662,12 +663,12 @@
 
   /** Stops gracefully: fails readiness checks, transfers all keys and responds to all open requests. */
   async leave(): Promise<void> {
-    if (this.#isEnding) {
+    if (this.#shutdown.isEnding) {
       return;
     }
     const startedAt = now();
-    const endAt = startedAt + this.#settings.bounds.shutdownMs - END_MARGIN_MS;
-    this.#isEnding = true;
+    this.#shutdown.begin();
+    const { endAt } = this.#shutdown;
     this.#log(Event.Stopping);
     this.#heartbeats.sendNow();
     const transferred = this.#keyTransfers.transferAllBeforeEnd();
@@ -679,7 +680,7 @@
     ]);
     this.#longBodies.close();
     this.#runner.rejectNew();
-    while (this.#runner.open > 0 && now() < endAt) {
+    while (this.#runner.open + this.#callers.open > 0 && now() < endAt) {
       await sleep(END_CHECK_MS);
     }
     this.#log(Event.Stopped, { afterMs: Math.round(now() - startedAt) });
@@ -687,7 +688,7 @@
 
   /** Stops at once and aborts all requests in flight. */
   async close(): Promise<void> {
-    this.#isEnding = true;
+    this.#shutdown.begin();
     this.#stop.abort();
     this.#loopDelay.close();
     this.#sideServers.forEach((side) => side.close());
--- a/packages/router/src/router_test.ts
+++ b/packages/router/src/router_test.ts
@@ -1,5 +1,6 @@
 import { Buffer } from "node:buffer";
 import { createServer, request, type Server } from "node:http";
+import { connect } from "node:net";
 import { expect } from "chai";
 import { Result } from "true-myth";
 import {
@@ -61,6 +62,8 @@
 class FakeServer {
   readonly id: string;
   readonly ran: string[] = [];
+  /** Time that each request takes, in milliseconds. */
+  serviceMs = SERVICE_MS;
   /** Number of reports that this incarnation has sent. */
   reports = 0;
   port = 0;
@@ -202,7 +205,7 @@
     }
     this.ran.push(id);
     this.#runningKeys.push(key);
-    await sleep(SERVICE_MS);
+    await sleep(this.serviceMs);
     this.#runningKeys.splice(this.#runningKeys.indexOf(key), 1);
     response.writeHead(200, { id, mark: this.id }).end(`${key} by ${this.id}`);
   }
@@ -479,6 +482,50 @@
   return longest;
 }
 
+/** Opens a connection; the returned function sends a request on it and resolves to the status, 0 for none. */
+async function openConnection(instance: Instance, key: number) {
+  const socket = connect(instance.callers, HOST);
+  await new Promise((resolve) => socket.once("connect", resolve));
+  return (id: string) => {
+    socket.write(`GET /x HTTP/1.1\r\nhost: h\r\nid: ${id}\r\nkey: ${key}\r\n\r\n`);
+    return new Promise<number>((resolve) => {
+      socket.once("data", (head) => resolve(Number(head.toString().split(" ")[1])));
+      socket.once("error", () => resolve(0));
+      socket.once("close", () => resolve(0));
+    });
+  };
+}
+
+describe("router: planned stop", () => {
+  /** Stops an ingress and sends it a request at some time after the signal, for a server of another instance. */
+  async function requestDuringStop(options: { afterMs: number; serviceMs: number }) {
+    const instances = await startThree(GrantDelivery.Orders);
+    const key = SOME_KEYS[0];
+    const owner = instances.find(({ server }) => server.holds(key))!;
+    const ingress = instances.find((instance) => instance !== owner)!;
+    const send = await openConnection(ingress, key);
+    owner.server.serviceMs = options.serviceMs;
+    // The process exits at the end of a graceful stop.
+    const stopped = ingress.router.leave().then(() => ingress.router.close());
+    await sleep(options.afterMs);
+    const status = await send("late");
+    await stopped;
+    const hasRun = owner.server.ran.includes("late");
+    await closeAll(instances);
+    return { status, hasRun };
+  }
+
+  it("responds to requests that still run at the servers of other instances", async () => {
+    expect(await requestDuringStop({ afterMs: 2_400, serviceMs: 1_800 }))
+      .to.deep.equal({ status: 200, hasRun: true });
+  });
+
+  it("rejects at once a request whose deadline is after the end", async () => {
+    expect(await requestDuringStop({ afterMs: 3_600, serviceMs: 1_900 }))
+      .to.deep.equal({ status: 503, hasRun: false });
+  });
+});
+
 describe("router: speed of grants in reports", () => {
   it("moves a key with a gap of at most one report interval and a margin", async () => {
     const instances = await startThree(GrantDelivery.Reports);
