Count the request limit of a server as its capacity when keys are placed and servers are chosen

Cause: the planner and the choice between servers without keys knew the slots and service times only. Status reports now name the limit: it bounds a server's capacity in the plan, and the choice expects the wait that it causes.

--- a/packages/planner_ranges/src/planner_ranges_test.ts
+++ b/packages/planner_ranges/src/planner_ranges_test.ts
@@ -71,6 +71,26 @@
     expect(moved).to.be.within(45, 66);
   });
 
+  it("moves keys from servers that name a request limit to those without one", () => {
+    const servers = [
+      loaded("free", 0, 40),
+      loaded("limited", 1_000, 40),
+      loaded("none", 2_000, 40),
+    ];
+    const limited = (perSecond: number, server: Candidate) => ({
+      ...server,
+      requestsPerSecond: perSecond,
+    });
+    const moves = rebalance([servers[0], limited(20, servers[1]), limited(0, servers[2])]);
+    const movedFrom = (address: string) =>
+      moves.filter(({ from }) => from === address).reduce((sum, move) => sum + sizeOf(move), 0);
+    expect(moves.every(({ to }) => to === "free")).to.equal(true);
+    // All servers together accept 140 requests a second, 20 of them at the limited one, and get 120.
+    expect(movedFrom("limited") / 200).to.be.within(0.4, 0.65);
+    expect(movedFrom("none") / 200).to.be.above(0.9);
+    expect(rebalance(servers)).to.deep.equal([]);
+  });
+
   it("moves keys from a server with queued requests before its rate shows the load", () => {
     const hot = { ...loaded("hot", 0, 40), waiting: 12 };
     const rest = [loaded("b", 1_000, 12), loaded("c", 2_000, 12)];
--- a/packages/router/src/server_view.ts
+++ b/packages/router/src/server_view.ts
@@ -78,7 +78,8 @@
     }
     // The local queue is read directly; that of peers comes with each heartbeat.
     const { running, waiting } = isOwn ? runner : status.load;
-    return { running, waiting, slots: status.slots, serviceMs: status.load.serviceMs };
+    const { slots, requestsPerSecond, load: { serviceMs } } = status;
+    return { running, waiting, slots, requestsPerSecond, serviceMs };
   }
 
   /** Returns whether a daemon is in the same data centre. */
@@ -132,7 +133,7 @@
   /** Returns the status of this daemon's server that is sent to peers; null before its first report. */
   status(options: { withPieces: boolean }): ServerStatus | null {
     const { watch } = this.#options;
-    const { report, leavingSince, isReachable, isCold } = watch;
+    const { report, leavingSince, isReachable, isCold, limit } = watch;
     if (report === undefined) {
       return null;
     }
@@ -142,6 +143,7 @@
       id: report.id,
       bornMs: report.bornMs,
       slots: report.slots,
+      requestsPerSecond: limit.requestsPerSecond,
       state: leavingSince === undefined ? ServerState.Ready : ServerState.Draining,
       isCold,
       isReachable,
@@ -183,11 +185,12 @@
     );
   }
 
-  #toCandidate(address: Address, { slots, isCold, load }: ServerStatus): Candidate {
+  #toCandidate(address: Address, status: ServerStatus): Candidate {
+    const { slots, requestsPerSecond, isCold, load } = status;
     const { serviceMs, waiting, pieces } = load;
     // The rate of the pieces follows a load spike sooner than the moving average.
     const rate = pieces.length > 0 ? pieces.reduce((sum, piece) => sum + piece.rate, 0) : load.rate;
     const keys = countKeys(rangesOf(this.#options.table(), address));
-    return { address, slots, rate, serviceMs, waiting, isCold, pieces, keys };
+    return { address, slots, requestsPerSecond, rate, serviceMs, waiting, isCold, pieces, keys };
   }
 }
--- a/packages/router/src/server_view_test.ts
+++ b/packages/router/src/server_view_test.ts
@@ -12,13 +12,20 @@
 const REPORT: Partial<ServerReport> = { id: "s1", bornMs: 1, slots: 4, state: ServerState.Ready };
 
 /** Creates the view of a daemon whose server has `openBodies` requests with bodies under way. */
-function createView(options: { meter?: LoadMeter; openBodies?: number } = {}) {
-  const { meter = new LoadMeter(now), openBodies = 0 } = options;
+function createView(
+  options: { meter?: LoadMeter; openBodies?: number; requestsPerSecond?: number } = {},
+) {
+  const { meter = new LoadMeter(now), openBodies = 0, requestsPerSecond } = options;
   return new ServerView({
     self: "d1",
     settings: {} as DeploymentSettings,
     heartbeats: {} as Heartbeats,
-    watch: { report: REPORT, isReachable: true, isCold: false } as ServerWatch,
+    watch: {
+      report: REPORT,
+      isReachable: true,
+      isCold: false,
+      limit: { requestsPerSecond },
+    } as ServerWatch,
     runner: {
       meter,
       measure: () => ({ rate: 5, serviceMs: 20, running: 1, waiting: 2 }),
@@ -56,4 +63,10 @@
     const { load } = createView({ openBodies: 3 }).status({ withPieces: false })!;
     expect(load.waiting).to.equal(2 + 3);
   });
+
+  it("reports the request limit of the server, also to the local choice", () => {
+    const view = createView({ requestsPerSecond: 12.4 });
+    expect(view.status({ withPieces: false })?.requestsPerSecond).to.equal(12.4);
+    expect(view.loadOf("d1")?.requestsPerSecond).to.equal(12.4);
+  });
 });
--- a/packages/routing/src/two_choices.ts
+++ b/packages/routing/src/two_choices.ts
@@ -28,6 +28,9 @@
 const LOCAL_SLOTS_SHARE = 0.5;
 /** A local server is preferred while it is expected to respond at most this factor later than another. */
 const LOCAL_DELAY_FACTOR = 1.5;
+/** Smallest concurrency that is assumed for a server with a request limit, so that its expected time is finite. */
+const CONCURRENCY_MIN = 0.02;
+const MS_PER_SECOND = 1_000;
 
 /** The load that a backend server reported, some tenths of a second old. */
 export interface ServerLoad {
@@ -35,6 +38,8 @@
   waiting: number;
   /** Requests that the server runs at once. */
   slots: number;
+  /** Requests a second that the server accepts; undefined where it names no limit. */
+  requestsPerSecond?: number;
   /** Mean service time of one request, in milliseconds; 0 while unknown. */
   serviceMs: number;
 }
@@ -87,7 +92,7 @@
   #hasSpareSlots(server: Address): boolean {
     const load = this.#options.loadOf?.(server);
     return load !== undefined &&
-      openRequests(load, this.#statsOf(server).inFlight) < load.slots * LOCAL_SLOTS_SHARE;
+      openRequests(load, this.#statsOf(server).inFlight) < concurrencyOf(load) * LOCAL_SLOTS_SHARE;
   }
 
   /** Returns two random servers, the one that is expected to respond sooner first. */
@@ -165,6 +170,14 @@
   }
 }
 
+/** Number of requests that a server runs at once, which a request limit may keep below its slots. */
+function concurrencyOf({ slots, serviceMs, requestsPerSecond }: ServerLoad): number {
+  const most = Math.max(1, slots);
+  return requestsPerSecond === undefined
+    ? most
+    : Math.min(most, Math.max(CONCURRENCY_MIN, requestsPerSecond * serviceMs / MS_PER_SECOND));
+}
+
 /** Number of requests at a server: as it reported, or this daemon's own in flight where those are more. */
 function openRequests(load: ServerLoad, inFlight: number): number {
   return Math.max(inFlight, load.running + load.waiting);
@@ -172,7 +185,7 @@
 
 /** Expected time until a server responds to one more request, in milliseconds. */
 function expectedMs(load: ServerLoad, inFlight: number): number {
-  const slots = Math.max(1, load.slots);
+  const slots = concurrencyOf(load);
   const ahead = openRequests(load, inFlight);
   const queued = Math.max(0, ahead + 1 - slots) / slots;
   const busy = Math.min(1, ahead / slots);
--- a/packages/routing/src/two_choices_test.ts
+++ b/packages/routing/src/two_choices_test.ts
@@ -8,47 +8,65 @@
 interface Server {
   name: string;
   serviceMs: number;
-  /** End time of each request at the server; queued requests have later end times. */
-  ends: number[];
+  /** Requests a second that it accepts. */
+  perSecond?: number;
+  /** When the next request may start at that rate. */
+  mayStartAt: number;
+  /** Requests at the server; queued requests have later times. */
+  requests: { startAt: number; endAt: number }[];
 }
 
 /** Share of requests that left the data centre, and mean response time. */
 interface SimulationResult {
   remoteShare: number;
   meanMs: number;
+  /** Requests that the first server got. */
+  toFirst: number;
 }
 
 /** Simulates callers in three data centres with one server in each, whose load is reported every 200 ms. */
 function simulate(
-  options: { ratePerCentre: number; slowFactor: number; isLocalFirst: boolean },
+  options: {
+    ratePerCentre: number;
+    slowFactor: number;
+    isLocalFirst: boolean;
+    /** Requests a second that the first server accepts, and whether its daemon reports that. */
+    limit?: { perSecond: number; isReported: boolean };
+  },
 ): SimulationResult {
   const random = createRandom(3);
   const clock = { now: 0 };
   const servers = new Map(CENTRES.map((name, index): [string, Server] => [
     name,
-    { name, serviceMs: index === 0 ? 100 * options.slowFactor : 100, ends: [] },
+    {
+      name,
+      serviceMs: index === 0 ? 100 * options.slowFactor : 100,
+      perSecond: index === 0 ? options.limit?.perSecond : undefined,
+      mayStartAt: 0,
+      requests: [],
+    },
   ]));
-  const reported = new Map(CENTRES.map((name) => [name, 0]));
+  const reported = new Map(CENTRES.map((name) => [name, { running: 0, waiting: 0 }]));
   const choosers = CENTRES.map((centre) =>
     new TwoChoices({
       now: () => clock.now,
       random,
       loadOf: (name) => {
-        const open = reported.get(name)!;
-        const { serviceMs } = servers.get(name)!;
-        const running = Math.min(open, SLOTS);
-        return { running, waiting: open - running, slots: SLOTS, serviceMs };
+        const { serviceMs, perSecond } = servers.get(name)!;
+        const requestsPerSecond = options.limit?.isReported ? perSecond : undefined;
+        return { ...reported.get(name)!, slots: SLOTS, serviceMs, requestsPerSecond };
       },
       isLocal: options.isLocalFirst ? (name) => name === centre : undefined,
     })
   );
   const inFlight: { at: number; end: (succeeded: boolean) => void }[] = [];
-  let [sent, remote, totalMs] = [0, 0, 0];
+  let [sent, remote, totalMs, toFirst] = [0, 0, 0, 0];
   for (; clock.now < 20_000; clock.now++) {
     for (const server of servers.values()) {
-      server.ends = server.ends.filter((end) => end > clock.now);
+      server.requests = server.requests.filter(({ endAt }) => endAt > clock.now);
       if (clock.now % 200 === 0) {
-        reported.set(server.name, server.ends.length);
+        const waiting = server.requests.filter(({ startAt }) => startAt > clock.now).length;
+        reported.set(server.name, { running: server.requests.length - waiting, waiting });
       }
     }
     inFlight.filter(({ at }) => at === clock.now).forEach(({ end }) => end(true));
@@ -58,17 +76,19 @@
       }
       const [name] = choosers[index].choose(CENTRES);
       const server = servers.get(name)!;
-      const busyUntil = [...server.ends].sort((left, right) => right - left)[SLOTS - 1] ??
-        clock.now;
-      const at = Math.ceil(Math.max(clock.now, busyUntil) + server.serviceMs);
-      server.ends.push(at);
+      const ends = server.requests.map(({ endAt }) => endAt).sort((left, right) => right - left);
+      const startAt = Math.max(clock.now, ends[SLOTS - 1] ?? 0, server.mayStartAt);
+      const at = Math.ceil(startAt + server.serviceMs);
+      server.mayStartAt = startAt + 1_000 / (server.perSecond ?? Infinity);
+      server.requests.push({ startAt, endAt: at });
       inFlight.push({ at, end: choosers[index].begin(name) });
       sent++;
       remote += name === centre ? 0 : 1;
       totalMs += at - clock.now;
+      toFirst += name === CENTRES[0] ? 1 : 0;
     });
   }
-  return { remoteShare: remote / sent, meanMs: totalMs / sent };
+  return { remoteShare: remote / sent, meanMs: totalMs / sent, toFirst };
 }
 
 describe("choosing a server of a service without keys", () => {
@@ -93,6 +113,16 @@
     expect(localFirst.meanMs / uniform.meanMs).to.be.below(1.1);
   });
 
+  for (const [perSecond, ratePerCentre] of [[10, 20], [10, 50], [25, 40]]) {
+    it(`sends a server that accepts ${perSecond} a second little more, at ${ratePerCentre} a second for each`, () => {
+      const load = { ratePerCentre, slowFactor: 1, isLocalFirst: true };
+      const aware = simulate({ ...load, limit: { perSecond, isReported: true } });
+      const unaware = simulate({ ...load, limit: { perSecond, isReported: false } });
+      expect(aware.toFirst / 20).to.be.below(1.15 * perSecond);
+      expect(aware.meanMs).to.be.below(unaware.meanMs);
+    });
+  }
+
   it("chooses among remote servers where none is local", () => {
     const choices = new TwoChoices({ now: () => 0, random: Math.random, isLocal: () => false });
     expect(choices.choose(["a", "b"])).to.have.members(["a", "b"]);
