Reject at once what urgent requests keep from a server with a request limit

What callers saw: at a server that names a limit, requests were queued and rejected only shortly before their deadline: with 12 urgent and 28 other requests a second at a limit of 20, 47% of the others waited for longer than an eighth of their target and were then rejected.

Cause: the expected wait counted the requests that were queued, not the urgent ones that keep coming and start first. It now divides by the rate that recent urgent starts leave. A queued request that is too late for its target is overtaken by newer ones, so it stays only if its wait is short.

--- a/packages/admission/src/gate.ts
+++ b/packages/admission/src/gate.ts
@@ -25,6 +25,11 @@
 const MIN_SERVICE_SHARE = 0.5;
 /** A response is late when it is expected more than this share of the service time after its target. */
 const LATE_MARGIN_SHARE = 1;
+/**
+ * The same share when a request arrives at a server with a request limit. It is smaller, so that a request that was
+ * queued is not rejected for a small change of what is expected.
+ */
+const LIMITED_MARGIN_SHARE = 0;
 /** Late requests are queued while their expected wait is at most this share of the service time. */
 const LATE_WAIT_SHARE = 1;
 /** Time between checks for queued requests that can no longer meet their deadline, in milliseconds. */
@@ -139,36 +144,57 @@
     if (request.signal.aborted) {
       return Promise.resolve(cancelled());
     }
-    const mayStart = this.running < limit() && this.#startRate.waitMs(0) === 0;
+    const mayStart = this.running < limit() && this.#startRate.nextMs === 0;
     if (mayStart && this.#queue.length === 0) {
-      return Promise.resolve(Result.ok(this.#takeSlot(request.workClass, now())));
+      return Promise.resolve(Result.ok(this.#takeSlot(request, now())));
     }
     const waitMs = this.#expectedWaitMs(request);
+    const marginShare = this.#startRate.isLimited ? LIMITED_MARGIN_SHARE : LATE_MARGIN_SHARE;
+    return this.#isWorthQueueing(request, waitMs, { marginShare })
+      ? this.#enqueue(request)
+      : Promise.resolve(this.#reject(waitMs));
+  }
+
+  /** Whether a request that waits for `waitMs` is expected to be served in time, or late after a short wait. */
+  #isWorthQueueing(
+    request: GateRequest,
+    waitMs: number,
+    options: { marginShare: number },
+  ): boolean {
     const serviceMs = this.#serviceMsFor(request.workClass);
-    const respondedAt = now() + waitMs + serviceMs;
+    const respondedAt = this.#options.now() + waitMs + serviceMs;
     // Short requests delay others little, so the mean service time of all classes is the least margin.
     const usualMs = Math.max(serviceMs, this.#meanServiceMs);
-    const isLate = respondedAt > request.targetAt + usualMs * LATE_MARGIN_SHARE;
-    if (respondedAt > request.deadline || (isLate && waitMs > usualMs * LATE_WAIT_SHARE)) {
-      return Promise.resolve(this.#reject(waitMs));
-    }
-    return this.#enqueue(request);
+    const isLate = respondedAt > request.targetAt + usualMs * options.marginShare;
+    return respondedAt <= request.deadline && !(isLate && waitMs > usualMs * LATE_WAIT_SHARE);
+  }
+
+  /**
+   * Whether a queued request is expected to be served before its deadline. Once it is too late for its target, newer
+   * requests start before it, so it stays only if its wait is short.
+   */
+  #mayStayQueued(request: GateRequest, waitMs: number): boolean {
+    const at = this.#options.now();
+    const serviceMs = this.#serviceMsFor(request.workClass);
+    const isLate = at + serviceMs > request.targetAt;
+    return at + waitMs + serviceMs <= request.deadline &&
+      !(isLate && waitMs > serviceMs * LATE_WAIT_SHARE);
   }
 
   /** Expected time until a new request starts, in milliseconds. */
   #expectedWaitMs(request: GateRequest): number {
     const at = this.#options.now();
     const ahead = this.#queue.filter((queued) => this.#precedes(queued.request, request, at));
-    return this.#waitBehindMs(ahead);
+    return this.#waitBehindMs(ahead, request.priority);
   }
 
   /**
    * Expected time until a request behind queued ones starts, in milliseconds: until the start rate allows it, and,
    * where the slots are taken, the work ahead and one running request, divided by the slots.
    */
-  #waitBehindMs(ahead: QueuedRequest[]): number {
+  #waitBehindMs(ahead: QueuedRequest[], priority: number): number {
     const slots = Math.max(1, this.#options.limit());
-    const rateMs = this.#startRate.waitMs(ahead.length);
+    const rateMs = this.#startRate.expectedMs(ahead.length, priority);
     if (this.running + ahead.length < slots) {
       return rateMs;
     }
@@ -233,13 +259,13 @@
 
   #rejectExpired(): void {
     const now = this.#options.now();
-    const isExpired = ({ request: { deadline, workClass } }: QueuedRequest, waitMs: number) =>
-      deadline < now + waitMs + this.#serviceMsFor(workClass) * MIN_SERVICE_SHARE;
     const expired = this.#startRate.isLimited
-      ? this.#inOrder(now).filter((queued, index) =>
-        isExpired(queued, this.#startRate.waitMs(index))
+      ? this.#inOrder(now).filter(({ request }, index) =>
+        !this.#mayStayQueued(request, this.#startRate.expectedMs(index, request.priority))
       )
-      : this.#queue.filter((queued) => isExpired(queued, 0));
+      : this.#queue.filter(({ request: { deadline, workClass } }) =>
+        deadline < now + this.#serviceMsFor(workClass) * MIN_SERVICE_SHARE
+      );
     for (const queued of expired) {
       this.#remove(queued);
       queued.settle(this.#reject(this.#expectedWaitMs(queued.request)));
@@ -253,12 +279,12 @@
     return [...this.#queue].sort((one, other) => precedes(other, one) - precedes(one, other));
   }
 
-  #takeSlot(workClass: string, since: number): Slot {
+  #takeSlot({ workClass, priority }: GateRequest, since: number): Slot {
     const { now } = this.#options;
     const startedAt = now();
     const run = { workClass, startedAt };
     this.#runs.add(run);
-    this.#startRate.recordStart();
+    this.#startRate.recordStart(priority);
     const release = () => {
       if (!this.#runs.delete(run)) {
         return;
@@ -285,7 +311,7 @@
     this.#startTimer = undefined;
     this.#rejectExpired();
     while (this.running < limit() && this.#queue.length > 0) {
-      const waitMs = this.#startRate.waitMs(0);
+      const waitMs = this.#startRate.nextMs;
       if (waitMs > 0) {
         this.#startTimer = setTimeout(() => this.#dispatch(), Math.ceil(waitMs));
         return;
@@ -295,7 +321,7 @@
         this.#precedes(first.request, queued.request, at) ? first : queued
       );
       this.#remove(next);
-      next.settle(Result.ok(this.#takeSlot(next.request.workClass, next.since)));
+      next.settle(Result.ok(this.#takeSlot(next.request, next.since)));
     }
   }
 
--- a/packages/admission/src/gate_test.ts
+++ b/packages/admission/src/gate_test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { now } from "@bulrushwood/types";
+import { now, sleep } from "@bulrushwood/types";
 import { AdmissionErrorKind, Gate, type GateRequest } from "./mod.ts";
 
 const NEVER = new AbortController().signal;
@@ -190,6 +190,39 @@
     expect(rejected.isErr && rejected.error.retryAfterMs).to.be.within(300, 1_000);
   });
 
+  it("holds no request for long that urgent ones keep from starting in time", async () => {
+    const gate = new Gate({ now, limit: () => 8, perSecond: () => 20, random: () => 0.5 });
+    const results: { priority: number; isServed: boolean; ms: number }[] = [];
+    const enter = async (priority: number) => {
+      const startedAt = now();
+      const entered = await gate.enter(
+        createRequest({ priority, targetAt: startedAt + 400, deadline: startedAt + 1_500 }),
+      );
+      results.push({ priority, isServed: entered.isOk, ms: now() - startedAt });
+      if (entered.isOk) {
+        setTimeout(entered.value.release, 100);
+      }
+    };
+    const requests = [];
+    for (let index = 0; index < 240; index++) {
+      // Twelve urgent requests a second, and twenty-eight others.
+      requests.push(enter(index % 10 < 3 ? 0 : 2));
+      await sleep(25);
+    }
+    await Promise.all(requests);
+    gate.close();
+    const others = results.slice(40).filter(({ priority }) => priority > 0);
+    const served = others.filter(({ isServed }) => isServed);
+    const heldLong = others.filter(({ isServed, ms }) => !isServed && ms > 400 / 8);
+    const inTime = served.filter(({ ms }) => ms + 100 <= 400);
+    expect(results.filter(({ priority, isServed }) => priority === 0 && !isServed)).to.have.length(
+      0,
+    );
+    expect(served.length, "served").to.be.above(0.8 * 5 * 8);
+    expect(heldLong.length / others.length, "held long and rejected").to.be.below(0.05);
+    expect(inTime.length / served.length, "served within the target").to.be.above(0.6);
+  });
+
   it("rejects a queued request at once when urgent ones take the starts before its deadline", async () => {
     const clock = { now: 0 };
     const gate = createGate(clock, 8, { perSecond: 10 });
--- a/packages/admission/src/start_rate_test.ts
+++ b/packages/admission/src/start_rate_test.ts
@@ -22,8 +22,8 @@
   const rate = new StartRate({ now: () => clock.now, perSecond: () => perSecond(clock.now) });
   const starts: number[] = [];
   for (; clock.now < untilMs; clock.now += STEP_MS) {
-    while (perSecond(clock.now) !== undefined && rate.waitMs(0) === 0) {
-      rate.recordStart();
+    while (perSecond(clock.now) !== undefined && rate.nextMs === 0) {
+      rate.recordStart(0);
       starts.push(clock.now);
     }
   }
@@ -52,6 +52,22 @@
 
   it("tells how long the next requests wait", () => {
     const rate = new StartRate({ now: () => 0, perSecond: () => 20 });
-    expect([rate.waitMs(0), rate.waitMs(3)]).to.deep.equal([50, 200]);
+    expect([rate.nextMs, rate.expectedMs(0, 0), rate.expectedMs(3, 0)]).to.deep.equal([
+      50,
+      50,
+      200,
+    ]);
+  });
+
+  it("expects less urgent requests to wait for the more urgent ones that keep coming", () => {
+    const clock = { now: 0 };
+    const rate = new StartRate({ now: () => clock.now, perSecond: () => 20 });
+    for (; clock.now < 5_000; clock.now += 100) {
+      rate.recordStart(1);
+    }
+    // Ten urgent starts a second leave half of the rate, and the bucket is full or empty by at most five starts.
+    const urgentMs = rate.expectedMs(8, 1);
+    expect(rate.expectedMs(8, 2) / urgentMs).to.be.within(1.8, 2.3);
+    expect(rate.expectedMs(8, 0)).to.equal(urgentMs);
   });
 });
