Choose a server again some seconds after it last named a request limit

What could happen: a server without keys that names a small limit gets no requests while others have room, and only the response to a request ends a limit, so the server would stay unused after its limit has ended.

Cause: status reports named the limit for as long as the gate enforces it. They now name it for 3 s after the last response that did; the gate goes on enforcing it, so the requests that follow are sent at the limited rate.

--- a/packages/membership_beats/src/messages.ts
+++ b/packages/membership_beats/src/messages.ts
@@ -24,7 +24,7 @@
   id: z.string(),
   bornMs: z.number(),
   slots: z.number(),
-  /** Requests a second that the server accepts; left out where it names no limit. */
+  /** Requests a second that the server accepts; left out where it named no limit recently. */
   requestsPerSecond: z.number().nonnegative().optional(),
   state: z.enum(ServerState),
   /** Whether the server started recently and is still slow. */
--- a/packages/router/src/server_limit.ts
+++ b/packages/router/src/server_limit.ts
@@ -1,11 +1,15 @@
 /**
  * The request limit of one incarnation of a backend server, as its responses name it. The limit applies until a
  * response to a request that was sent after the limit was last named does not name it: responses to earlier
- * requests may have been written before the limit began.
+ * requests may have been written before the limit began. Choosing the servers of requests does not rely on an old
+ * limit: a server that got no requests because of it could never show that it has ended.
  */
 import type { ServerNotice } from "@bulrushwood/deployment";
 import type { Clock } from "@bulrushwood/types";
 
+/** Time for which the choice of servers relies on a limit that was named, in milliseconds. */
+const RECENT_MS = 3_000;
+
 /** Tracks the request limit of one incarnation. */
 export class ServerLimit {
   readonly #now: Clock;
@@ -27,6 +31,11 @@
     return this.#requestsPerSecond;
   }
 
+  /** The same if the server named it recently. */
+  get recentRequestsPerSecond(): number | undefined {
+    return this.#now() - this.#namedAt < RECENT_MS ? this.#requestsPerSecond : undefined;
+  }
+
   /** Applies a response to a request that was sent at `sentAt` on this process's clock; returns whether the limit changed. */
   apply({ requestsPerSecond }: ServerNotice, options: { sentAt: number }): boolean {
     this.#isKnown = true;
--- a/packages/router/src/server_limit_test.ts
+++ b/packages/router/src/server_limit_test.ts
@@ -22,4 +22,13 @@
     expect(limit.apply(UNLIMITED, { sentAt: 95 })).to.equal(false);
     expect(limit.requestsPerSecond).to.equal(20);
   });
+
+  it("does not keep a server without requests from being chosen again", () => {
+    const clock = { now: 100 };
+    const limit = new ServerLimit(() => clock.now);
+    limit.apply({ ...LIMITED, requestsPerSecond: 0 }, { sentAt: 90 });
+    expect(limit.recentRequestsPerSecond).to.equal(0);
+    clock.now += 10_000;
+    expect([limit.requestsPerSecond, limit.recentRequestsPerSecond]).to.deep.equal([0, undefined]);
+  });
 });
--- a/packages/router/src/server_view.ts
+++ b/packages/router/src/server_view.ts
@@ -143,7 +143,7 @@
       id: report.id,
       bornMs: report.bornMs,
       slots: report.slots,
-      requestsPerSecond: limit.requestsPerSecond,
+      requestsPerSecond: limit.recentRequestsPerSecond,
       state: leavingSince === undefined ? ServerState.Ready : ServerState.Draining,
       isCold,
       isReachable,
--- a/packages/router/src/server_view_test.ts
+++ b/packages/router/src/server_view_test.ts
@@ -24,7 +24,7 @@
       report: REPORT,
       isReachable: true,
       isCold: false,
-      limit: { requestsPerSecond },
+      limit: { recentRequestsPerSecond: requestsPerSecond },
     } as ServerWatch,
     runner: {
       meter,
