Show no request limit as infinite in the metrics

The gauge bulrushwood_request_limit was 0 without a limit, but a server may also name a limit of 0. It is now infinite (+Inf) without a limit.

--- a/packages/router/src/metrics.ts
+++ b/packages/router/src/metrics.ts
@@ -18,7 +18,7 @@
 export interface GaugeSources {
   running: () => number;
   waiting: () => number;
-  /** 0 while the server names no limit. */
+  /** Infinite while the server names no limit, since a server may name 0. */
   requestLimit: () => number;
   ownKeys: () => number;
   supportedMs: () => number;
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -645,7 +645,7 @@
     this.#metrics.addGauges({
       running: () => this.#view.measuredLoad.running,
       waiting: () => this.#view.measuredLoad.waiting,
-      requestLimit: () => this.#watch.limit.requestsPerSecond ?? 0,
+      requestLimit: () => this.#watch.limit.requestsPerSecond ?? Infinity,
       ownKeys: () => countKeys(this.#grantManager.ownRanges),
       supportedMs: () => Math.max(0, this.#tenure.supportedUntil - now()),
       isStoreReachable: () => this.#hasStore,
