Close the connection to a backend server after it rejected a request

The same fault in the client for servers on the product's own protocol: a rejection that a faulty server repeated on a kept connection was taken as that of the next request, which was reported as not run. Responses on this protocol name no request, so a connection with a rejection is not used again.

--- a/packages/backend/src/backend_client.ts
+++ b/packages/backend/src/backend_client.ts
@@ -323,8 +323,9 @@
 }
 
 /**
- * Turns a rejection by the server into an error. A server may reject a request before it has the whole body;
- * the rest is then not sent.
+ * Turns a rejection by the server into an error. Its connection is closed: responses name no request, so a repeated
+ * rejection would look like that of the next request. A server may also reject a request before it has the whole
+ * body; the rest is then not sent.
  */
 function classifyResponse(
   response: IncomingMessage,
@@ -334,10 +335,7 @@
   if (reason === undefined) {
     return Result.ok(response);
   }
-  response.resume();
-  if (!call.writableFinished) {
-    call.destroy();
-  }
+  call.destroy();
   const message = `The backend server refused the request without running it: ${reason}`;
   return Result.err(new BackendError(BackendErrorKind.Rejected, message));
 }
