Move keys to servers with room while others reject more than all servers can run

What callers saw: while six of eight servers name a limit, they reject requests that the two others could run.

Cause: with more load than all servers can run, keys moved only from servers with half more than the mean, since all servers were taken to be overloaded. Servers with a limit may reject a third of their requests below that bound. The higher bound now holds only while no server has room.

--- a/packages/planner_ranges/src/planner_ranges_test.ts
+++ b/packages/planner_ranges/src/planner_ranges_test.ts
@@ -91,6 +91,22 @@
     expect(rebalance(servers)).to.deep.equal([]);
   });
 
+  it("moves keys to servers with room while the others reject more than all can run", () => {
+    const limited = Array.from({ length: 6 }, (_, index) => ({
+      ...loaded(`limited${index}`, 1_000 * index, 30),
+      requestsPerSecond: 20,
+    }));
+    const free = ["free1", "free2"].map((address, index) =>
+      loaded(address, 10_000 * (index + 1), 96)
+    );
+    const moves = rebalance([...limited, ...free]);
+    const movedRate = moves.reduce((sum, move) => sum + sizeOf(move) / 200 * 30, 0);
+    // The free servers could run 48 requests a second more, the limited ones get 60 too many.
+    expect(movedRate).to.be.within(40, 60);
+    expect(moves.every(({ from, to }) => from.startsWith("limited") && to.startsWith("free")))
+      .to.equal(true);
+  });
+
   it("moves keys from a server with queued requests before its rate shows the load", () => {
     const hot = { ...loaded("hot", 0, 40), waiting: 12 };
     const rest = [loaded("b", 1_000, 12), loaded("c", 2_000, 12)];
--- a/packages/planner_ranges/src/rebalance.ts
+++ b/packages/planner_ranges/src/rebalance.ts
@@ -3,7 +3,8 @@
  * keys of a server with more than its share move to servers with room. This handles load spikes that last
  * some seconds, and servers that become slow. Small differences are ignored, since a key is not served for a
  * moment while it moves. A cold server is left as it is, since its warm-up of a few seconds is over before
- * moves would help. Where all servers are overloaded, only a large difference is worth an interruption.
+ * moves would help. Where all servers are overloaded, only a large difference is worth an interruption;
+ * where some have room, they can serve requests that others reject.
  */
 import { countKeys, type KeySpan, sizeOf } from "@bulrushwood/ledger_store";
 import type { Address } from "@bulrushwood/types";
@@ -16,10 +17,12 @@
  */
 const EXCESS_MIN = 0.12;
 /**
- * Smallest excess, as a share of the mean, where the mean is above a server's capacity: then all servers
- * reject requests, wherever the keys are.
+ * Smallest excess, as a share of the mean, where the mean is above a server's capacity and no server has room: then
+ * all servers reject requests, wherever the keys are.
  */
 const OVERLOAD_EXCESS_MIN = 0.5;
+/** Utilisation below which a server certainly has room, random variation included. */
+const ROOM_MAX = 0.85;
 /** Utilisation up to which a server keeps its keys: its requests hardly queue. */
 const BUSY_MIN = 0.5;
 /** Queue length above which a server is busy at any rate, as a share of its slots. */
@@ -64,7 +67,8 @@
     capacity: capacityOf(candidate.address),
     room: (mean - utilisation(candidate)) * capacityOf(candidate.address),
   })).filter(({ room, capacity: total }) => room > GAIN_MIN * total);
-  const excessMin = mean > 1 ? OVERLOAD_EXCESS_MIN * mean : EXCESS_MIN;
+  const hasRoom = candidates.some((candidate) => utilisation(candidate) < ROOM_MAX);
+  const excessMin = mean > 1 && !hasRoom ? OVERLOAD_EXCESS_MIN * mean : EXCESS_MIN;
   const hasEmpty = mean > IDLE_MEAN_MIN && candidates.some(({ keys }) => keys === 0);
   const donors = candidates
     .filter((candidate) => {
