Expect a queued request to wait for more urgent ones that arrive later, at all servers

What callers saw: under overload, requests were queued and rejected only shortly before their deadline.

Cause: more urgent requests, and those that can still meet their target, start first, also when they arrive later, but the expected wait counted only what was queued. It now divides by the share of the slots that recent starts of lower ranks leave, as it did for request limits only, and a queued request is rejected once it is not expected to start in time.

--- a/packages/admission/src/gate.ts
+++ b/packages/admission/src/gate.ts
@@ -9,6 +9,7 @@
 import type { Clock } from "@bulrushwood/types";
 import type { Slot } from "./admission.ts";
 import { AdmissionError, AdmissionErrorKind } from "./errors.ts";
+import { RecentStarts } from "./recent_starts.ts";
 import { StartRate } from "./start_rate.ts";
 
 /** Weight of the newest service time in the moving means. */
@@ -36,6 +37,7 @@
 const EXPIRY_CHECK_MS = 40;
 /** Shortest time after which a rejected caller is asked to retry, in milliseconds. */
 const RETRY_AFTER_MIN_MS = 60;
+const MS_PER_SECOND = 1_000;
 
 /** A request for a slot of the backend server. Times are on this process's clock, in milliseconds. */
 export interface GateRequest {
@@ -79,6 +81,8 @@
   #queue: QueuedRequest[] = [];
   readonly #runs = new Set<Run>();
   readonly #startRate: StartRate;
+  /** Recent starts with their expected service times, in milliseconds. */
+  readonly #recentWork: RecentStarts;
   /** Mean service time of each class of work, in milliseconds. */
   readonly #serviceMsOf = new Map<string, number>();
   #serviceMs = 0;
@@ -90,6 +94,7 @@
     this.#options = options;
     const { now, perSecond = () => undefined } = options;
     this.#startRate = new StartRate({ now, perSecond });
+    this.#recentWork = new RecentStarts(now);
   }
 
   /** Number of running requests. */
@@ -169,51 +174,44 @@
     return respondedAt <= request.deadline && !(isLate && waitMs > usualMs * LATE_WAIT_SHARE);
   }
 
-  /**
-   * Whether a queued request is expected to be served before its deadline. Once it is too late for its target, newer
-   * requests start before it, so it stays only if its wait is short.
-   */
-  #mayStayQueued(request: GateRequest, waitMs: number): boolean {
-    const at = this.#options.now();
-    const serviceMs = this.#serviceMsFor(request.workClass);
-    const isLate = at + serviceMs > request.targetAt;
-    return at + waitMs + serviceMs <= request.deadline &&
-      !(isLate && waitMs > serviceMs * LATE_WAIT_SHARE);
-  }
-
   /** Expected time until a new request starts, in milliseconds. */
   #expectedWaitMs(request: GateRequest): number {
     const at = this.#options.now();
     const ahead = this.#queue.filter((queued) => this.#precedes(queued.request, request, at));
-    return this.#waitBehindMs(ahead, request.priority);
+    const waitMs = this.#waitBehindMs(ahead, this.#rankOf(request, at));
+    // A request that becomes too late for its target while it waits has the rank of late requests from then on.
+    return Math.max(waitMs, this.#waitBehindMs(ahead, this.#rankOf(request, at + waitMs)));
   }
 
   /**
    * Expected time until a request behind queued ones starts, in milliseconds: until the start rate allows it, and,
-   * where the slots are taken, the work ahead and one running request, divided by the slots.
+   * where the slots are taken, the work ahead and one running request, divided by the slots. Requests of a lower rank
+   * that arrive later start first, so the wait is longer by what they took recently.
    */
-  #waitBehindMs(ahead: QueuedRequest[], priority: number): number {
+  #waitBehindMs(ahead: QueuedRequest[], rank: number): number {
     const slots = Math.max(1, this.#options.limit());
-    const rateMs = this.#startRate.expectedMs(ahead.length, priority);
+    const rateMs = this.#startRate.expectedMs(ahead.length, rank);
     if (this.running + ahead.length < slots) {
       return rateMs;
     }
     const workMs = ahead.reduce(
       (sum, queued) => sum + this.#serviceMsFor(queued.request.workClass),
-      0,
+      this.#meanServiceMs,
     );
-    return Math.max(rateMs, (workMs + this.#meanServiceMs) / slots);
+    const shareLeft = this.#recentWork.shareLeft(rank, slots * MS_PER_SECOND);
+    return Math.max(rateMs, workMs / (slots * shareLeft));
+  }
+
+  /** Requests of a lower rank run first: the more urgent ones, and of these the ones that can meet their target. */
+  #rankOf({ priority, targetAt, workClass }: GateRequest, now: number): number {
+    const canMeetTarget = targetAt >= now + this.#serviceMsFor(workClass);
+    return 2 * priority + (canMeetTarget ? 0 : 1);
   }
 
   /** Whether one request should run before another. */
   #precedes(one: GateRequest, other: GateRequest, now: number): boolean {
-    if (one.priority !== other.priority) {
-      return one.priority < other.priority;
-    }
-    const canMeet = ({ targetAt, workClass }: GateRequest) =>
-      targetAt >= now + this.#serviceMsFor(workClass);
-    const oneCan = canMeet(one);
-    return oneCan === canMeet(other) ? one.targetAt <= other.targetAt : oneCan;
+    const ranks = [this.#rankOf(one, now), this.#rankOf(other, now)];
+    return ranks[0] === ranks[1] ? one.targetAt <= other.targetAt : ranks[0] < ranks[1];
   }
 
   #reject(waitMs: number): Result<Slot, AdmissionError> {
@@ -257,34 +255,38 @@
     }
   }
 
+  /** Rejects the queued requests that are not expected to be served before their deadline. */
   #rejectExpired(): void {
-    const now = this.#options.now();
-    const expired = this.#startRate.isLimited
-      ? this.#inOrder(now).filter(({ request }, index) =>
-        !this.#mayStayQueued(request, this.#startRate.expectedMs(index, request.priority))
-      )
-      : this.#queue.filter(({ request: { deadline, workClass } }) =>
-        deadline < now + this.#serviceMsFor(workClass) * MIN_SERVICE_SHARE
-      );
-    for (const queued of expired) {
-      this.#remove(queued);
-      queued.settle(this.#reject(this.#expectedWaitMs(queued.request)));
+    const at = this.#options.now();
+    const ranked = this.#queue.map((queued) => ({
+      queued,
+      rank: this.#rankOf(queued.request, at),
+    }));
+    ranked.sort((one, other) =>
+      one.rank - other.rank || one.queued.request.targetAt - other.queued.request.targetAt
+    );
+    const ahead: QueuedRequest[] = [];
+    for (const { queued, rank } of ranked) {
+      const waitMs = this.#waitBehindMs(ahead, rank);
+      const { deadline, workClass } = queued.request;
+      if (at + waitMs + this.#serviceMsFor(workClass) * MIN_SERVICE_SHARE <= deadline) {
+        ahead.push(queued);
+      } else {
+        this.#remove(queued);
+        queued.settle(this.#reject(waitMs));
+      }
     }
   }
 
-  /** Returns the queued requests, the one that runs next first. */
-  #inOrder(now: number): QueuedRequest[] {
-    const precedes = (one: QueuedRequest, other: QueuedRequest) =>
-      Number(this.#precedes(one.request, other.request, now));
-    return [...this.#queue].sort((one, other) => precedes(other, one) - precedes(one, other));
-  }
-
-  #takeSlot({ workClass, priority }: GateRequest, since: number): Slot {
+  #takeSlot(request: GateRequest, since: number): Slot {
     const { now } = this.#options;
+    const { workClass } = request;
     const startedAt = now();
+    const rank = this.#rankOf(request, startedAt);
+    this.#recentWork.record(rank, this.#serviceMsFor(workClass));
+    this.#startRate.recordStart(rank);
     const run = { workClass, startedAt };
     this.#runs.add(run);
-    this.#startRate.recordStart(priority);
     const release = () => {
       if (!this.#runs.delete(run)) {
         return;
