Do not take a request limit that cannot be read for the end of the limit

Cause: a response whose limit is no decimal number was decoded like one without a limit, and a response without a limit ends it. One spoiled header would have let the gate send as many requests as the server has slots, while all daemons that passed on earlier responses stay bound.

--- a/packages/deployment/src/server_wire.ts
+++ b/packages/deployment/src/server_wire.ts
@@ -41,8 +41,10 @@
 
 /** What a server says about itself in each response. */
 export interface ServerNotice {
-  /** Requests a second that the server accepts from all daemons together; undefined if it names no limit. */
+  /** Requests a second that the server accepts from all daemons together; undefined if it names no valid limit. */
   requestsPerSecond: number | undefined;
+  /** Why the limit that the server names is invalid; undefined otherwise. */
+  limitError?: string;
   /** Whether the server is about to stop. */
   isLeaving: boolean;
 }
--- a/packages/router/src/event_log.ts
+++ b/packages/router/src/event_log.ts
@@ -21,6 +21,7 @@
   ServerLost = "server-lost",
   ServerBack = "server-back",
   ReportRejected = "report-refused",
+  NoticeMalformed = "notice-malformed",
   Suspended = "suspended",
   TenureSealed = "tenure-sealed",
   KeysAssigned = "keys-assigned",
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -209,7 +209,7 @@
     body: Buffer | undefined,
     options: { deadline: number; signal: AbortSignal },
   ): Promise<RoutedResponse> {
-    const { client, watch, grantManager, wire, onResult } = this.#options;
+    const { client, watch, grantManager, wire, log, onResult } = this.#options;
     const { deadline, signal } = options;
     const { report } = watch;
     if (report === undefined || !this.#mayStart(head)) {
@@ -235,6 +235,10 @@
     if (result.notice !== undefined) {
       watch.recordNotice(report, result.notice, { sentAt: startedAt });
     }
+    if (result.notice?.limitError !== undefined) {
+      const reason = result.notice.limitError;
+      log(Event.NoticeMalformed, { id: head.id, server: report.id, reason });
+    }
     const response = this.#toResponse(head, result, options);
     if (result.notice?.isLeaving) {
       response.head.leavingServer = incarnationName(report);
--- a/packages/router/src/server_limit.ts
+++ b/packages/router/src/server_limit.ts
@@ -1,7 +1,7 @@
 /**
  * The request limit of one incarnation of a backend server, as its responses name it. The limit applies until a
  * response to a request that was sent after the limit was last named does not name it: responses to earlier
- * requests may have been written before the limit began. Choosing the servers of requests does not rely on an old
+ * requests may have been written before the limit began. A malformed limit changes nothing. Choosing the servers of requests does not rely on an old
  * limit: a server that got no requests because of it could never show that it has ended.
  */
 import type { ServerNotice } from "@bulrushwood/deployment";
@@ -37,10 +37,11 @@
   }
 
   /** Applies a response to a request that was sent at `sentAt` on this process's clock; returns whether the limit changed. */
-  apply({ requestsPerSecond }: ServerNotice, options: { sentAt: number }): boolean {
+  apply(notice: ServerNotice, options: { sentAt: number }): boolean {
+    const { requestsPerSecond, limitError } = notice;
     this.#isKnown = true;
     const isOutdated = requestsPerSecond === undefined && options.sentAt < this.#namedAt;
-    if (isOutdated) {
+    if (isOutdated || limitError !== undefined) {
       return false;
     }
     if (requestsPerSecond !== undefined) {
--- a/packages/router/src/server_limit_test.ts
+++ b/packages/router/src/server_limit_test.ts
@@ -23,6 +23,13 @@
     expect(limit.requestsPerSecond).to.equal(20);
   });
 
+  it("does not end with a response whose limit is malformed", () => {
+    const limit = new ServerLimit(() => 100);
+    limit.apply(LIMITED, { sentAt: 90 });
+    expect(limit.apply({ ...UNLIMITED, limitError: "malformed" }, { sentAt: 100 })).to.equal(false);
+    expect(limit.requestsPerSecond).to.equal(20);
+  });
+
   it("does not keep a server without requests from being chosen again", () => {
     const clock = { now: 100 };
     const limit = new ServerLimit(() => clock.now);
