Read the limit and the leaving of a server also from rejections for a key and from incomplete responses

Cause: the client of the server dropped what the head of a response says of the server when it reported the request as misdirected, rejected without a guarantee, or incomplete. A restarted daemon whose server rejects the first requests for want of the keys would not learn the limit, and requests that are rejected count.

Change: each response whose head certainly belongs to the request is read. A success without the origin marker and a response to another request still say nothing.

Failed before: three of the five new tests ("returns what the server says of itself with ..."); the success and the response to another request passed.

--- a/packages/router/src/server_client.ts
+++ b/packages/router/src/server_client.ts
@@ -154,6 +154,7 @@
   ): Promise<ServerResult> {
     let isConnected = false;
     let usedSocket: Socket | undefined;
+    let notice: ServerNotice | undefined;
     outgoing.once("socket", (socket: Socket) => {
       usedSocket = socket;
       socket.off("data", closeIdleConnection);
@@ -182,6 +183,7 @@
         usedSocket?.destroy();
         return rejected;
       }
+      notice = responseHead.notice;
       // Node.js reports a response without a length as complete even if its connection was reset.
       const reset = new Promise<never>((_, reject) => outgoing.on("error", reject));
       const whole = await Promise.race([readBody(message), reset]);
@@ -193,7 +195,8 @@
     } catch (error) {
       const { message, code } = error as NodeJS.ErrnoException;
       const outcome = isConnected ? ServerOutcome.Unknown : ServerOutcome.NotRun;
-      return { ...noResponse(outcome, message), isConnectionRefused: code === "ECONNREFUSED" };
+      const isConnectionRefused = code === "ECONNREFUSED";
+      return { ...noResponse(outcome, message), notice, isConnectionRefused };
     }
   }
 
@@ -210,7 +213,7 @@
       this.#recordRejected(options.id);
     }
     if (responseHead.isMisdirected) {
-      return { ...noResponse(ServerOutcome.Misdirected, `status ${status}`), load };
+      return { ...noResponse(ServerOutcome.Misdirected, `status ${status}`), load, notice };
     }
     if (responseHead.isNotRun) {
       return { ...noResponse(ServerOutcome.NotRun, `refused with status ${status}`), load, notice };
@@ -269,7 +272,10 @@
     return noResponse(ServerOutcome.Unknown, "a success that is not the server's");
   }
   return NOT_RUN_STATUSES.has(status) && !isRejection
-    ? noResponse(ServerOutcome.Unknown, `status ${status} without a promise`)
+    ? {
+      ...noResponse(ServerOutcome.Unknown, `status ${status} without a promise`),
+      notice: responseHead.notice,
+    }
     : undefined;
 }
 
--- a/packages/router/src/server_client_test.ts
+++ b/packages/router/src/server_client_test.ts
@@ -15,7 +15,10 @@
     isMisdirected: status === 421,
     hasOriginMarker: headers.mark !== undefined,
     load: undefined,
-    notice: { requestsPerSecond: undefined, isLeaving: false },
+    notice: {
+      requestsPerSecond: headers.limit === undefined ? undefined : Number(headers.limit),
+      isLeaving: headers.leaving !== undefined,
+    },
   }),
 } as Partial<ServerWire> as ServerWire;
 
@@ -191,6 +194,41 @@
     });
   }
 
+  const NOTICE = "limit: 20\r\nleaving: 1\r\n";
+  const noticeResponses: [string, Script][] = [
+    [
+      "a success",
+      (socket) => socket.write(encodeResponse("r1", "whole", NOTICE)),
+    ],
+    [
+      "a rejection because the server lacks the key",
+      (socket) =>
+        socket.write(
+          `HTTP/1.1 421 No\r\nid: r1\r\nnot-run: 1\r\n${NOTICE}content-length: 0\r\n\r\n`,
+        ),
+    ],
+    [
+      "a rejection without a guarantee",
+      (socket) => socket.write(`HTTP/1.1 503 No\r\nid: r1\r\n${NOTICE}content-length: 0\r\n\r\n`),
+    ],
+    [
+      "a truncated body",
+      (socket) =>
+        socket.end(`HTTP/1.1 200 OK\r\nid: r1\r\nmark: m\r\n${NOTICE}content-length: 9\r\n\r\nno`),
+    ],
+  ];
+  for (const [name, script] of noticeResponses) {
+    it(`returns what the server says of itself with ${name}`, async () => {
+      const { notice } = await withServer([script], send);
+      expect(notice).to.deep.equal({ requestsPerSecond: 20, isLeaving: true });
+    });
+  }
+
+  it("takes nothing that a response to another request says of the server", async () => {
+    const script: Script = (socket) => socket.write(encodeResponse("r0", "late", NOTICE));
+    expect((await withServer([script], send)).notice).to.equal(undefined);
+  });
+
   it("flags a response whose body ends only with the connection", async () => {
     const script: Script = (socket) =>
       socket.end("HTTP/1.1 200 OK\r\nid: r1\r\nmark: m\r\n\r\nall");
