Send one request a second while a server has answered none, until it is known whether it has a limit

Cause: a restarted daemon sends at most four requests at once until a response shows whether there is a limit. The other daemons stay bound meanwhile.

Change: once a request got no response before the limit is known, the gate allows one request a second until there is a response. Where responses come, nothing changes: the first one shows whether there is a limit.

--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -69,7 +69,7 @@
       now,
       random: Math.random,
       limit: () => this.#concurrencyMax(),
-      perSecond: () => watch.limit.requestsPerSecond,
+      perSecond: () => watch.limit.allowedPerSecond,
     });
   }
 
@@ -223,6 +223,7 @@
       return notRun(Reason.NotHolder, "The key changed its owner meanwhile", MOVE_RETRY_AFTER_MS);
     }
     const startedAt = now();
+    const { limit } = watch;
     const headers = toFlatHeaders(head.headers).concat(wire.requestHeaders({
       id: head.id,
       remainingMs: deadline - startedAt,
@@ -234,6 +235,8 @@
     onResult(head, result, now() - startedAt);
     if (result.notice !== undefined) {
       watch.recordNotice(report, result.notice, { sentAt: startedAt });
+    } else if (result.outcome === ServerOutcome.Unknown) {
+      limit.recordUnanswered();
     }
     if (result.notice?.limitError !== undefined) {
       const reason = result.notice.limitError;
--- a/packages/router/src/runner_test.ts
+++ b/packages/router/src/runner_test.ts
@@ -127,6 +127,18 @@
     expect(reachedAt.length).to.be.above(0.8 * perSecond * 1.5 * windowMs / 1_000);
   });
 
+  it("sends a server that resets each connection only some requests until it names a limit, after restarts of the daemon", async () => {
+    const [perSecond, windowMs] = [2, 4_000];
+    const reachedAt: number[] = [];
+    const reset = { ...RESPONDED, outcome: ServerOutcome.Unknown, status: 0 };
+    for (let start = 0; start < 2; start++) {
+      const { runner, watch } = createRunner({ reachedAt, respond: () => reset });
+      watch.apply(report({ slots: 12 }));
+      await load(runner, { perSecond: 60, forMs: windowMs / 2 });
+    }
+    expect(reachedAt.length).to.be.within(4, 1.5 * perSecond * windowMs / 1_000 + 5);
+  });
+
   it("sends nothing to a server after the drain bound has passed since its leaving was accepted", async () => {
     const { runner, watch, reachedAt } = createRunner({ workMs: 60 });
     watch.apply(report());
--- a/packages/router/src/server_limit.ts
+++ b/packages/router/src/server_limit.ts
@@ -10,12 +10,19 @@
 /** Time for which the choice of servers relies on a limit that was named, in milliseconds. */
 const RECENT_MS = 3_000;
 
+/**
+ * Requests a second that are sent while it is unknown whether there is a limit and earlier requests got no response,
+ * so that restarts of a daemon beside a server that drops its requests do not add up to more than a limit allows.
+ */
+const UNANSWERED_PER_SECOND = 1;
+
 /** Tracks the request limit of one incarnation. */
 export class ServerLimit {
   readonly #now: Clock;
   #requestsPerSecond: number | undefined;
   #namedAt = Number.NEGATIVE_INFINITY;
   #isKnown = false;
+  #hasUnanswered = false;
 
   constructor(now: Clock) {
     this.#now = now;
@@ -31,11 +38,22 @@
     return this.#requestsPerSecond;
   }
 
-  /** The same if the server named it recently. */
+  /** Requests a second that may be sent now; undefined for any number. */
+  get allowedPerSecond(): number | undefined {
+    const isAnyAllowed = this.#isKnown || !this.#hasUnanswered;
+    return isAnyAllowed ? this.#requestsPerSecond : UNANSWERED_PER_SECOND;
+  }
+
+  /** The limit if the server named it recently. */
   get recentRequestsPerSecond(): number | undefined {
     return this.#now() - this.#namedAt < RECENT_MS ? this.#requestsPerSecond : undefined;
   }
 
+  /** Records that a request was sent and got no response of the server. */
+  recordUnanswered(): void {
+    this.#hasUnanswered = true;
+  }
+
   /** Applies a response to a request that was sent at `sentAt` on this process's clock; returns whether the limit changed. */
   apply(notice: ServerNotice, options: { sentAt: number }): boolean {
     const { requestsPerSecond, limitError } = notice;
