Respond to open requests at the end of a stop also on the product's own wires, and reject late ones

What callers saw: a daemon on the product's own wires closed its callers' connections at the end of its shutdown timeout whatever was open, so callers of requests that still ran got no response; a request whose body arrived late in the stop was passed on although it could not end in time.

Cause: its caller server knew only that the daemon stops, not when, and kept no list of open requests.

Change: `Shutdown` moves to the package admission and `OpenRequests` to routing; both daemons use them. The users' daemon behaves as before: the time in which it accepts everything and its margin are now options that it sets.

--- a/packages/admission/src/mod.ts
+++ b/packages/admission/src/mod.ts
@@ -12,3 +12,4 @@
 export { AdmissionError, AdmissionErrorKind } from "./errors.ts";
 export { Gate, type GateOptions, type GateRequest } from "./gate.ts";
 export { StartRate, type StartRateOptions } from "./start_rate.ts";
+export { Shutdown, type ShutdownOptions } from "./shutdown.ts";
--- a/packages/router/src/shutdown.ts
+++ b/packages/admission/src/shutdown.ts
@@ -1,22 +1,20 @@
 /**
- * Decides which requests of callers a stopping daemon still accepts. Soon after the stop signal, callers do not know
+ * Decides which requests of callers a stopping daemon still accepts. Soon after the stop signal, callers may not know
  * yet that the daemon stops, and it accepts all requests. Later it accepts only those whose deadlines pass before it
  * ends: a request that is cut at the end may have run, and its caller does not learn whether it did.
  */
 import type { Clock } from "@bulrushwood/types";
 
-/** Time after the stop signal in which all requests are accepted, in milliseconds. */
-const ACCEPT_ALL_MS = 2_800;
-/** Margin between the end of a graceful stop and the time when the process is killed, in milliseconds. */
-const END_MARGIN_MS = 600;
 /** Time between the last responses and the end, in milliseconds. */
 const LAST_RESPONSES_MS = 200;
 
 /** Options of `Shutdown`. */
 export interface ShutdownOptions {
   now: Clock;
-  /** Time from the stop signal until the process is killed, in milliseconds. */
+  /** Longest time from the stop signal until the process ends, in milliseconds. */
   shutdownMs: number;
+  /** Time after the stop signal in which all requests are accepted, in milliseconds; 0 where left out. */
+  acceptAllMs?: number;
 }
 
 /** Progress of a daemon's graceful stop. */
@@ -40,19 +38,18 @@
 
   /** When the process ends, on its clock in milliseconds; infinite before the stop signal. */
   get endAt(): number {
-    const { shutdownMs } = this.#options;
-    return this.#startedAt === undefined ? Infinity : this.#startedAt + shutdownMs - END_MARGIN_MS;
+    return this.#startedAt === undefined ? Infinity : this.#startedAt + this.#options.shutdownMs;
   }
 
   /** When all open requests get a response, so that it is sent before the end. */
   get lastResponsesAt(): number {
-    return this.endAt - LAST_RESPONSES_MS;
+    return this.endAt - Math.min(LAST_RESPONSES_MS, this.#options.shutdownMs / 2);
   }
 
   /** Whether a request with a deadline is accepted now. */
   mayAccept(deadline: number): boolean {
-    const isEarly = this.#startedAt === undefined ||
-      this.#options.now() < this.#startedAt + ACCEPT_ALL_MS;
+    const { now, acceptAllMs = 0 } = this.#options;
+    const isEarly = this.#startedAt === undefined || now() < this.#startedAt + acceptAllMs;
     return isEarly || deadline <= this.lastResponsesAt;
   }
 
--- a/packages/router/src/shutdown_test.ts
+++ b/packages/admission/src/shutdown_test.ts
@@ -3,7 +3,10 @@
 
 function createShutdown() {
   const clock = { now: 1_000 };
-  return { clock, shutdown: new Shutdown({ now: () => clock.now, shutdownMs: 6_000 }) };
+  return {
+    clock,
+    shutdown: new Shutdown({ now: () => clock.now, shutdownMs: 5_400, acceptAllMs: 2_800 }),
+  };
 }
 
 describe("shutdown", () => {
--- a/packages/daemon/src/caller_server.ts
+++ b/packages/daemon/src/caller_server.ts
@@ -6,13 +6,17 @@
 import { Buffer } from "node:buffer";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Result } from "true-myth";
+import type { Shutdown } from "@bulrushwood/admission";
 import type { Ledger } from "@bulrushwood/ledger";
-import type { RequestHead } from "@bulrushwood/protocol";
+import { Reason, type RequestHead } from "@bulrushwood/protocol";
 import {
+  notRun,
+  OpenRequests,
   type RoutedResponse,
   type RouteMatch,
   RouteTable,
   type ShardOf,
+  unknown,
 } from "@bulrushwood/routing";
 import type { Configuration, DaemonSettings, Route } from "@bulrushwood/settings";
 import { now, Outcome } from "@bulrushwood/types";
@@ -54,8 +58,8 @@
   /** Prefix of request ids, unique to this incarnation of the daemon. */
   idPrefix: string;
   log: Log;
-  /** Whether the daemon is leaving; connections are then closed after their response. */
-  isEnding: () => boolean;
+  /** Progress of the daemon's stop, during which connections are closed after their response. */
+  shutdown: Shutdown;
 }
 
 /** Reason why a request is rejected before it is forwarded. */
@@ -91,6 +95,7 @@
   #routes: RouteTable | undefined;
   #routesOf: Configuration | undefined;
   #nextId = 1;
+  readonly #open = new OpenRequests();
 
   private constructor(options: CallerServerOptions) {
     this.#options = options;
@@ -176,16 +181,28 @@
       parsed,
       body: body.value,
     });
-    const routedResponse = await this.#options.ingress.handle({
-      ...routedRequest,
-      signal: callerLeft.signal,
-    });
+    const routedResponse = await this.#route({ ...routedRequest, signal: callerLeft.signal });
     const isComplete = await this.#send(response, id, routedResponse);
     request.resume();
     const durationMs = now() - arrivedAt;
     this.#observe(routedResponse, parsed, { id, isComplete, durationMs });
   }
 
+  /** Forwards a request, unless the daemon stops before its deadline. */
+  async #route(request: RoutedRequest): Promise<RoutedResponse> {
+    const { ingress, shutdown } = this.#options;
+    if (!shutdown.mayAccept(request.deadline)) {
+      return notRun(Reason.Draining, "This daemon stops before the request's deadline");
+    }
+    const pending = ingress.handle(request);
+    const routedResponse = await this.#open.waitFor(pending);
+    pending.then(
+      (late) => late === routedResponse || discard(late),
+      () => undefined,
+    );
+    return routedResponse;
+  }
+
   #observe(
     routedResponse: RoutedResponse,
     parsed: ParsedRequest,
@@ -384,7 +401,7 @@
     const { head, body } = routedResponse;
     const headers = toRawHeaders(head.headers);
     headers.push(REQUEST_ID_HEADER, id);
-    if (this.#options.isEnding()) {
+    if (this.#options.shutdown.isEnding) {
       headers.push("connection", "close");
     }
     if (head.outcome !== undefined) {
@@ -398,19 +415,26 @@
     return await sendBody(response, body);
   }
 
+  #respondToOpen(): void {
+    const detail = "This daemon stops before the backend server has responded";
+    this.#open.respondToAll(unknown(Reason.LinkBroken, detail));
+  }
+
   /**
-   * Stops accepting connections and waits until the open requests have responses or the timeout has
-   * passed.
+   * Stops accepting connections and waits until the open requests have responses. Requests that still run
+   * shortly before the end of the timeout get a response that says so.
    */
   async close(options: { timeoutMs: number }): Promise<void> {
     const closed = new Promise<void>((resolve) => this.#server.close(() => resolve()));
     this.#server.closeIdleConnections();
-    const timer = setTimeout(
-      () => this.#server.closeAllConnections(),
-      options.timeoutMs,
-    );
+    const { timeoutMs } = options;
+    const respondAfterMs = Math.min(timeoutMs, this.#options.shutdown.lastResponsesAt - now());
+    const timers = [
+      setTimeout(() => this.#respondToOpen(), respondAfterMs),
+      setTimeout(() => this.#server.closeAllConnections(), timeoutMs),
+    ];
     await closed;
-    clearTimeout(timer);
+    timers.forEach((timer) => clearTimeout(timer));
   }
 }
 
--- a/packages/daemon/src/incarnation.ts
+++ b/packages/daemon/src/incarnation.ts
@@ -6,6 +6,7 @@
 import { filter, firstValueFrom, Subscription, timeout } from "rxjs";
 import { Result } from "true-myth";
 import { AdminServer } from "@bulrushwood/admin";
+import { Shutdown } from "@bulrushwood/admission";
 import { Announcements } from "@bulrushwood/backend";
 import { Leases } from "@bulrushwood/lease";
 import {
@@ -91,7 +92,7 @@
   #serverSync!: ServerSync;
   #services: PeerServices | undefined;
   #isReady = false;
-  #isEnding = false;
+  readonly #shutdown: Shutdown;
   #end!: (reason: EndReason) => void;
   /** Resolves when this incarnation has to end. */
   readonly ended: Promise<EndReason>;
@@ -100,6 +101,7 @@
     const { settings, log } = options;
     this.#settings = settings;
     this.#log = log;
+    this.#shutdown = new Shutdown({ now, shutdownMs: settings.limits.shutdownMs });
     this.#address = settings.listen.peersSeenAs ?? settings.listen.peers;
     const { url, requestTimeoutMs, pollWaitMs } = settings.log;
     this.#logClient = new LogClient({
@@ -207,7 +209,7 @@
       shardOf,
       call: (peer, method, payload, options) => this.#call(peer, method, payload, options),
       newId: randomUUID,
-      isReady: () => this.#isReady && !this.#isEnding,
+      isReady: () => this.#isReady && !this.#shutdown.isEnding,
       ownStatus: () => readStatus(this.#statusSources()),
       drain: () => this.drain(),
     });
@@ -293,7 +295,7 @@
       metrics: this.#metrics,
       settings: this.#settings,
       grants: this.#grants,
-      isDraining: () => this.#isEnding,
+      isDraining: () => this.#shutdown.isEnding,
     });
     this.#services = {
       incarnation,
@@ -321,7 +323,7 @@
       shardOf: await createShardOf(),
       log: this.#log,
       idPrefix: `${incarnation}`,
-      isEnding: () => this.#isEnding,
+      shutdown: this.#shutdown,
     }, splitAddress(listen.callers));
     this.#detector.start();
     this.#planner.start();
@@ -435,7 +437,7 @@
 
   /** Appends a record; retries until it is in the log, is in conflict or the incarnation ends. */
   async #append(entry: Entry): Promise<void> {
-    while (!this.#isEnding) {
+    while (!this.#shutdown.isEnding) {
       const submitted = await this.#submitter.submit(entry, {
         timeoutMs: APPEND_TIMEOUT_MS,
       });
@@ -488,7 +490,7 @@
    * in flight, up to the shutdown timeout.
    */
   async leave(): Promise<void> {
-    this.#isEnding = true;
+    this.#shutdown.begin();
     this.#serverSync.close();
     this.#log(LogLevel.Info, "The daemon is leaving");
     const { shutdownMs } = this.#settings.limits;
@@ -504,7 +506,7 @@
 
   /** Closes everything at once. */
   async close(): Promise<void> {
-    this.#isEnding = true;
+    this.#shutdown.begin();
     this.#services = undefined;
     this.#subscriptions.unsubscribe();
     this.#serverSync?.close();
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -4,9 +4,16 @@
 import { Buffer } from "node:buffer";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import type { Shutdown } from "@bulrushwood/admission";
 import type { CallerWire, Endpoint, Manifest, Route } from "@bulrushwood/deployment";
 import { type Header, Reason, type RequestHead } from "@bulrushwood/protocol";
-import { ManifestRoutes, notRun, type RoutedResponse, unknown } from "@bulrushwood/routing";
+import {
+  ManifestRoutes,
+  notRun,
+  OpenRequests,
+  type RoutedResponse,
+  unknown,
+} from "@bulrushwood/routing";
 import { now, Outcome } from "@bulrushwood/types";
 import { CallerConnection, type Exchange } from "./caller_connection.ts";
 import type { Dispatcher, DispatchRequest } from "./dispatcher.ts";
@@ -14,7 +21,6 @@
 import { readHeaders, toFlatHeaders } from "./headers.ts";
 import { nextPoll } from "./next_poll.ts";
 import { RequestStage } from "./request_stage.ts";
-import type { Shutdown } from "./shutdown.ts";
 
 /** Idle connections are kept this much longer than callers keep them, in milliseconds. */
 const IDLE_MARGIN_MS = 2_000;
@@ -57,8 +63,7 @@
   #longestDeadlines = new Map<string, number>();
   readonly #connections = new WeakMap<Socket, CallerConnection>();
   #openRequests = 0;
-  /** Sends a response to each dispatched request that has none yet. */
-  readonly #undecided = new Set<(response: RoutedResponse) => void>();
+  readonly #dispatched = new OpenRequests();
 
   private constructor(options: CallerServerOptions) {
     this.#options = options;
@@ -227,12 +232,7 @@
     if (!shutdown.mayAccept(request.deadline)) {
       return this.#rejectLate();
     }
-    return await new Promise((resolve, reject) => {
-      this.#undecided.add(resolve);
-      dispatcher.dispatch(request)
-        .then(resolve, reject)
-        .finally(() => this.#undecided.delete(resolve));
-    });
+    return await this.#dispatched.waitFor(dispatcher.dispatch(request));
   }
 
   #rejectLate(): RoutedResponse {
@@ -372,11 +372,8 @@
 
   /** Responds to all open requests, which may have run. */
   #respondToOpen(): void {
-    const response = unknown(
-      Reason.LinkBroken,
-      "This daemon stops before the server has responded",
-    );
-    this.#undecided.forEach((respond) => respond(response));
+    const detail = "This daemon stops before the server has responded";
+    this.#dispatched.respondToAll(unknown(Reason.LinkBroken, detail));
   }
 
   /** Stops accepting connections; resolves when all requests have their responses or the timeout has passed. */
--- a/packages/router/src/caller_server_test.ts
+++ b/packages/router/src/caller_server_test.ts
@@ -2,6 +2,7 @@
 import { connect, type Socket } from "node:net";
 import { Worker } from "node:worker_threads";
 import { expect } from "chai";
+import { Shutdown } from "@bulrushwood/admission";
 import { type Manifest, RouteKind } from "@bulrushwood/deployment";
 import type { RoutedResponse } from "@bulrushwood/routing";
 import { findFreePort } from "@bulrushwood/stand_ins";
@@ -9,7 +10,6 @@
 import { PIPELINED_MAX } from "./caller_connection.ts";
 import { CallerServer } from "./caller_server.ts";
 import type { Dispatcher, DispatchRequest } from "./dispatcher.ts";
-import { Shutdown } from "./shutdown.ts";
 
 const HOST = "127.0.0.1";
 const MANIFEST: Manifest = {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -6,6 +6,7 @@
 import { skip } from "rxjs";
 import type { Result } from "true-myth";
 import { z } from "zod";
+import { Shutdown } from "@bulrushwood/admission";
 import {
   type Adapter,
   type DeploymentSettings,
@@ -73,7 +74,6 @@
 import { ServerClient } from "./server_client.ts";
 import { ServerView } from "./server_view.ts";
 import { ServerWatch } from "./server_watch.ts";
-import { Shutdown } from "./shutdown.ts";
 import { handleReadiness, handleReports, SideServer } from "./side_servers.ts";
 
 /** Longest wait of a read of the manifest's topic, in milliseconds; peers send newer records as well. */
@@ -94,6 +94,10 @@
 const SAVED_RETRIES_MAX = 5;
 /** Time from the stop signal until the caller listener closes, so that readiness checks fail first, in milliseconds. */
 const STOP_LINGER_MS = 2_600;
+/** Time after the stop signal in which all requests of callers are accepted, in milliseconds. */
+const ACCEPT_ALL_MS = 2_800;
+/** Margin between the end of a graceful stop and the time when the platform kills the process, in milliseconds. */
+const END_MARGIN_MS = 600;
 /** Shortest delay of a forwarded request in transit that is logged, in milliseconds. */
 const SLOW_TRANSIT_MS = 250;
 /** Time between a stopping daemon's checks for open requests, in milliseconds. */
@@ -171,7 +175,11 @@
     this.#settings = settings;
     this.#adapter = adapter;
     this.#log = log;
-    this.#shutdown = new Shutdown({ now, ...settings.bounds });
+    this.#shutdown = new Shutdown({
+      now,
+      shutdownMs: settings.bounds.shutdownMs - END_MARGIN_MS,
+      acceptAllMs: ACCEPT_ALL_MS,
+    });
     const { peers } = settings.listen;
     this.#self = `${peers.host}:${peers.port}`;
     const call = this.#callPeer.bind(this);
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -13,6 +13,7 @@
 } from "./idempotency.ts";
 export { createShardOf, type ShardOf } from "./key_hash.ts";
 export { chooseShare, ManifestRoutes } from "./manifest_routes.ts";
+export { OpenRequests } from "./open_requests.ts";
 export { OwnerFinder, type Owners } from "./owners.ts";
 export { waitLimitMs, type WaitLimitOptions } from "./wait_limit.ts";
 export { RequestRecords, RequestState } from "./request_records.ts";
