Hold the response to a report open until the keys of a restarted server may be granted

What callers saw: after a restart of a backend server, requests for its keys were sent to it and rejected (421) until the new incarnation was entered in the store, and its keys came with the third report or later.

Cause: confirmed grants were kept per key and epoch, not per incarnation of the server, so those of the earlier incarnation still counted. When the entry took longer than a report interval, the second report was answered at once without grants, and the server had to wait for the next one.

Change: the first report of a new incarnation makes all grants unconfirmed, and a response that may not grant anything yet is held open like one that has nothing new, until it may, at most as long as before. A daemon that closes ends the wait.

Three new tests of the channel failed before.

--- a/packages/lease_ranges/src/report_channel.ts
+++ b/packages/lease_ranges/src/report_channel.ts
@@ -5,7 +5,7 @@
  * as held count as held. Keys that it doesn't list count as released only if it reports so, or once the last
  * grant for them has certainly ended.
  */
-import { firstValueFrom, race, Subject, timer } from "rxjs";
+import { firstValueFrom, map, race, Subject, timer } from "rxjs";
 import type {
   GrantRow,
   GrantRows,
@@ -86,6 +86,13 @@
   done: Subject<void>;
 }
 
+/** Why the wait of a response that is held open ends. */
+enum Wake {
+  ResponseDue = "response-due",
+  TimedOut = "timed-out",
+  Closed = "closed",
+}
+
 /** Grants keys in the responses to status reports. */
 export class ReportChannel implements GrantChannel {
   readonly #context: GrantContext;
@@ -125,19 +132,57 @@
     const incarnation = `${report.id}@${report.bornMs}`;
     if (incarnation !== this.#incarnation) {
       this.#incarnation = incarnation;
-      this.#newestSequence = Number.NEGATIVE_INFINITY;
+      this.#resetGrants();
     }
     this.#newestSequence = report.sequence;
     // A response that is still open belongs to an older report now.
     this.#respondNow.next();
     this.#processReport(report, receivedAt);
-    if (options.mayWait && this.#isUpToDate(report)) {
-      await firstValueFrom(race(this.#respondNow, timer(this.#options.holdOpenMs)), {
-        defaultValue: undefined,
-      });
+    const isNewest = () =>
+      this.#incarnation === incarnation && this.#newestSequence === report.sequence;
+    if (options.mayWait) {
+      const mayRespond = () => !isNewest() || this.#isGrantable(receivedAt);
+      await this.#holdOpen({ isDue: !this.#isUpToDate(report), mayRespond });
+    }
+    return isNewest() ? this.#grant(report, receivedAt) : undefined;
+  }
+
+  /** A new incarnation of the server holds no keys, whatever an earlier one was granted. */
+  #resetGrants(): void {
+    const confirmed = this.#context.grants().filter(({ isConfirmed }) => isConfirmed);
+    for (const grant of confirmed) {
+      grant.isConfirmed = false;
+      grant.until = 0;
     }
-    const isNewest = this.#incarnation === incarnation && this.#newestSequence === report.sequence;
-    return isNewest ? this.#grant(report, receivedAt) : undefined;
+    if (confirmed.length > 0) {
+      this.#context.onChanged();
+    }
+  }
+
+  /** Waits until a response is due and may be sent, at most for the time that responses are held open. */
+  async #holdOpen(response: { isDue: boolean; mayRespond: () => boolean }): Promise<void> {
+    const { now } = this.#context;
+    const until = now() + this.#options.holdOpenMs;
+    let { isDue } = response;
+    while (now() < until && !(isDue && response.mayRespond())) {
+      const wake = await firstValueFrom(
+        race(
+          this.#respondNow.pipe(map(() => Wake.ResponseDue)),
+          timer(until - now()).pipe(map(() => Wake.TimedOut)),
+        ),
+        { defaultValue: Wake.Closed },
+      );
+      if (wake !== Wake.ResponseDue) {
+        return;
+      }
+      isDue = true;
+    }
+  }
+
+  /** Returns whether a response to a report may grant keys now. */
+  #isGrantable(receivedAt: number): boolean {
+    const { now, grantableMs } = this.#context;
+    return receivedAt + grantableMs(receivedAt) - now() >= GRANT_MIN_MS;
   }
 
   /** Returns whether the server holds exactly the keys that it is granted. */
--- a/packages/lease_ranges/src/report_channel_test.ts
+++ b/packages/lease_ranges/src/report_channel_test.ts
@@ -129,6 +129,40 @@
     expect(await later).to.not.equal(undefined);
   });
 
+  it("does not count the grants of an earlier incarnation of the server as given to the next one", async () => {
+    const { channel, state } = createChannel({ grants: [grantFor(0, 9, 3)] });
+    await respond(channel, report(5));
+    expect(state.grants[0].isConfirmed).to.equal(true);
+    state.grantableMs = 0;
+    expect(await respond(channel, { ...report(1), bornMs: 2 })).to.equal(undefined);
+    expect(state.grants[0]).to.include({ isConfirmed: false, until: 0 });
+  });
+
+  it("holds a response open until its grants may be given, and sends it at once then", async () => {
+    const { channel, state } = createChannel({ grants: [grantFor(0, 9, 3)], grantableMs: 0 });
+    const pending = channel.respond(report(1), { mayWait: true });
+    await sleep(20);
+    channel.renew();
+    await sleep(20);
+    state.grantableMs = 1_000;
+    const grantableAt = now();
+    channel.renew();
+    expect((await pending)?.grants.rows).to.have.length(1);
+    expect(now() - grantableAt).to.be.below(HOLD_OPEN_MS / 3);
+  });
+
+  it("holds a response open no longer than allowed when nothing may be granted, and ends it when it closes", async () => {
+    const { channel } = createChannel({ grants: [grantFor(0, 9, 3)], grantableMs: 0 });
+    const startedAt = now();
+    expect(await channel.respond(report(1), { mayWait: true })).to.equal(undefined);
+    expect(now() - startedAt).to.be.within(HOLD_OPEN_MS - 5, HOLD_OPEN_MS * 1.5);
+    const pending = channel.respond(report(2), { mayWait: true });
+    const closedAt = now();
+    channel.close();
+    expect(await pending).to.equal(undefined);
+    expect(now() - closedAt).to.be.below(HOLD_OPEN_MS / 2);
+  });
+
   it("completes a release once reports list all keys as released, each part with its handover token", async () => {
     const { channel, state } = createChannel({ grants: [grantFor(0, 9, 3)] });
     await respond(channel, report(1));
