Keep the connection of a caller that still sends its body when the response is already there

What callers saw: on the product's own wires, a long upload that was rejected early ended with "write EPIPE" or a reset instead of the rejection (not-run).

Cause, now reproduced: a response that closes the connection (callers without keep-alive) was ended at once, and Node.js then closes the connection although the caller still sends. The caller fails on its next write before it reads.

Change: the response is written at once and ended when the whole request has arrived, after 2 s at the latest. This holds for rejections, responses and streamed responses.

Three new tests with a caller that goes on sending failed before. The users' daemon rejects uploads early only in a stop and before its first manifest; there the same is open (not tested).

--- a/packages/daemon/src/caller_server.ts
+++ b/packages/daemon/src/caller_server.ts
@@ -33,6 +33,8 @@
  */
 const BUFFERED_BODY_BYTES_MAX = 64 * 1024;
 const IDEMPOTENCY_KEY_CHARACTERS_MAX = 256;
+/** Longest wait for the rest of a request that has its response already, in milliseconds. */
+const UNREAD_BODY_TIMEOUT_MS = 2_000;
 
 /** Outcome label in metrics for a response of the backend server. */
 const ANSWERED = "answered";
@@ -409,7 +411,7 @@
     }
     response.writeHead(head.status, headers);
     if (body === undefined || Buffer.isBuffer(body)) {
-      response.end(body);
+      endWithBody(response, body);
       return true;
     }
     return await sendBody(response, body);
@@ -468,7 +470,7 @@
     [OUTCOME_HEADER]: Outcome.NotRun,
     [REASON_HEADER]: "malformed",
   });
-  response.end(body);
+  endWithBody(response, body);
 }
 
 function sendOutcome(
@@ -486,10 +488,38 @@
   );
   headers.push(OUTCOME_HEADER, head.outcome!, REASON_HEADER, head.reason ?? "");
   response.writeHead(head.status, headers);
-  response.end(body);
+  endWithBody(response, body);
   return true;
 }
 
+function endWithBody(response: ServerResponse, body: Buffer | undefined): void {
+  if (body === undefined || body.length === 0) {
+    response.flushHeaders();
+  } else {
+    response.write(body);
+  }
+  endAfterRequest(response);
+}
+
+/**
+ * Ends a response once the whole request has arrived. Where the response closes the connection, ending it earlier
+ * would reset the connection, and a caller that still sends would fail before it reads the response.
+ */
+function endAfterRequest(response: ServerResponse): void {
+  const request = response.req;
+  if (request.complete) {
+    response.end();
+    return;
+  }
+  const end = () => {
+    clearTimeout(timer);
+    request.off("end", end).off("close", end);
+    response.end();
+  };
+  const timer = setTimeout(end, UNREAD_BODY_TIMEOUT_MS);
+  request.once("end", end).once("close", end).resume();
+}
+
 async function sendBody(
   response: ServerResponse,
   body: AsyncIterable<Buffer>,
@@ -503,7 +533,7 @@
         await waitForDrain(response);
       }
     }
-    response.end();
+    endAfterRequest(response);
     return true;
   } catch {
     response.destroy();
--- a/packages/daemon/src/caller_server_test.ts
+++ b/packages/daemon/src/caller_server_test.ts
@@ -1,8 +1,10 @@
+import { Buffer } from "node:buffer";
 import { connect, type Socket } from "node:net";
 import { expect } from "chai";
 import { Shutdown } from "@bulrushwood/admission";
 import type { Ledger } from "@bulrushwood/ledger";
-import type { RoutedResponse } from "@bulrushwood/routing";
+import { Reason } from "@bulrushwood/protocol";
+import { notRun, type RoutedResponse } from "@bulrushwood/routing";
 import type { DaemonSettings } from "@bulrushwood/settings";
 import { findFreePort } from "@bulrushwood/stand_ins";
 import { now, sleep } from "@bulrushwood/types";
@@ -29,6 +31,8 @@
   socket: Socket;
   /** All bytes that the caller has received. */
   received: () => string;
+  /** Error of the caller's connection. */
+  failure: () => Error | undefined;
   /** Requests that were passed on. */
   sent: () => number;
   /** Stops the server; resolves when it has closed. */
@@ -37,20 +41,22 @@
 
 /** Runs a test with a caller server whose requests run for `workMs`. */
 async function runScenario(
-  options: { workMs: number },
+  options: { workMs: number; response?: RoutedResponse },
   test: (scenario: Scenario) => Promise<void>,
 ): Promise<void> {
   const port = await findFreePort();
+  const { workMs, response = { head: { status: 200, headers: [] }, body: undefined } } = options;
   let sent = 0;
   let received = "";
+  let failure: Error | undefined;
   const shutdown = new Shutdown({ now, shutdownMs: SHUTDOWN_MS });
   const callerServer = await CallerServer.listen({
     ledger: { configuration: { configuration: CONFIGURATION } } as unknown as Ledger,
     ingress: {
       handle: async (): Promise<RoutedResponse> => {
         sent++;
-        await sleep(options.workMs);
-        return { head: { status: 200, headers: [] }, body: undefined };
+        await sleep(workMs);
+        return response;
       },
     } as unknown as Ingress,
     metrics: { observe: () => {}, countMalformed: () => {} } as unknown as Metrics,
@@ -63,12 +69,12 @@
     shutdown,
   }, { host: HOST, port });
   const socket = connect(port, HOST);
-  socket.on("data", (part) => received += part.toString()).on("error", () => {});
+  socket.on("data", (part) => received += part.toString()).on("error", (error) => failure = error);
   const stop = () => {
     shutdown.begin();
     return callerServer.close({ timeoutMs: SHUTDOWN_MS });
   };
-  await test({ socket, received: () => received, sent: () => sent, stop });
+  await test({ socket, received: () => received, sent: () => sent, failure: () => failure, stop });
   socket.destroy();
 }
 
@@ -108,3 +114,38 @@
     });
   });
 });
+
+describe("caller server: responses before the whole request has arrived", () => {
+  const EARLY: [string, RoutedResponse][] = [
+    ["a rejection", notRun(Reason.ServerRejected, "full")],
+    ["a response", { head: { status: 400, headers: [] }, body: Buffer.from("no") }],
+    ["a streamed response", { head: { status: 400, headers: [] }, body: streamOf("no") }],
+  ];
+  for (const [name, response] of EARLY) {
+    it(`keeps the connection of a caller that still sends its body after ${name}`, async () => {
+      await runScenario({ workMs: 0, response }, async ({ socket, received, failure, stop }) => {
+        const chunk = `5\r\nparts\r\n`;
+        socket.write(
+          "POST / HTTP/1.1\r\nhost: h\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n",
+        );
+        socket.write(chunk);
+        await sleep(100);
+        expect(received()).to.match(/^HTTP\/1.1 (503|400) /);
+        for (let part = 0; part < 5; part++) {
+          socket.write(chunk);
+          await sleep(20);
+        }
+        expect(failure()).to.equal(undefined);
+        expect(socket.destroyed).to.equal(false);
+        socket.write("0\r\n\r\n");
+        await sleep(50);
+        expect([socket.readableEnded, failure()]).to.deep.equal([true, undefined]);
+        await stop();
+      });
+    });
+  }
+});
+
+async function* streamOf(text: string): AsyncGenerator<Buffer> {
+  yield await Promise.resolve(Buffer.from(text));
+}
