Test the client of backend servers on the product's own wires with responses cut at any byte

The client of the users' servers had such a test, this one had not. Each cut in the head is reported as no response, each cut in the body breaks the body off, with a length and in chunks.

--- a/packages/backend/src/backend_client_test.ts
+++ b/packages/backend/src/backend_client_test.ts
@@ -8,10 +8,12 @@
 
 const HOST = "127.0.0.1";
 const REJECTION = "HTTP/1.1 503 No\r\nbulrushwood-refused: full\r\ncontent-length: 0\r\n\r\n";
+/** Outcome of a response whose body ended early. */
+const BROKEN_OFF = "broken off";
 const SUCCESS = "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nrun";
 
-/** Sends two requests, one after the other, to a server that handles each request on a connection by `handle`. */
-async function sendTwo(handle: (socket: Socket, count: number) => void) {
+/** Sends requests one after the other to a server that handles the numbered requests by `handle`. */
+async function sendAll(requests: number, handle: (socket: Socket, count: number) => void) {
   const port = await findFreePort();
   const sockets = new Set<Socket>();
   let count = 0;
@@ -39,10 +41,15 @@
     if (sent.isErr) {
       return sent.error.kind;
     }
-    return Buffer.concat(await sent.value.toArray()).toString();
+    const body = await sent.value.toArray().catch(() => undefined);
+    return body === undefined ? BROKEN_OFF : Buffer.concat(body).toString();
   };
   try {
-    return [await send("r1"), await send("r2")];
+    const outcomes = [];
+    for (let request = 1; request <= requests; request++) {
+      outcomes.push(await send(`r${request}`));
+    }
+    return outcomes;
   } finally {
     client.close();
     sockets.forEach((socket) => socket.destroy());
@@ -53,7 +60,7 @@
 describe("client of a backend server", () => {
   it("does not take an earlier rejection that is repeated for that of the next request", async () => {
     let rejectedOn: Socket | undefined;
-    const outcomes = await sendTwo((socket, count) => {
+    const outcomes = await sendAll(2, (socket, count) => {
       if (count === 1) {
         rejectedOn = socket;
         socket.write(REJECTION);
@@ -63,4 +70,18 @@
     });
     expect(outcomes).to.deep.equal([BackendErrorKind.Rejected, "run"]);
   });
+
+  const CHUNKED = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nrun\r\n0\r\n\r\n";
+  for (const [framing, whole] of [["a length", SUCCESS], ["chunks", CHUNKED]]) {
+    it(`never takes a response with ${framing} for complete that was cut at any byte`, async () => {
+      const outcomes = await sendAll(
+        whole.length,
+        (socket, count) => socket.end(whole.slice(0, count - 1)),
+      );
+      const headEnd = whole.indexOf("\r\n\r\n") + 4;
+      expect(outcomes).to.deep.equal(
+        outcomes.map((_, cut) => cut < headEnd ? BackendErrorKind.NoResponse : BROKEN_OFF),
+      );
+    });
+  }
 });
