Let callers of the users' daemon read an early rejection while they still send their body

The users' daemon rejects so in a stop, before its first manifest, and for unknown routes or bodies that are too large.

The code that ends a response moves to the new package http_server, which both daemons use. A response to a complete request ends as before, in one write.

The new test failed before (the connection was closed while the caller sent).

--- a/packages/daemon/src/caller_server.ts
+++ b/packages/daemon/src/caller_server.ts
@@ -7,6 +7,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Result } from "true-myth";
 import type { Shutdown } from "@bulrushwood/admission";
+import { endAfterRequest, endWithBody } from "@bulrushwood/http_server";
 import type { Ledger } from "@bulrushwood/ledger";
 import { Reason, type RequestHead } from "@bulrushwood/protocol";
 import {
@@ -33,8 +34,6 @@
  */
 const BUFFERED_BODY_BYTES_MAX = 64 * 1024;
 const IDEMPOTENCY_KEY_CHARACTERS_MAX = 256;
-/** Longest wait for the rest of a request that has its response already, in milliseconds. */
-const UNREAD_BODY_TIMEOUT_MS = 2_000;
 
 /** Outcome label in metrics for a response of the backend server. */
 const ANSWERED = "answered";
@@ -492,34 +491,6 @@
   return true;
 }
 
-function endWithBody(response: ServerResponse, body: Buffer | undefined): void {
-  if (body === undefined || body.length === 0) {
-    response.flushHeaders();
-  } else {
-    response.write(body);
-  }
-  endAfterRequest(response);
-}
-
-/**
- * Ends a response once the whole request has arrived. Where the response closes the connection, ending it earlier
- * would reset the connection, and a caller that still sends would fail before it reads the response.
- */
-function endAfterRequest(response: ServerResponse): void {
-  const request = response.req;
-  if (request.complete) {
-    response.end();
-    return;
-  }
-  const end = () => {
-    clearTimeout(timer);
-    request.off("end", end).off("close", end);
-    response.end();
-  };
-  const timer = setTimeout(end, UNREAD_BODY_TIMEOUT_MS);
-  request.once("end", end).once("close", end).resume();
-}
-
 async function sendBody(
   response: ServerResponse,
   body: AsyncIterable<Buffer>,
--- /dev/null
+++ b/packages/http_server/src/mod.ts
@@ -0,0 +1,38 @@
+/**
+ * Ends responses of HTTP servers. A response that closes its connection ends only when the whole request has arrived:
+ * ending it earlier would reset the connection, and a caller that still sends would fail before it reads the response.
+ */
+import type { Buffer } from "node:buffer";
+import type { ServerResponse } from "node:http";
+
+/** Longest wait for the rest of a request that has its response already, in milliseconds. */
+const UNREAD_BODY_TIMEOUT_MS = 2_000;
+
+/** Sends the body of a response at once, and ends the response once the whole request has arrived. */
+export function endWithBody(response: ServerResponse, body: Buffer | undefined): void {
+  if (response.req.complete) {
+    response.end(body);
+    return;
+  }
+  response.flushHeaders();
+  if (body !== undefined) {
+    response.write(body);
+  }
+  endAfterRequest(response);
+}
+
+/** Ends a response once the whole request has arrived; discards the rest of the request. */
+export function endAfterRequest(response: ServerResponse): void {
+  const request = response.req;
+  if (request.complete) {
+    response.end();
+    return;
+  }
+  const end = () => {
+    clearTimeout(timer);
+    request.off("end", end).off("close", end);
+    response.end();
+  };
+  const timer = setTimeout(end, UNREAD_BODY_TIMEOUT_MS);
+  request.once("end", end).once("close", end).resume();
+}
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -6,6 +6,7 @@
 import type { Socket } from "node:net";
 import type { Shutdown } from "@bulrushwood/admission";
 import type { CallerWire, Endpoint, Manifest, Route } from "@bulrushwood/deployment";
+import { endWithBody } from "@bulrushwood/http_server";
 import { type Header, Reason, type RequestHead } from "@bulrushwood/protocol";
 import {
   ManifestRoutes,
@@ -312,7 +313,7 @@
       "content-length": body.length,
       ...(this.#mustClose(options.exchange) ? { connection: "close" } : {}),
     });
-    response.end(body);
+    endWithBody(response, body);
   }
 
   /** Whether the response closes the connection: a stopping daemon closes it after the last request read from it. */
@@ -353,8 +354,8 @@
     }
     response.writeHead(head.status, headers);
     await new Promise<void>((resolve) => {
-      response.once("close", resolve);
-      response.end(body, resolve);
+      response.once("close", resolve).once("finish", resolve);
+      endWithBody(response, body);
       exchange.signal.addEventListener("abort", () => resolve(), { once: true });
     });
   }
--- a/packages/router/src/caller_server_test.ts
+++ b/packages/router/src/caller_server_test.ts
@@ -196,6 +196,22 @@
     });
   });
 
+  it("keeps the connection of a caller that still sends its body after an early rejection", async () => {
+    await runScenario(async ({ socket, received, isClosed }) => {
+      const chunk = "5\r\nparts\r\n";
+      const headers = "host: unknown\r\nid: r1\r\nconnection: close\r\ntransfer-encoding: chunked";
+      socket.write(`POST /x HTTP/1.1\r\n${headers}\r\n\r\n${chunk}`);
+      await waitUntil(() => received().startsWith("HTTP/1.1 404"));
+      for (let part = 0; part < 5; part++) {
+        socket.write(chunk);
+        await sleep(20);
+      }
+      expect(isClosed()).to.equal(false);
+      socket.write("0\r\n\r\n");
+      await waitUntil(isClosed);
+    });
+  });
+
   it("rejects requests beyond the limit in flight, and does not run them", async () => {
     await runScenario(async ({ dispatcher, socket, received }) => {
       const ids = Array.from({ length: PIPELINED_MAX + 2 }, (_, index) => `r${index}`);
