Record in the stand-in server that work ended with its grant whatever is noticed first

No caller saw anything: the record of the stand-in was wrong.

Cause, now reproduced: when the process resumes, it may handle the closed connection before it checks the grants. The work then counted as cancelled at that time, although nothing had run since its grant ended.

Change: whatever stops work, it ended with its grant if the grant has expired.

--- a/packages/stand_ins/src/backend_server.ts
+++ b/packages/stand_ins/src/backend_server.ts
@@ -400,11 +400,10 @@
       const stop = (end: WorkState) => {
         clearTimeout(timer);
         this.#running.delete(work.id);
-        resolve(end);
+        // After a suspension, the end of the connection may be seen before the end of the grant.
+        resolve(this.#hasGrantLapsed(work, group) ? WorkState.GrantLapsed : end);
       };
-      const finish = () =>
-        stop(this.#hasGrantLapsed(work, group) ? WorkState.GrantLapsed : WorkState.Done);
-      const timer = setTimeout(finish, this.#serviceTimeMs(work));
+      const timer = setTimeout(() => stop(WorkState.Done), this.#serviceTimeMs(work));
       this.#running.set(work.id, { work, group, stop });
       response.once("close", () => stop(WorkState.Cancelled));
     });
