--- a/packages/admission/src/mod.ts
+++ b/packages/admission/src/mod.ts
@@ -1,5 +1,6 @@
 /**
- * Admission of requests to a backend server: priority queues, deadlines, early rejection.
+ * Admission of requests: priority queues, deadlines and early rejection at a backend server, and what a stopping
+ * daemon still accepts.
  */
 export {
   Admission,
--- a/packages/daemon/src/caller_server.ts
+++ b/packages/daemon/src/caller_server.ts
@@ -96,6 +96,7 @@
   #routes: RouteTable | undefined;
   #routesOf: Configuration | undefined;
   #nextId = 1;
+  /** Forwarded requests without a response yet. */
   readonly #open = new OpenRequests();
 
   private constructor(options: CallerServerOptions) {
@@ -416,6 +417,7 @@
     return await sendBody(response, body);
   }
 
+  /** Responds to all open requests, which may have run. */
   #respondToOpen(): void {
     const detail = "This daemon stops before the backend server has responded";
     this.#open.respondToAll(unknown(Reason.LinkBroken, detail));
--- a/packages/lease_ranges/src/report_channel.ts
+++ b/packages/lease_ranges/src/report_channel.ts
@@ -6,12 +6,13 @@
  * grant for them has certainly ended.
  */
 import { firstValueFrom, map, race, Subject, timer } from "rxjs";
-import type {
-  GrantRow,
-  GrantRows,
-  HeldKeys,
-  ReleasedKeys,
-  ServerReport,
+import {
+  type GrantRow,
+  type GrantRows,
+  type HeldKeys,
+  incarnationName,
+  type ReleasedKeys,
+  type ServerReport,
 } from "@bulrushwood/deployment";
 import { encloses, type KeySpan, overlaps, without } from "@bulrushwood/ledger_store";
 import {
@@ -129,7 +130,7 @@
     options: { mayWait: boolean },
   ): Promise<{ grants: GrantRows; recordSent: () => void } | undefined> {
     const receivedAt = this.#context.now();
-    const incarnation = `${report.id}@${report.bornMs}`;
+    const incarnation = incarnationName(report);
     if (incarnation !== this.#incarnation) {
       this.#incarnation = incarnation;
       this.#resetGrants();
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -64,6 +64,7 @@
   #longestDeadlines = new Map<string, number>();
   readonly #connections = new WeakMap<Socket, CallerConnection>();
   #openRequests = 0;
+  /** Dispatched requests without a response yet. */
   readonly #dispatched = new OpenRequests();
 
   private constructor(options: CallerServerOptions) {
--- a/packages/router/src/server_limit.ts
+++ b/packages/router/src/server_limit.ts
@@ -1,8 +1,9 @@
 /**
  * The request limit of one incarnation of a backend server, as its responses name it. The limit applies until a
  * response to a request that was sent after the limit was last named does not name it: responses to earlier
- * requests may have been written before the limit began. A malformed limit changes nothing. Choosing the servers of requests does not rely on an old
- * limit: a server that got no requests because of it could never show that it has ended.
+ * requests may have been written before the limit began. A malformed limit changes nothing. Choosing the servers of
+ * requests does not rely on an old limit: a server that got no requests because of it could never show that it has
+ * ended.
  */
 import type { ServerNotice } from "@bulrushwood/deployment";
 import type { Clock } from "@bulrushwood/types";
