Close both caller servers by one function

`closeGracefully` in http_server now does it for both; each daemon passes when and how it responds to its open requests. Behaviour and tests are unchanged.

--- a/packages/daemon/src/caller_server.ts
+++ b/packages/daemon/src/caller_server.ts
@@ -7,7 +7,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Result } from "true-myth";
 import type { Shutdown } from "@bulrushwood/admission";
-import { endAfterRequest, endWithBody } from "@bulrushwood/http_server";
+import { closeGracefully, endAfterRequest, endWithBody } from "@bulrushwood/http_server";
 import type { Ledger } from "@bulrushwood/ledger";
 import { Reason, type RequestHead } from "@bulrushwood/protocol";
 import {
@@ -428,16 +428,11 @@
    * shortly before the end of the timeout get a response that says so.
    */
   async close(options: { timeoutMs: number }): Promise<void> {
-    const closed = new Promise<void>((resolve) => this.#server.close(() => resolve()));
-    this.#server.closeIdleConnections();
-    const { timeoutMs } = options;
-    const respondAfterMs = Math.min(timeoutMs, this.#options.shutdown.lastResponsesAt - now());
-    const timers = [
-      setTimeout(() => this.#respondToOpen(), respondAfterMs),
-      setTimeout(() => this.#server.closeAllConnections(), timeoutMs),
-    ];
-    await closed;
-    timers.forEach((timer) => clearTimeout(timer));
+    await closeGracefully(this.#server, {
+      ...options,
+      respondAfterMs: this.#options.shutdown.lastResponsesAt - now(),
+      respondToOpen: () => this.#respondToOpen(),
+    });
   }
 }
 
--- a/packages/http_server/src/mod.ts
+++ b/packages/http_server/src/mod.ts
@@ -1,9 +1,10 @@
 /**
- * Ends responses of HTTP servers. A response that closes its connection ends only when the whole request has arrived:
- * ending it earlier would reset the connection, and a caller that still sends would fail before it reads the response.
+ * Ends responses of HTTP servers, and closes the servers. A response that closes its connection ends only when the
+ * whole request has arrived: ending it earlier would reset the connection, and a caller that still sends would fail
+ * before it reads the response.
  */
 import type { Buffer } from "node:buffer";
-import type { ServerResponse } from "node:http";
+import type { Server, ServerResponse } from "node:http";
 
 /** Longest wait for the rest of a request that has its response already, in milliseconds. */
 const UNREAD_BODY_TIMEOUT_MS = 2_000;
@@ -36,3 +37,26 @@
   const timer = setTimeout(end, UNREAD_BODY_TIMEOUT_MS);
   request.once("end", end).once("close", end).resume();
 }
+
+/** Timing of the close of a server. */
+export interface CloseOptions {
+  /** Time after which all connections are closed, in milliseconds. */
+  timeoutMs: number;
+  /** Time after which the open requests get a response, in milliseconds; at most the timeout. */
+  respondAfterMs: number;
+  /** Responds to the open requests. */
+  respondToOpen: () => void;
+}
+
+/** Stops accepting connections; resolves when all requests have their responses or the timeout has passed. */
+export async function closeGracefully(server: Server, options: CloseOptions): Promise<void> {
+  const { timeoutMs, respondAfterMs, respondToOpen } = options;
+  const closed = new Promise<void>((resolve) => server.close(() => resolve()));
+  server.closeIdleConnections();
+  const timers = [
+    setTimeout(respondToOpen, Math.min(timeoutMs, respondAfterMs)),
+    setTimeout(() => server.closeAllConnections(), timeoutMs),
+  ];
+  await closed;
+  timers.forEach((timer) => clearTimeout(timer));
+}
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -6,7 +6,7 @@
 import type { Socket } from "node:net";
 import type { Shutdown } from "@bulrushwood/admission";
 import type { CallerWire, Endpoint, Manifest, Route } from "@bulrushwood/deployment";
-import { endWithBody } from "@bulrushwood/http_server";
+import { closeGracefully, endWithBody } from "@bulrushwood/http_server";
 import { type Header, Reason, type RequestHead } from "@bulrushwood/protocol";
 import {
   ManifestRoutes,
@@ -380,17 +380,11 @@
 
   /** Stops accepting connections; resolves when all requests have their responses or the timeout has passed. */
   async close(options: { timeoutMs: number }): Promise<void> {
-    const { shutdown } = this.#options;
-    const closed = new Promise<void>((resolve) => this.#server.close(() => resolve()));
-    this.#server.closeIdleConnections();
-    const { timeoutMs } = options;
-    const respondAfterMs = Math.min(timeoutMs, shutdown.lastResponsesAt - now());
-    const timers = [
-      setTimeout(() => this.#respondToOpen(), respondAfterMs),
-      setTimeout(() => this.#server.closeAllConnections(), timeoutMs),
-    ];
-    await closed;
-    timers.forEach((timer) => clearTimeout(timer));
+    await closeGracefully(this.#server, {
+      ...options,
+      respondAfterMs: this.#options.shutdown.lastResponsesAt - now(),
+      respondToOpen: () => this.#respondToOpen(),
+    });
   }
 }
 
