Review case 1: a request runs at the service that took over an address

Tried: one of two machines of a service without keys is lost for good; 3 s later a machine of another service starts at its addresses. Uploads run at the other service, and their clients get its 200.

--- /dev/null
+++ b/review/lib/upstream.mjs
@@ -0,0 +1,133 @@
+/**
+ * Stand-in for an upstream without keys, as PROTOCOL.md describes a sound one: it runs requests in slots, rejects what
+ * is not meant for it, and reports its status to the daemon on its machine.
+ */
+import { createServer, request as sendRequest } from "node:http";
+import { listenOn, now, readAll, sleep } from "./tools.mjs";
+
+const ACK_TIMEOUT_MS = 1_000;
+/** Pause before a report without an ack is sent again, in milliseconds. */
+const RETRY_MS = 250;
+const NOT_RUN = { "x-bulrushwood-not-executed": "1" };
+
+/** One life of an upstream. */
+export class Upstream {
+  #options;
+  #server;
+  #sequence = 0;
+  #isOver = false;
+  #running = 0;
+  #seal = 0;
+  bornMs = Date.now();
+  /** Whether an ack has arrived for a report. */
+  isAcked = false;
+
+  /**
+   * Options: `id`, `service`, `zone`, `host`, `port`, `control` (address of the daemon), `heartbeatMs`, `slots`,
+   * `workMs`, `record`, and `onRun`, called with each request that it runs.
+   */
+  constructor(options) {
+    this.#options = { slots: 12, workMs: 40, heartbeatMs: 870, onRun: () => {}, ...options };
+  }
+
+  async start() {
+    const { host, port } = this.#options;
+    this.#server = createServer((request, response) => {
+      this.#handle(request, response).catch(() => response.destroy());
+    });
+    this.#server.keepAliveTimeout = 10_000;
+    await listenOn(this.#server, host, port);
+    this.#report();
+  }
+
+  get id() {
+    return this.#options.id;
+  }
+
+  async #handle(request, response) {
+    const { id, service, slots, workMs, record, onRun } = this.#options;
+    const { headers } = request;
+    const echo = headers["x-bulrushwood-request-id"];
+    if (request.url === "/healthz") {
+      response.writeHead(200, { "x-bulrushwood-instance-id": id, "content-length": 0 }).end();
+      return;
+    }
+    const isForOther = headers["x-bulrushwood-expect-instance"] !== undefined &&
+      headers["x-bulrushwood-expect-instance"] !== id;
+    if (echo === undefined || isForOther || this.#running >= slots) {
+      request.resume();
+      const status = echo === undefined ? 400 : isForOther ? 421 : 503;
+      const ids = echo === undefined ? {} : { "x-bulrushwood-request-id": echo };
+      response.writeHead(status, { ...NOT_RUN, ...ids, "content-length": 0 }).end();
+      return;
+    }
+    this.#running++;
+    try {
+      record("run", { request: echo, method: request.method, path: request.url, at: id, service });
+      onRun({ id: echo, path: request.url, upstream: id, service });
+      const body = await readAll(request);
+      await sleep(workMs);
+      const answer = `${id} ${service} ${request.url} ${body.length}`;
+      response.writeHead(200, {
+        "x-bulrushwood-request-id": echo,
+        "x-bulrushwood-answer-seal": `${id}.${this.#seal++}`,
+        "x-bulrushwood-server-load": `${this.#running},0,${slots}`,
+        "content-length": answer.length,
+      }).end(answer);
+    } finally {
+      this.#running--;
+    }
+  }
+
+  async #report() {
+    const { heartbeatMs } = this.#options;
+    while (!this.#isOver) {
+      const sentAt = now();
+      const isAcked = await this.sendReport("ready");
+      this.isAcked ||= isAcked;
+      await sleep(isAcked ? Math.max(0, heartbeatMs - (now() - sentAt)) : RETRY_MS);
+    }
+  }
+
+  /** Sends a status report; resolves to whether it was acknowledged. */
+  sendReport(state) {
+    const { id, service, zone, host, port, slots } = this.#options;
+    const status = { state, seq: ++this.#sequence, cold_left_ms: 0 };
+    const info = { service, version: "v1", zone, slots };
+    const address = `${host}:${port}`;
+    return this.#callDaemon(
+      "PUT",
+      `/instances/${id}`,
+      JSON.stringify({ address, born: this.bornMs, info, status }),
+    );
+  }
+
+  #callDaemon(method, path, body) {
+    const [host, port] = this.#options.control.split(":");
+    return new Promise((resolve) => {
+      const call = sendRequest({
+        host,
+        port,
+        method,
+        path,
+        agent: false,
+        headers: { "content-type": "application/json", "content-length": body.length },
+        timeout: ACK_TIMEOUT_MS,
+      });
+      call.on("response", (response) => {
+        response.resume();
+        resolve(response.statusCode >= 200 && response.statusCode < 300);
+      });
+      call.on("timeout", () => call.destroy(new Error("no ack")));
+      call.on("error", () => resolve(false));
+      call.end(body);
+    });
+  }
+
+  /** Ends this life at once. */
+  crash() {
+    this.#isOver = true;
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+}
