--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -99,13 +99,16 @@
     const from = Number(query.get("from"));
     if (topic.records.length <= from) {
       await new Promise((resolve) => {
-        const timer = setTimeout(resolve, Number(query.get("wait_ms") ?? 0));
+        const { socket } = request;
         const wake = () => {
           clearTimeout(timer);
+          topic.wakers.delete(wake);
+          socket.off("close", wake);
           resolve();
         };
+        const timer = setTimeout(wake, Number(query.get("wait_ms") ?? 0));
         topic.wakers.add(wake);
-        request.socket.once("close", wake);
+        socket.once("close", wake);
       });
     }
     if (this.isBusy) {
--- a/review/lib/upstream.mjs
+++ b/review/lib/upstream.mjs
@@ -1,8 +1,9 @@
 /**
- * Stand-in for an upstream without keys, as PROTOCOL.md describes a sound one: it runs requests in slots, rejects what
- * is not meant for it, and reports its status to the daemon on its machine.
+ * Stand-in for an upstream, as PROTOCOL.md describes a sound one: it runs requests in slots, rejects what is not meant
+ * for it, takes grants if its service has keys, and reports its status to the daemon on its machine.
  */
 import { createServer, request as sendRequest } from "node:http";
+import { HeldKeys } from "./keys.mjs";
 import { listenOn, now, readAll, sleep } from "./tools.mjs";
 
 const ACK_TIMEOUT_MS = 1_000;
@@ -18,16 +19,20 @@
   #isOver = false;
   #running = 0;
   #seal = 0;
+  #keys = new HeldKeys();
   bornMs = Date.now();
   /** Whether an ack has arrived for a report. */
   isAcked = false;
 
   /**
    * Options: `id`, `service`, `zone`, `host`, `port`, `control` (address of the daemon), `heartbeatMs`, `slots`,
-   * `workMs`, `record`, and `onRun`, called with each request that it runs.
+   * `workMs`, `record`, `onRun`, called with each request that it runs, `isKeyed`, `onGrant`, called with each grant
+   * that it takes, and `reportDelayMs`, the time for which reports are held up on their way.
    */
   constructor(options) {
-    this.#options = { slots: 12, workMs: 40, heartbeatMs: 870, onRun: () => {}, ...options };
+    this.#options = { slots: 12, workMs: 40, heartbeatMs: 870, reportDelayMs: 0, ...options };
+    this.#options.onRun ??= () => {};
+    this.#options.onGrant ??= () => {};
   }
 
   async start() {
@@ -54,14 +59,21 @@
     }
     const isForOther = headers["x-bulrushwood-expect-instance"] !== undefined &&
       headers["x-bulrushwood-expect-instance"] !== id;
-    if (echo === undefined || isForOther || this.#running >= slots) {
+    if (request.method === "POST" && (request.url === "/grant" || request.url === "/release")) {
+      await this.#handleOrder(request, response);
+      return;
+    }
+    const key = Number(headers["x-bulrushwood-shard-key"] ?? -1);
+    const lacksKey = this.#options.isKeyed && !this.#keys.has(key);
+    if (echo === undefined || isForOther || lacksKey || this.#running >= slots) {
       request.resume();
-      const status = echo === undefined ? 400 : isForOther ? 421 : 503;
+      const status = echo === undefined ? 400 : isForOther || lacksKey ? 421 : 503;
       const ids = echo === undefined ? {} : { "x-bulrushwood-request-id": echo };
       response.writeHead(status, { ...NOT_RUN, ...ids, "content-length": 0 }).end();
       return;
     }
     this.#running++;
+    const end = this.#options.isKeyed ? this.#keys.begin(key) : () => {};
     try {
       record("run", { request: echo, method: request.method, path: request.url, at: id, service });
       onRun({ id: echo, path: request.url, upstream: id, service });
@@ -76,7 +88,24 @@
       }).end(answer);
     } finally {
       this.#running--;
+      end();
+    }
+  }
+
+  async #handleOrder(request, response) {
+    const { id, record, onGrant } = this.#options;
+    const order = JSON.parse((await readAll(request)).toString("utf8"));
+    if (request.url === "/release") {
+      const token = await this.#keys.release(order);
+      response.writeHead(200, { "x-bulrushwood-handover": token, "content-length": 0 }).end();
+      return;
     }
+    const isTaken = this.#keys.grant(order);
+    record(isTaken ? "grant" : "grant refused", { at: id, ...order });
+    if (isTaken) {
+      onGrant(id, order);
+    }
+    response.writeHead(isTaken ? 200 : 409, { "content-length": 0 }).end();
   }
 
   async #report() {
@@ -102,9 +131,13 @@
     );
   }
 
-  #callDaemon(method, path, body) {
+  async #callDaemon(method, path, body) {
+    await sleep(this.#options.reportDelayMs);
+    if (this.#isOver) {
+      return false;
+    }
     const [host, port] = this.#options.control.split(":");
-    return new Promise((resolve) => {
+    return await new Promise((resolve) => {
       const call = sendRequest({
         host,
         port,
