--- a/review/lib/upstream.mjs
+++ b/review/lib/upstream.mjs
@@ -27,12 +27,14 @@
   /**
    * Options: `id`, `service`, `zone`, `host`, `port`, `control` (address of the daemon), `heartbeatMs`, `slots`,
    * `workMs`, `record`, `onRun`, called with each request that it runs, `isKeyed`, `onGrant`, called with each grant
-   * that it takes, and `reportDelayMs`, the time for which reports are held up on their way.
+   * that it takes, `reportDelayMs`, the time for which reports are held up on their way, and `garble`, which returns the
+   * bytes that are sent in place of the next answer, or undefined.
    */
   constructor(options) {
     this.#options = { slots: 12, workMs: 40, heartbeatMs: 870, reportDelayMs: 0, ...options };
     this.#options.onRun ??= () => {};
     this.#options.onGrant ??= () => {};
+    this.#options.garble ??= () => undefined;
   }
 
   async start() {
@@ -50,7 +52,7 @@
   }
 
   async #handle(request, response) {
-    const { id, service, slots, workMs, record, onRun } = this.#options;
+    const { id, service, slots, workMs, record, onRun, garble } = this.#options;
     const { headers } = request;
     const echo = headers["x-bulrushwood-request-id"];
     if (request.url === "/healthz") {
@@ -79,6 +81,12 @@
       onRun({ id: echo, path: request.url, upstream: id, service });
       const body = await readAll(request);
       await sleep(workMs);
+      const bytes = garble();
+      if (bytes !== undefined) {
+        record("garbled answer", { request: echo, at: id, bytes: JSON.stringify(bytes) });
+        response.socket.end(bytes);
+        return;
+      }
       const answer = `${id} ${service} ${request.url} ${body.length}`;
       response.writeHead(200, {
         "x-bulrushwood-request-id": echo,
