Review case 5: a few large uploads end a daemon by its memory

Tried: four clients of one machine upload 60 MB each at the same time (the manifest allows 64 MiB); the platform's stand-in kills a process above 350 MB of resident memory.

--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -37,6 +37,8 @@
   hold_max_ms: 10_000,
   thaw_slack_ms: 300,
 };
+/** Memory of a `side` machine's process in the site files, in megabytes. */
+export const MEMORY_MB = 350;
 const LIMITS = {
   max_header_bytes: 16_384,
   max_body_bytes: 67_108_864,
@@ -160,7 +162,7 @@
         limits: {
           cpu_share: 0.54,
           cores: 1,
-          memory_mb: 350,
+          memory_mb: MEMORY_MB,
           max_fds: 4_100,
           link_mbps: 1_000,
           disk_mb: 0,
@@ -249,6 +251,36 @@
   }
 }
 
+/** Interval of the platform's checks of the processes' memory, in milliseconds. */
+const MEMORY_CHECK_MS = 10;
+const KB_PER_MB = 1_024;
+
+/** Kills processes that exceed their memory, as the platform does; returns a function that ends the checks. */
+export function limitMemory(daemons, limitMb, record) {
+  const killed = new Set();
+  const timer = setInterval(() => {
+    for (const daemon of daemons) {
+      const mb = residentMb(daemon.pid);
+      if (mb > limitMb && !killed.has(daemon.pid)) {
+        killed.add(daemon.pid);
+        record.write("memory over the limit", { daemon: daemon.name, mb: Math.round(mb) });
+        daemon.signal("SIGKILL");
+      }
+    }
+  }, MEMORY_CHECK_MS);
+  return () => clearInterval(timer);
+}
+
+function residentMb(pid) {
+  try {
+    const [, kb] = /^VmRSS:\s+(\d+)/m.exec(readFileSync(`/proc/${pid}/status`, "utf8"));
+    return Number(kb) / KB_PER_MB;
+  } catch {
+    // The process has ended.
+    return 0;
+  }
+}
+
 /** Returns whether a daemon answers its readiness check with 200. */
 export async function isReady({ addresses: { host, ready } }) {
   const answer = await call({ host, port: ready, path: "/readyz", timeoutMs: 500 });
@@ -266,7 +298,8 @@
 /** Makes one call; the answer's status is 0 if the connection ended without a whole answer. */
 export function call({ timeoutMs, body, ...options }) {
   return new Promise((resolve) => {
-    const end = (status, detail, answer = {}) => resolve({ status, detail, ...answer });
+    const end = (status, detail, answer = {}) =>
+      resolve({ status, detail, isKept: outgoing.reusedSocket, ...answer });
     const outgoing = sendRequest({ agent: false, timeout: timeoutMs, ...options });
     outgoing.on("response", (response) => {
       const parts = [];
