--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,7 +1,8 @@
 /**
- * An upstream sends bytes that are not a response in place of some answers.
+ * The open connections to the store go silent, while new ones work; then the manifest changes.
  */
 import {
+  BOUNDS,
   Clients,
   Daemon,
   HAS_TROUBLE,
@@ -10,44 +11,61 @@
   runCase,
   waitUntilReady,
 } from "../lib/deployment.mjs";
-import { Store } from "../lib/store.mjs";
-import { sleep } from "../lib/tools.mjs";
+import { SilencingProxy, Store } from "../lib/store.mjs";
+import { now, sleep, waitUntil } from "../lib/tools.mjs";
 import { Upstream } from "../lib/upstream.mjs";
 
-const ZONES = ["carapungo", "calderon", "pomasqui"];
-const TIMEOUT_MS = 1_200;
-const ROUTES = [{
-  prefix: "/photos/",
-  service: "inspeccion",
-  route_kind: "upload",
-  timeout_ms: TIMEOUT_MS,
-}];
-/** Answered requests between two garbled answers, which are a fiftieth of all (x = 0.02). */
-const GARBLED_EVERY = 50;
-const GARBLED_FOR_MS = 5_500;
-const NO_RESPONSE =
-  "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n\u0001\u0002";
-const REQUEST_EVERY_MS = 10;
-const WARM_MS = 2_000;
-const AFTER_MS = 4_000;
-/** Time after the route's timeout by which a request must have its answer. */
-const LATE_MS = 500;
+const MACHINES = [
+  { zone: "carapungo", service: "despacho" },
+  { zone: "calderon", service: "despacho" },
+  { zone: "pomasqui", service: "despacho" },
+  { zone: "carapungo", service: "inspeccion" },
+  { zone: "calderon", service: "inspeccion" },
+];
+const SERVICES = ["despacho", "inspeccion"];
+/** The change drops /lots/ and adds /drums/. */
+const KEPT = { prefix: "/quotes/", service: "despacho" };
+const DROPPED = { prefix: "/lots/", service: "inspeccion" };
+const ADDED = { prefix: "/drums/", service: "inspeccion" };
+const MANIFEST_TOPIC = "keyed.op";
+const SYSTEM_TOPIC = "keyed.bulrushwood";
+/** Time from the renewal of the daemons' reads until their connections go silent, in milliseconds. */
+const SILENT_AFTER_MS = 300;
+/** Time from then until the operator's change, in milliseconds. */
+const CHANGE_AFTER_MS = 200;
+const REQUEST_EVERY_MS = 100;
+const WARM_MS = 4_000;
+const AFTER_MS = 9_000;
+
+function nextRead(store, topic) {
+  return new Promise((resolve) => {
+    store.onRead = (read) => read === topic && resolve();
+  });
+}
 
 await runCase(new URL(".", import.meta.url).pathname, async ({ record, folder, track }) => {
   const store = new Store("127.0.0.1");
   await store.listen();
   track(() => store.close());
-  const services = ["inspeccion"];
-  store.write("keyed.op", "config", manifest({ version: 7, routes: ROUTES, services }));
-  let isGarbling = false;
-  let answers = 0;
-  const daemons = await Promise.all(ZONES.map(async (zone, index) => {
+  const proxy = new SilencingProxy();
+  await proxy.listen("127.0.0.1", { host: "127.0.0.1", port: store.port });
+  track(() => proxy.close());
+  const write = (version, routes) =>
+    store.write(MANIFEST_TOPIC, "config", manifest({ version, routes, services: SERVICES }));
+  write(7, [KEPT, DROPPED]);
+  const runs = new Map();
+  const daemons = await Promise.all(MACHINES.map(async ({ zone, service }, index) => {
     const addresses = await reserveAddresses(`127.0.0.${index + 11}`);
     const { host, app, control } = addresses;
-    const storeAddress = `127.0.0.1:${store.port}`;
-    const name = `side-${zone}-${index + 1}`;
-    const service = "inspeccion";
-    const daemon = new Daemon({ name, zone, service, addresses, storeAddress, folder, record });
+    const daemon = new Daemon({
+      name: `side-${zone}-${index + 1}`,
+      zone,
+      service,
+      addresses,
+      storeAddress: `127.0.0.1:${proxy.port}`,
+      folder,
+      record,
+    });
     daemon.start();
     track(() => daemon.stop());
     const upstream = new Upstream({
@@ -58,43 +76,60 @@
       port: app,
       control: `${host}:${control}`,
       record: record.write.bind(record),
-      garble: () =>
-        index === 0 && isGarbling && ++answers % GARBLED_EVERY === 0 ? NO_RESPONSE : undefined,
+      onRun: ({ id, service: by }) => runs.set(id, by),
     });
     await upstream.start();
     track(() => upstream.crash());
     return daemon;
   }));
   await waitUntilReady(daemons);
-  await sleep(WARM_MS);
   const clients = daemons.map((daemon) => new Clients(daemon, record));
   track(() => clients.forEach((each) => each.close()));
+  await waitUntil(async () => {
+    const answers = await Promise.all(
+      clients.flatMap((each) => [each.send({ path: "/quotes/1" }), each.send({ path: "/lots/1" })]),
+    );
+    return answers.every(({ status }) => status === 200);
+  }, { timeoutMs: 15_000, what: "both routes are served everywhere" });
   clients.forEach((each) =>
-    each.run(REQUEST_EVERY_MS, () => ({ path: "/photos/1", method: "POST", body: "photo" }))
+    [KEPT, DROPPED, ADDED].forEach(({ prefix }) =>
+      each.run(REQUEST_EVERY_MS, () => ({ path: `${prefix}1` }))
+    )
   );
   await sleep(WARM_MS);
-  isGarbling = HAS_TROUBLE;
-  await sleep(GARBLED_FOR_MS);
-  isGarbling = false;
+  // The daemons renew their reads of the manifest every 10 s and of the system's topic every 4 s.
+  await nextRead(store, MANIFEST_TOPIC);
+  await nextRead(store, SYSTEM_TOPIC);
+  await sleep(SILENT_AFTER_MS);
+  const silentAt = now();
+  if (HAS_TROUBLE) {
+    record.write("open connections to the store go silent", { connections: proxy.silence() });
+  }
+  await sleep(CHANGE_AFTER_MS);
+  const ackAt = write(8, [KEPT, ADDED]);
+  record.write("manifest 8 is acknowledged");
   await sleep(AFTER_MS);
   clients.forEach((each) => each.stop());
-  // Longer than the clients wait for an answer.
-  await sleep(4_000);
-  const requests = clients.flatMap((each) => each.requests);
-  const late = requests.filter(({ sentAt, answeredAt }) => answeredAt - sentAt > TIMEOUT_MS);
-  const unanswered = late.filter(({ status, sentAt, answeredAt }) =>
-    status === 0 || answeredAt - sentAt > TIMEOUT_MS + LATE_MS
+  await sleep(1_500);
+  // In touch again once the stable window has passed since the connections were lost.
+  const inTouchAt = HAS_TROUBLE ? silentAt + BOUNDS.stable_window_ms : 0;
+  const judgedFrom = Math.max(ackAt + BOUNDS.config_apply_ms, inTouchAt);
+  const judged = clients.flatMap((each) => each.requests).filter(({ sentAt }) =>
+    sentAt > judgedFrom
   );
-  record.write("totals", {
-    requests: requests.length,
-    unansweredAtTimeout: late.length,
-    unansweredLater: unanswered.length,
+  record.write("totals", { judged: judged.length });
+  return judged.flatMap(({ id, daemon, path, sentAt, status }) => {
+    const isDroppedRun = path.startsWith(DROPPED.prefix) && runs.has(id);
+    const isAddedUnknown = path.startsWith(ADDED.prefix) && status === 404;
+    if (!isDroppedRun && !isAddedUnknown) {
+      return [];
+    }
+    const what = isDroppedRun ? `run by ${runs.get(id)} on a dropped route` : "refused with 404";
+    return [
+      `CONFIG: ${path} (request ${id}) sent to ${daemon} ${
+        Math.round(sentAt - ackAt)
+      } ms after the ` +
+      `ack of version 8 and ${Math.round(sentAt - silentAt)} ms after the silence was ${what}`,
+    ];
   });
-  if (2 * unanswered.length <= late.length) {
-    return [];
-  }
-  return unanswered.map(({ id, daemon }) =>
-    `CONFIG: request ${id} to ${daemon} had no answer ${LATE_MS} ms after its route's timeout ` +
-    `(${unanswered.length} of ${late.length} that were unanswered then)`
-  );
 });
--- a/review/lib/upstream.mjs
+++ b/review/lib/upstream.mjs
@@ -19,7 +19,9 @@
   #isOver = false;
   #running = 0;
   #seal = 0;
-  #keys = new HeldKeys();
+  #state = "ready";
+  /** Keys that this life holds. */
+  keys = new HeldKeys();
   bornMs = Date.now();
   /** Whether an ack has arrived for a report. */
   isAcked = false;
@@ -27,14 +29,16 @@
   /**
    * Options: `id`, `service`, `zone`, `host`, `port`, `control` (address of the daemon), `heartbeatMs`, `slots`,
    * `workMs`, `record`, `onRun`, called with each request that it runs, `isKeyed`, `onGrant`, called with each grant
-   * that it takes, `reportDelayMs`, the time for which reports are held up on their way, and `garble`, which returns the
-   * bytes that are sent in place of the next answer, or undefined.
+   * that it takes, `reportDelayMs`, the time for which reports are held up on their way, `garble`, which returns the
+   * bytes that are sent in place of the next answer, or undefined, and `mustRepeat`, which returns whether a second copy
+   * of an answer to an order follows late, where the next answer on its connection is expected.
    */
   constructor(options) {
     this.#options = { slots: 12, workMs: 40, heartbeatMs: 870, reportDelayMs: 0, ...options };
     this.#options.onRun ??= () => {};
     this.#options.onGrant ??= () => {};
     this.#options.garble ??= () => undefined;
+    this.#options.mustRepeat ??= () => false;
   }
 
   async start() {
@@ -66,7 +70,7 @@
       return;
     }
     const key = Number(headers["x-bulrushwood-shard-key"] ?? -1);
-    const lacksKey = this.#options.isKeyed && !this.#keys.has(key);
+    const lacksKey = this.#options.isKeyed && !this.keys.has(key);
     if (echo === undefined || isForOther || lacksKey || this.#running >= slots) {
       request.resume();
       const status = echo === undefined ? 400 : isForOther || lacksKey ? 421 : 503;
@@ -75,7 +79,7 @@
       return;
     }
     this.#running++;
-    const end = this.#options.isKeyed ? this.#keys.begin(key) : () => {};
+    const end = this.#options.isKeyed ? this.keys.begin(key) : () => {};
     try {
       record("run", { request: echo, method: request.method, path: request.url, at: id, service });
       onRun({ id: echo, path: request.url, upstream: id, service });
@@ -101,14 +105,25 @@
   }
 
   async #handleOrder(request, response) {
-    const { id, record, onGrant } = this.#options;
+    const { id, record, onGrant, mustRepeat } = this.#options;
+    const { socket } = request;
+    if (socket.copy !== undefined) {
+      record("second copy of the answer before", { at: id, now: request.url });
+      socket.write(socket.copy);
+      socket.copy = undefined;
+    }
+    if (request.url === "/grant" && mustRepeat()) {
+      socket.copy = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    }
     const order = JSON.parse((await readAll(request)).toString("utf8"));
     if (request.url === "/release") {
-      const token = await this.#keys.release(order);
+      record("release", { at: id, ...order });
+      const token = await this.keys.release(order);
+      record("released", { at: id, ...order });
       response.writeHead(200, { "x-bulrushwood-handover": token, "content-length": 0 }).end();
       return;
     }
-    const isTaken = this.#keys.grant(order);
+    const isTaken = this.keys.grant(order);
     record(isTaken ? "grant" : "grant refused", { at: id, ...order });
     if (isTaken) {
       onGrant(id, order);
@@ -120,12 +135,18 @@
     const { heartbeatMs } = this.#options;
     while (!this.#isOver) {
       const sentAt = now();
-      const isAcked = await this.sendReport("ready");
+      const isAcked = await this.sendReport(this.#state);
       this.isAcked ||= isAcked;
       await sleep(isAcked ? Math.max(0, heartbeatMs - (now() - sentAt)) : RETRY_MS);
     }
   }
 
+  /** Says that this life leaves, and goes on serving. */
+  async drain() {
+    this.#state = "draining";
+    return await this.sendReport(this.#state);
+  }
+
   /** Sends a status report; resolves to whether it was acknowledged. */
   sendReport(state) {
     const { id, service, zone, host, port, slots } = this.#options;
