Review trial: an acknowledged leave is lost if the daemon is killed right after the ack

Tried: four of ten upstreams leave without draining, one after the other; each daemon is killed at the first byte of its ack, and a report that the upstream sent before arrives 1.5 s late.

--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")" && exec node case.mjs
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -122,6 +122,8 @@
   #isStopped = false;
   /** Ends of this daemon's processes: time, exit code and signal. */
   exits = [];
+  /** Starts of this daemon's processes. */
+  starts = [];
 
   /** Options: `name`, `zone`, `service`, `addresses`, `storeAddress`, `folder`, `record`, and `mustRestart`. */
   constructor(options) {
@@ -224,6 +226,7 @@
     });
     closeSync(log);
     this.#child = child;
+    this.starts.push(now());
     this.#options.record.write("daemon starts", { daemon: this.name, pid: child.pid });
     child.once("exit", (code, signal) => {
       this.#options.record.write("daemon ends", { daemon: this.name, code, signal });
--- a/review/lib/upstream.mjs
+++ b/review/lib/upstream.mjs
@@ -3,6 +3,7 @@
  * for it, takes grants if its service has keys, and reports its status to the daemon on its machine.
  */
 import { createServer, request as sendRequest } from "node:http";
+import { connect } from "node:net";
 import { HeldKeys } from "./keys.mjs";
 import { listenOn, now, readAll, sleep } from "./tools.mjs";
 
@@ -17,6 +18,7 @@
   #server;
   #sequence = 0;
   #isOver = false;
+  #isLeaving = false;
   #running = 0;
   #seal = 0;
   #state = "ready";
@@ -133,7 +135,7 @@
 
   async #report() {
     const { heartbeatMs } = this.#options;
-    while (!this.#isOver) {
+    while (!this.#isOver && !this.#isLeaving) {
       const sentAt = now();
       const isAcked = await this.sendReport(this.#state);
       this.isAcked ||= isAcked;
@@ -147,17 +149,36 @@
     return await this.sendReport(this.#state);
   }
 
+  /**
+   * Leaves without having drained: a last report is held up on its way for a time, and the farewell overtakes it.
+   * Resolves at the first byte of the farewell's ack; this life goes on serving, and reports nothing more.
+   */
+  leave({ lateMs }) {
+    this.#isLeaving = true;
+    const { id, control } = this.#options;
+    const report = this.#createReport("ready");
+    sleep(lateMs).then(() => this.#callDaemon("PUT", `/instances/${id}`, report));
+    const [host, port] = control.split(":");
+    return new Promise((resolve) => {
+      const socket = connect({ host, port }, () => {
+        socket.write(`DELETE /instances/${id} HTTP/1.1\r\nHost: ${control}\r\n\r\n`);
+      });
+      socket.once("data", () => resolve(true));
+      socket.on("error", () => resolve(false));
+    });
+  }
+
   /** Sends a status report; resolves to whether it was acknowledged. */
   sendReport(state) {
-    const { id, service, zone, host, port, slots } = this.#options;
+    return this.#callDaemon("PUT", `/instances/${this.#options.id}`, this.#createReport(state));
+  }
+
+  #createReport(state) {
+    const { service, zone, host, port, slots } = this.#options;
     const status = { state, seq: ++this.#sequence, cold_left_ms: 0 };
     const info = { service, version: "v1", zone, slots };
     const address = `${host}:${port}`;
-    return this.#callDaemon(
-      "PUT",
-      `/instances/${id}`,
-      JSON.stringify({ address, born: this.bornMs, info, status }),
-    );
+    return JSON.stringify({ address, born: this.bornMs, info, status });
   }
 
   async #callDaemon(method, path, body) {
