--- a/review/6/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/bin/sh
-cd "$(dirname "$0")" && exec node case.mjs
--- a/review/lib/upstream.mjs
+++ b/review/lib/upstream.mjs
@@ -3,7 +3,6 @@
  * for it, takes grants if its service has keys, and reports its status to the daemon on its machine.
  */
 import { createServer, request as sendRequest } from "node:http";
-import { connect } from "node:net";
 import { HeldKeys } from "./keys.mjs";
 import { listenOn, now, readAll, sleep } from "./tools.mjs";
 
@@ -18,7 +17,6 @@
   #server;
   #sequence = 0;
   #isOver = false;
-  #isLeaving = false;
   #running = 0;
   #seal = 0;
   #state = "ready";
@@ -135,7 +133,7 @@
 
   async #report() {
     const { heartbeatMs } = this.#options;
-    while (!this.#isOver && !this.#isLeaving) {
+    while (!this.#isOver) {
       const sentAt = now();
       const isAcked = await this.sendReport(this.#state);
       this.isAcked ||= isAcked;
@@ -149,25 +147,6 @@
     return await this.sendReport(this.#state);
   }
 
-  /**
-   * Leaves without having drained: a last report is held up on its way for a time, and the farewell overtakes it.
-   * Resolves at the first byte of the farewell's ack; this life goes on serving, and reports nothing more.
-   */
-  leave({ lateMs }) {
-    this.#isLeaving = true;
-    const { id, control } = this.#options;
-    const report = this.#createReport("ready");
-    sleep(lateMs).then(() => this.#callDaemon("PUT", `/instances/${id}`, report));
-    const [host, port] = control.split(":");
-    return new Promise((resolve) => {
-      const socket = connect({ host, port }, () => {
-        socket.write(`DELETE /instances/${id} HTTP/1.1\r\nHost: ${control}\r\n\r\n`);
-      });
-      socket.once("data", () => resolve(true));
-      socket.on("error", () => resolve(false));
-    });
-  }
-
   /** Sends a status report; resolves to whether it was acknowledged. */
   sendReport(state) {
     return this.#callDaemon("PUT", `/instances/${this.#options.id}`, this.#createReport(state));
