--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -18,8 +18,10 @@
 const MACHINES = [
   { name: "side-carapungo-1", zone: "carapungo", service: "inspeccion" },
   { name: "side-calderon-1", zone: "calderon", service: "inspeccion" },
-  { name: "side-pomasqui-1", zone: "pomasqui", service: "bodega" },
-  { name: "side-carapungo-2", zone: "carapungo", service: "bodega" },
+  { name: "side-pomasqui-1", zone: "pomasqui", service: "inspeccion" },
+  { name: "side-carapungo-2", zone: "carapungo", service: "inspeccion" },
+  { name: "side-calderon-2", zone: "calderon", service: "bodega" },
+  { name: "side-pomasqui-2", zone: "pomasqui", service: "bodega" },
 ];
 const ROUTES = [
   { prefix: "/photos/", service: "inspeccion", route_kind: "upload" },
