Reject requests and key moves that were meant for another service

Cause: a daemon that gets a forwarded request never compared the service that the request names (head.pool) with its own. It ran the request at its own server, and named that server in the expected-instance header, so the server could not notice either. The same holds for a planner's request to move keys, which named no service at all. Why it works: the service of a daemon is fixed for its process, so the check at the receiver does not depend on what the sender knows of the address. The rejection promises that the request was not run, so the ingress tries another server.

--- a/packages/planner_ranges/src/range_planner.ts
+++ b/packages/planner_ranges/src/range_planner.ts
@@ -295,7 +295,7 @@
 
   /** Moves keys from busy servers to idle ones. */
   #balance(): void {
-    const { table, self, transferOwn, call, onEvent } = this.#options;
+    const { table, self, service, transferOwn, call, onEvent } = this.#options;
     if (
       this.#options.now() - this.#movedAt < COOL_DOWN_MS || table.isSlow ||
       rangesOf(table.table.value, null).length > 0
@@ -325,7 +325,8 @@
       if (from === self) {
         transferOwn(own);
       } else {
-        call(from, TRANSFER_METHOD, { moves: own }, { timeoutMs: TRANSFER_TIMEOUT_MS });
+        const payload = { service, moves: own };
+        call(from, TRANSFER_METHOD, payload, { timeoutMs: TRANSFER_TIMEOUT_MS });
       }
     }
   }
--- a/packages/router/src/key_transfers.ts
+++ b/packages/router/src/key_transfers.ts
@@ -2,6 +2,7 @@
  * Monitors a daemon's backend server, and transfers its keys to other servers when it leaves, is lost or is
  * overloaded, or when the daemon stops. One transfer runs at a time.
  */
+import { z } from "zod";
 import type { OwnershipTable } from "@bulrushwood/ledger_store";
 import type { GrantManager } from "@bulrushwood/lease_ranges";
 import { type Candidate, type LoadMeter, spread } from "@bulrushwood/planner_ranges";
@@ -14,8 +15,16 @@
 /** Pause between transfers while a stopping daemon still owns keys, in milliseconds. */
 const TRANSFER_RETRY_MS = 50;
 
+/** Schema of a planner's request to transfer keys of the daemon that it calls. */
+const movesSchema = z.object({
+  service: z.string(),
+  moves: z.array(z.object({ first: z.number(), last: z.number(), to: z.string() })),
+});
+type Moves = z.infer<typeof movesSchema>["moves"];
+
 export interface KeyTransfersOptions {
   self: Address;
+  service: string;
   watch: ServerWatch;
   grantManager: GrantManager;
   meter: LoadMeter;
@@ -123,8 +132,16 @@
     }
   }
 
-  /** Transfers some keys, as requested by a planner. */
-  transferMoves(moves: { first: number; last: number; to: Address }[]): void {
+  /** Handles a planner's request. One for another service was meant for an earlier daemon at this address. */
+  handleMoves(payload: unknown): void {
+    const { service, moves } = movesSchema.parse(payload);
+    if (service === this.#options.service) {
+      this.transferMoves(moves);
+    }
+  }
+
+  /** Transfers some keys to other servers. */
+  transferMoves(moves: Moves): void {
     const { grantManager, isEnding, log } = this.#options;
     if (this.#isTransferring || isEnding()) {
       return;
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -5,7 +5,6 @@
 import { randomUUID } from "node:crypto";
 import { skip } from "rxjs";
 import type { Result } from "true-myth";
-import { z } from "zod";
 import { LoadShedder, Quarantine, Shutdown } from "@bulrushwood/admission";
 import {
   type Adapter,
@@ -114,10 +113,6 @@
   [PlannerEvent.Failed]: Event.TaskFailed,
 };
 
-const movesPayload = z.object({
-  moves: z.array(z.object({ first: z.number(), last: z.number(), to: z.string() })),
-});
-
 export interface RouterOptions {
   settings: DeploymentSettings;
   adapter: Adapter;
@@ -300,6 +295,7 @@
       onBehind: (peer) => this.#relay.requestRecords(peer),
     });
     this.#runner = new Runner({
+      service: settings.service,
       watch: this.#watch,
       client: this.#client,
       wire: adapter.servers,
@@ -324,6 +320,7 @@
     });
     this.#keyTransfers = new KeyTransfers({
       self,
+      service: settings.service,
       watch: this.#watch,
       grantManager: this.#grantManager,
       meter: this.#runner.meter,
@@ -626,7 +623,7 @@
     try {
       switch (method) {
         case TRANSFER_METHOD:
-          this.#keyTransfers.transferMoves(movesPayload.parse(payload).moves);
+          this.#keyTransfers.handleMoves(payload);
           return Promise.resolve(null);
         case RECORDS_METHOD:
           return Promise.resolve(this.#relay.handleCall(payload));
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -34,6 +34,8 @@
 const MS_PER_SECOND = 1_000;
 
 export interface RunnerOptions {
+  /** Service of the backend server; requests for any other service are rejected. */
+  service: string;
   watch: ServerWatch;
   client: ServerClient;
   wire: ServerWire;
@@ -124,6 +126,11 @@
     if (head.remainingMs <= 0) {
       return notRun(Reason.DeadlinePassed, "The request was held up on its way past its deadline");
     }
+    if (head.pool !== this.#options.service) {
+      // The ingress knows this address from an earlier daemon, whose machine was lost.
+      const detail = `This daemon's backend server is of another service than ${head.pool}`;
+      return notRun(Reason.NotHolder, detail, MOVE_RETRY_AFTER_MS);
+    }
     this.#arrivals++;
     if (head.shard >= 0) {
       this.#meter.record(head.shard);
--- a/packages/router/src/runner_test.ts
+++ b/packages/router/src/runner_test.ts
@@ -34,7 +34,7 @@
 };
 
 const TARGET_MS = 400;
-const HEAD = { ...REQUEST_HEAD, targetMs: TARGET_MS };
+const HEAD = { ...REQUEST_HEAD, pool: SERVICE, targetMs: TARGET_MS };
 
 const RESPONDED: ServerResult = {
   outcome: ServerOutcome.Responded,
@@ -76,6 +76,7 @@
     },
   } as unknown as ServerClient;
   const runner = new Runner({
+    service: SERVICE,
     watch,
     client,
     wire: { requestHeaders: () => [] } as Partial<ServerWire> as ServerWire,
@@ -260,4 +261,15 @@
     await busy.runner.serve(HEAD, undefined, AbortSignal.abort());
     expect(busy.stages.at(-1)).to.equal(RequestStage.Arrival);
   });
+
+  // Guards against requests that run at the service that took over the address of a lost machine.
+  it("does not run a request for another service, which knew this address before", async () => {
+    for (const shard of [-1, REQUEST_HEAD.shard]) {
+      const { runner, watch, reachedAt } = createRunner();
+      watch.apply(report());
+      const { head } = await runner.serve({ ...HEAD, shard, pool: "bodega" }, undefined, NEVER);
+      expect(head).to.include({ outcome: Outcome.NotRun, reason: Reason.NotHolder });
+      expect(reachedAt).to.deep.equal([]);
+    }
+  });
 });
