Bind each link to one incarnation of its peer

Callers saw (by reading; shown by the test): after a machine without power, a request to the daemon that has its address now went down the old, silent connection until a second of silence ended it, and then failed as "may have run". Cause: links were kept by address only. A link that the new daemon had dialled was not used while the old one seemed open. Evidence: the new test fails before: a call times out on the silent link although the new daemon has said hello. Why it works: both sides name their incarnation in the hello, so a link belongs to one process for good. A hello of another incarnation at the same address shows that the earlier one has ended, and its link is closed.

--- a/packages/protocol/src/codec.ts
+++ b/packages/protocol/src/codec.ts
@@ -75,7 +75,12 @@
 };
 
 const fieldsOfKind: Record<FrameKind, Fields> = {
-  [FrameKind.Hello]: { version: isNumber, address: isString, sentAt: optional(isNumber) },
+  [FrameKind.Hello]: {
+    version: isNumber,
+    address: isString,
+    incarnation: optional(isString),
+    sentAt: optional(isNumber),
+  },
   [FrameKind.Ping]: { wantsReply: isBoolean },
   [FrameKind.Call]: { call: isNumber, method: isString, payload: isAnything },
   [FrameKind.Reply]: {
--- a/packages/protocol/src/frames.ts
+++ b/packages/protocol/src/frames.ts
@@ -25,6 +25,8 @@
   kind: FrameKind.Hello;
   version: number;
   address: Address;
+  /** Incarnation of the sender, which holds for the whole link; absent in hellos of older daemons. */
+  incarnation?: string;
   /**
    * When the frame was queued, on the sender's monotonic clock in milliseconds, so that the delay of the first request
    * on the link is known; absent in hellos of older daemons.
--- a/packages/protocol/src/link.ts
+++ b/packages/protocol/src/link.ts
@@ -46,6 +46,8 @@
   socket: WebSocket;
   /** Address of this daemon. */
   self: Address;
+  /** Incarnation of this daemon. */
+  incarnation: string;
   /** Address of the peer, where this daemon dialled it; otherwise the peer's hello has it. */
   peer?: Address;
   handlers: LinkHandlers;
@@ -60,6 +62,7 @@
   readonly #socket: WebSocket;
   readonly #handlers: LinkHandlers;
   readonly #self: Address;
+  readonly #incarnation: string;
   readonly #codec = new Codec();
   readonly #calls = new Map<number, PendingCall>();
   readonly #outgoing = new Map<number, OutgoingExchange>();
@@ -76,6 +79,7 @@
   /** Smallest difference so far between the arrival and sending times of a frame, on the two ends' clocks. */
   #minClockOffsetMs = Number.POSITIVE_INFINITY;
   #peer: Address;
+  #peerIncarnation: string | undefined;
   #settleReady!: (result: Result<Link, LinkError>) => void;
   /** Resolves once the peer's hello was received or the link has failed. */
   readonly ready: Promise<Result<Link, LinkError>>;
@@ -99,6 +103,7 @@
     );
     this.#socket.on("error", (error) => this.#fail(brokenLink(error.message)));
     this.#self = options.self;
+    this.#incarnation = options.incarnation;
     this.synchronise();
   }
 
@@ -108,6 +113,7 @@
       kind: FrameKind.Hello,
       version: PROTOCOL_VERSION,
       address: this.#self,
+      incarnation: this.#incarnation,
       sentAt: performance.now(),
     });
   }
@@ -117,6 +123,11 @@
     return this.#peer;
   }
 
+  /** Incarnation of the peer; undefined until its hello, and for older daemons. */
+  get peerIncarnation(): string | undefined {
+    return this.#peerIncarnation;
+  }
+
   /** Whether the link can still carry frames. */
   get isOpen(): boolean {
     return this.#error === undefined;
@@ -259,7 +270,7 @@
     }
   }
 
-  #handleHello({ version, address, sentAt }: Hello): void {
+  #handleHello({ version, address, incarnation, sentAt }: Hello): void {
     const isOtherPeer = this.#peer !== "" && this.#peer !== address;
     if (version !== PROTOCOL_VERSION || isOtherPeer) {
       const message = `The peer at ${this.#peer} says it is ${address} with protocol ${version}`;
@@ -267,6 +278,7 @@
       return;
     }
     this.#peer = address;
+    this.#peerIncarnation = incarnation ?? undefined;
     this.#hasReceivedHello = true;
     if (typeof sentAt === "number") {
       // A later hello follows a suspension of the peer, during which its clock stood still.
--- a/packages/protocol/src/link_age_test.ts
+++ b/packages/protocol/src/link_age_test.ts
@@ -37,6 +37,7 @@
   const link = new Link({
     socket: socket as unknown as WebSocket,
     self: "a",
+    incarnation: "1",
     handlers: {
       onCall: () => Promise.resolve(null),
       onRequest: ({ head }) => heads.push(head),
--- a/packages/protocol/src/links.ts
+++ b/packages/protocol/src/links.ts
@@ -1,6 +1,7 @@
 /**
  * All links of one daemon: listens for peers, dials them on demand, and keeps one link for each.
  */
+import { randomUUID } from "node:crypto";
 import { createServer, type Server } from "node:http";
 import { WebSocket, WebSocketServer } from "ws";
 import { Result } from "true-myth";
@@ -15,8 +16,10 @@
 
 /** Options of `Links`. */
 export interface LinksOptions {
-  /** Address that peers dial; identifies this daemon. */
+  /** Address that peers dial. */
   self: Address;
+  /** Identifies this daemon among all that have had its address; a random one by default. */
+  incarnation?: string;
   /** IP address to listen on and to dial from. */
   host: string;
   port: number;
@@ -30,7 +33,7 @@
 
 /** The links of one daemon, by peer. */
 export class Links {
-  readonly #options: LinksOptions;
+  readonly #options: LinksOptions & { incarnation: string };
   readonly #links = new Map<Address, Link>();
   readonly #all = new Set<Link>();
   readonly #dials = new Map<Address, Promise<Result<Link, LinkError>>>();
@@ -44,7 +47,7 @@
   #closedBytes = 0;
 
   private constructor(options: LinksOptions) {
-    this.#options = options;
+    this.#options = { incarnation: randomUUID(), ...options };
     this.#http = createServer((_request, response) => response.writeHead(426).end());
     this.#server = new WebSocketServer({
       server: this.#http,
@@ -80,18 +83,27 @@
   }
 
   #accept(socket: WebSocket): void {
-    const { self, handlers } = this.#options;
-    const link = this.#track(new Link({ socket, self, handlers }));
+    const { self, incarnation, handlers } = this.#options;
+    const link = this.#track(new Link({ socket, self, incarnation, handlers }));
     link.ready.then((ready) => {
-      if (ready.isErr) {
-        return;
-      }
-      if (!this.#links.get(link.peer)?.isOpen) {
-        this.#links.set(link.peer, link);
+      if (ready.isOk) {
+        this.#adopt(link);
       }
     });
   }
 
+  /** Keeps a new link for its peer, unless there is one to the same incarnation; returns the one that is kept. */
+  #adopt(link: Link): Link {
+    const existing = this.peek(link.peer);
+    if (existing !== undefined && existing.peerIncarnation === link.peerIncarnation) {
+      return existing;
+    }
+    this.#links.set(link.peer, link);
+    // The incarnation at its other end has lost its address, so nothing more comes from there.
+    existing?.close();
+    return link;
+  }
+
   /** Tracks a link until it closes; a link that is made while this side closes is closed at once. */
   #track(link: Link): Link {
     if (this.#isClosed) {
@@ -158,16 +170,12 @@
       return dialled;
     }
     this.#failed.delete(peer);
-    const other = this.peek(peer);
-    if (other === undefined) {
-      this.#links.set(peer, dialled.value);
-    }
-    return Result.ok(other ?? dialled.value);
+    return dialled.map((link) => this.#adopt(link));
   }
 
   /** Opens a link, with its listeners attached before the peer's first message can arrive. */
   #openLink(peer: Address): Promise<Result<Link, LinkError>> {
-    const { self, host, handlers } = this.#options;
+    const { self, incarnation, host, handlers } = this.#options;
     let socket: WebSocket;
     try {
       socket = new WebSocket(`ws://${peer}/`, {
@@ -182,7 +190,7 @@
     return new Promise((resolve) => {
       socket.once("error", (error) => resolve(Result.err(unreachable(peer, error.message))));
       socket.once("open", () => {
-        const link = this.#track(new Link({ socket, self, peer, handlers }));
+        const link = this.#track(new Link({ socket, self, incarnation, peer, handlers }));
         link.ready.then((ready) => {
           resolve(ready.mapErr((error) => unreachable(peer, error.message)));
         });
--- a/packages/protocol/src/protocol_test.ts
+++ b/packages/protocol/src/protocol_test.ts
@@ -120,8 +120,9 @@
   async function listen(
     onRequest: (exchange: IncomingExchange) => void = () => {},
     onMalformed: (message: string) => void = () => {},
+    options: { port?: number } = {},
   ): Promise<{ links: Links; address: string; port: number }> {
-    const port = await findFreePort();
+    const port = options.port ?? await findFreePort();
     const address = `127.0.0.1:${port}`;
     const links = await Links.listen({
       self: address,
@@ -164,6 +165,36 @@
     }
   });
 
+  // Guards against requests that go to a lost machine until its silence is noticed, while another has its address.
+  it("go to the daemon that has taken over a peer's address as soon as it says hello", async () => {
+    const left = await listen();
+    const silent = new WebSocketServer({ port: await findFreePort(), host: "127.0.0.1" });
+    await new Promise((resolve) => silent.once("listening", resolve));
+    const { port } = silent.address() as { port: number };
+    const address = `127.0.0.1:${port}`;
+    const hello = { kind: FrameKind.Hello, version: PROTOCOL_VERSION, address } as const;
+    silent.on("connection", (socket) => {
+      socket.send(new Codec().encode([{ ...hello, incarnation: "lost" }]));
+    });
+    const first = await left.links.get(address);
+    expect(first.isOk && first.value.peerIncarnation).to.equal("lost");
+    // Stops listening; its open connection stays as silent as that of a machine without power.
+    await new Promise<void>((resolve) => {
+      silent.close(() => resolve());
+      setTimeout(resolve, 50);
+    });
+    const right = await listen(() => {}, () => {}, { port });
+    expect((await right.links.get(left.address)).isOk).to.equal(true);
+    await sleep(50);
+    const linked = await left.links.get(address);
+    const called = linked.isOk
+      ? await linked.value.call("echo", "hello", { timeoutMs: 300 })
+      : undefined;
+    expect(called?.isOk && called.value).to.equal("hello");
+    expect(first.isOk && first.value.isOpen).to.equal(false);
+    silent.clients.forEach((client) => client.terminate());
+  });
+
   it("report an unknown method, a peer that does not reply, and an unreachable peer", async () => {
     const [left, right] = [await listen(), await listen()];
     const linked = await left.links.get(right.address);
