Drop what is known of a daemon when another one has its address

Cause: a reply to a heartbeat counted as a sign of life of the address, whichever incarnation it came from, so the status of the lost daemon (its service, its server, its load) was in use again. The new daemon sends its own status only with its first heartbeat. A status that a hub still passed on had the same effect. Evidence: both new tests of the heartbeats fail before: the lost daemon's status is still there after the reply of the new one. Why it works: the incarnation is recorded for each address with every heartbeat, reply and update. Another one drops the status, the reachability, the observed latency and failures, and the overload of the one before; an older update of an earlier incarnation is ignored by the time when it was received.

--- a/packages/membership_beats/src/heartbeats.ts
+++ b/packages/membership_beats/src/heartbeats.ts
@@ -87,6 +87,8 @@
   onSupport: (peer: Address, reply: HeartbeatReply, sentAt: number) => void;
   /** Called when a peer still has more records than this daemon after a delay. */
   onBehind: (peer: Address) => void;
+  /** Called when another incarnation has taken a peer's address; all that is known of the earlier one is outdated. */
+  onReplaced?: (peer: Address) => void;
 }
 
 /** A peer that this daemon sends heartbeats to. */
@@ -104,6 +106,8 @@
   readonly #peers = new Map<Address, Peer>();
   readonly #members = new Map<Address, Member>();
   readonly #heartbeatPeers = new Map<Address, HeartbeatPeer>();
+  /** Incarnation of the daemon that was last heard at each address. */
+  readonly #incarnations = new Map<Address, string>();
   readonly #receivedAt = new Map<Address, number>();
   /** When a peer was first found unreachable. */
   readonly #unreachableSince = new Map<Address, number>();
@@ -283,26 +287,49 @@
     if (!reply.success) {
       return;
     }
-    this.#recordReceived(peer);
+    this.#recordReceived(peer, reply.data.incarnation);
     reply.data.news.forEach((update) => this.#applyUpdate(update));
     this.#options.onSupport(peer, reply.data, sentAt);
     this.#compareStoreEnds(peer, reply.data.storeEnds);
   }
 
-  #recordReceived(peer: Address): void {
+  #recordReceived(peer: Address, incarnation: string): void {
+    this.#recordIncarnation(peer, incarnation);
     this.#receivedAt.set(peer, this.#options.now());
     this.#unresponsiveAt.delete(peer);
     this.#unreachableSince.delete(peer);
   }
 
-  /** Applies the status of a daemon that a peer passed on, unless a newer one is present. */
+  /**
+   * Records which incarnation is at an address. Any service may use the address of a lost machine again, so what the
+   * incarnation before it reported does not hold for the new one.
+   */
+  #recordIncarnation(address: Address, incarnation: string): void {
+    const previous = this.#incarnations.get(address);
+    if (previous === incarnation) {
+      return;
+    }
+    this.#incarnations.set(address, incarnation);
+    if (previous !== undefined) {
+      this.#peers.delete(address);
+      this.#unreachableSince.delete(address);
+      this.#options.onReplaced?.(address);
+    }
+  }
+
+  /** Applies the status of a daemon that a peer passed on, unless something newer is known of its address. */
   #applyUpdate({ ageMs, ...status }: StatusUpdate): void {
     const { self, now } = this.#options;
-    const { address } = status;
+    const { address, incarnation } = status;
     const lastReceivedAt = now() - ageMs;
-    if (address === self || lastReceivedAt < (this.#peers.get(address)?.receivedAt ?? -Infinity)) {
+    const isCurrent = this.#incarnations.get(address) === incarnation;
+    const knownAt = isCurrent
+      ? this.#peers.get(address)?.receivedAt
+      : this.#receivedAt.get(address);
+    if (address === self || lastReceivedAt < (knownAt ?? Number.NEGATIVE_INFINITY)) {
       return;
     }
+    this.#recordIncarnation(address, incarnation);
     const entry = this.#peers.get(address)?.entry ?? null;
     this.#peers.set(address, { status, entry, receivedAt: lastReceivedAt });
     this.#receivedAt.set(
@@ -371,7 +398,7 @@
 
   #replyToHeartbeat(heartbeat: Heartbeat): HeartbeatReply {
     const { incarnation, now, voteManager, storeEnds } = this.#options;
-    this.#recordReceived(heartbeat.address);
+    this.#recordReceived(heartbeat.address, heartbeat.incarnation);
     if (!this.#members.has(heartbeat.address)) {
       // The store may deliver the sender's record later than its first heartbeat.
       this.add({ ...heartbeat, instance: "" });
--- a/packages/membership_beats/src/heartbeats_test.ts
+++ b/packages/membership_beats/src/heartbeats_test.ts
@@ -2,7 +2,14 @@
 import { Result } from "true-myth";
 import { SUPPORT_MS, VoteManager } from "@bulrushwood/lease_votes";
 import type { Clock } from "@bulrushwood/types";
-import { type DaemonStatus, type Heartbeat, Heartbeats, type Member } from "./mod.ts";
+import {
+  type DaemonStatus,
+  type Heartbeat,
+  Heartbeats,
+  type Member,
+  MemberMethod,
+  type StatusUpdate,
+} from "./mod.ts";
 
 const SERVICE = "despacho";
 const UNKEYED = "inspeccion";
@@ -68,6 +75,11 @@
   const clock = new TestClock();
   const self = members.at(-2)!.address;
   const lostDaemons = new Set<string>();
+  /** Incarnations of daemons that have taken an address over. */
+  const successors = new Map<string, string>();
+  /** Updates that are in each reply, if set; otherwise the status of the daemons that were asked for. */
+  const passedOn: { updates?: StatusUpdate[] } = {};
+  const replaced: string[] = [];
   let sent: string[] = [];
   const heartbeats = new Heartbeats({
     self,
@@ -84,10 +96,12 @@
       );
       const updates = [peer, ...others.map(({ address }) => address)]
         .map((address) => ({ ...createStatus(address, service), ageMs: 0 }));
+      const incarnation = successors.get(peer) ?? "i";
+      const news = passedOn.updates ?? updates;
       return Promise.resolve(
         lostDaemons.has(peer)
           ? Result.err(new Error("unreachable") as never)
-          : Result.ok({ incarnation: "i", supported: [], storeEnds: [], news: updates }),
+          : Result.ok({ incarnation, supported: [], storeEnds: [], news }),
       );
     },
     voteManager: new VoteManager({
@@ -110,6 +124,7 @@
     storeEnds: () => [],
     onSupport: () => {},
     onBehind: () => {},
+    onReplaced: (peer) => replaced.push(peer),
   });
   members.forEach((member) => heartbeats.add(member));
   const takeSent = () => {
@@ -117,9 +132,54 @@
     sent = [];
     return taken;
   };
-  return { clock, heartbeats, lostDaemons, takeSent };
+  return { clock, heartbeats, lostDaemons, successors, passedOn, replaced, takeSent };
 }
 
+/** Creates a heartbeat of a daemon to another one. */
+function createHeartbeat(status: DaemonStatus): Heartbeat {
+  const requests = { tenures: [], storeEnds: [], entry: null };
+  return { ...status, ...requests, wantsStatus: false, wantsNews: false };
+}
+
+describe("heartbeats of daemons at an address that is used again", () => {
+  const address = "d100";
+
+  /** Starts a daemon that knows the one at the address, whose machine is lost and whose address is taken over. */
+  async function startWithSuccessor() {
+    const daemon = startDaemon(createMembers(5));
+    daemon.passedOn.updates = [];
+    const { clock, heartbeats, lostDaemons, successors } = daemon;
+    heartbeats.handleCall(MemberMethod.Heartbeat, createHeartbeat(createStatus(address)));
+    lostDaemons.add(address);
+    await clock.run(3_000);
+    expect(heartbeats.isResponsive(address)).to.equal(false);
+    lostDaemons.delete(address);
+    successors.set(address, "j");
+    return daemon;
+  }
+
+  // Guards against requests to the service of a lost machine that go to whoever has its address now.
+  it("drop the earlier daemon's status at the first reply of the new one", async () => {
+    const { clock, heartbeats, replaced } = await startWithSuccessor();
+    await clock.run(1_800);
+    expect(heartbeats.isResponsive(address)).to.equal(true);
+    expect(heartbeats.peers.has(address)).to.equal(false);
+    expect(replaced).to.deep.equal([address]);
+  });
+
+  it("ignore the earlier daemon's status where a peer still passes it on", async () => {
+    const { clock, heartbeats, passedOn } = await startWithSuccessor();
+    await clock.run(1_800);
+    passedOn.updates = [{ ...createStatus(address), ageMs: 1_700 }];
+    await clock.run(600);
+    expect(heartbeats.peers.has(address)).to.equal(false);
+    const status = { ...createStatus(address, UNKEYED), incarnation: "j" };
+    heartbeats.handleCall(MemberMethod.Heartbeat, createHeartbeat(status));
+    await clock.run(600);
+    expect(heartbeats.peers.get(address)?.status).to.include({ incarnation: "j" });
+  });
+});
+
 describe("heartbeats among many daemons", () => {
   it("are bounded per second, and report all servers of a service without keys", async () => {
     const members = createMembers(195);
--- a/packages/membership_beats/src/mod.ts
+++ b/packages/membership_beats/src/mod.ts
@@ -9,6 +9,7 @@
   type OwnershipEntry,
   type ServerLoadReport,
   type ServerStatus,
+  type StatusUpdate,
 } from "./messages.ts";
 export { HEARTBEAT_MS, Heartbeats, type HeartbeatsOptions, type Peer } from "./heartbeats.ts";
 export { addMember, type Member, parseMember, readMember } from "./members.ts";
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -120,6 +120,11 @@
     this.#leavingServers = new LeavingServers({ now, drainMs: options.drainMs });
   }
 
+  /** Forgets the overload of the daemon at an address that another one has taken over. */
+  forget(address: Address): void {
+    this.#backoff.forget(address);
+  }
+
   /** Dispatches a request and returns its response. */
   async dispatch(request: DispatchRequest): Promise<RoutedResponse> {
     request.stage = RequestStage.Owner;
--- a/packages/router/src/overload_backoff.ts
+++ b/packages/router/src/overload_backoff.ts
@@ -69,6 +69,11 @@
     this.recordRejected(address, priority, UNANSWERED_MS);
   }
 
+  /** Forgets the failures of the daemon at an address that another one has taken over. */
+  forget(address: Address): void {
+    this.#failures.delete(address);
+  }
+
   /** Records that a daemon served a request: it has room for this priority and higher ones. */
   recordServed(address: Address, priority: number): void {
     const byPriority = this.#failures.get(address);
--- a/packages/router/src/overload_backoff_test.ts
+++ b/packages/router/src/overload_backoff_test.ts
@@ -120,4 +120,11 @@
       expect(served, `${ingresses} ingresses, ${offered} a second`).to.be.above(50 * 0.9);
     }
   });
+
+  it("forgets a daemon whose address another one has taken", () => {
+    failAlmost();
+    backoff.recordRejected(DAEMON, USUAL, 100);
+    backoff.forget(DAEMON);
+    expect(backoff.remainingMs(DAEMON, USUAL)).to.equal(0);
+  });
 });
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -168,6 +168,7 @@
   readonly #sideServers: SideServer[] = [];
   readonly #tasks: Promise<void>[] = [];
   #links!: Links;
+  #dispatcher!: Dispatcher;
   #callers!: CallerServer;
   /** Services without keys; any of their servers may run a request. */
   #unkeyedServices: ReadonlySet<string> = new Set();
@@ -293,6 +294,7 @@
         this.#tenure.recordSupport(peer, reply.incarnation, options);
       },
       onBehind: (peer) => this.#relay.requestRecords(peer),
+      onReplaced: (peer) => this.#forgetPeer(peer),
     });
     this.#runner = new Runner({
       service: settings.service,
@@ -372,6 +374,7 @@
     this.#links = await Links.listen({
       ...listen.peers,
       self: this.#self,
+      incarnation: this.#incarnation,
       handlers: {
         onCall: (method, payload) => this.#handleCall(method, payload),
         onRequest: (exchange) => this.#handleRequest(exchange),
@@ -380,12 +383,13 @@
         },
       },
     });
+    this.#dispatcher = this.#createDispatcher();
     this.#callers = await CallerServer.listen({
       endpoint: listen.callers,
       wire: this.#adapter.callers,
       service,
       manifest: () => this.#currentManifest.manifest,
-      dispatcher: this.#createDispatcher(),
+      dispatcher: this.#dispatcher,
       log: this.#log,
       shutdown: this.#shutdown,
       eventLoop: this.#eventLoop,
@@ -607,6 +611,12 @@
     return service === undefined ? undefined : await this.#client.check(service.healthPath);
   }
 
+  /** Forgets what was observed of the daemon at an address, and of its server, once another one has the address. */
+  #forgetPeer(address: Address): void {
+    this.#choices.forget(address);
+    this.#dispatcher?.forget(address);
+  }
+
   async #callPeer(
     peer: Address,
     method: string,
--- a/packages/routing/src/two_choices.ts
+++ b/packages/routing/src/two_choices.ts
@@ -148,6 +148,11 @@
     return now() >= stats.ejectedUntil && stats.inFlight === 0;
   }
 
+  /** Forgets what was observed of the server at an address that another one has taken over. */
+  forget(server: Address): void {
+    this.#stats.delete(server);
+  }
+
   /** Records that a request was sent to a server; the returned function must be called once, when it ends. */
   begin(server: Address): (succeeded: boolean) => void {
     const { now } = this.#options;
--- a/packages/routing/src/two_choices_test.ts
+++ b/packages/routing/src/two_choices_test.ts
@@ -127,4 +127,15 @@
     const choices = new TwoChoices({ now: () => 0, random: Math.random, isLocal: () => false });
     expect(choices.choose(["a", "b"])).to.have.members(["a", "b"]);
   });
+
+  // Guards against a new server that gets no requests because of the failures of the one that had its address.
+  it("forgets the failures of a server whose address another one has taken", () => {
+    const choices = new TwoChoices({ now: () => 0, random: Math.random });
+    for (let failure = 0; failure < 10; failure++) {
+      choices.begin("a")(false);
+    }
+    expect(choices.choose(["a", "b"])).to.deep.equal(["b"]);
+    choices.forget("a");
+    expect(choices.choose(["a", "b"])).to.have.members(["a", "b"]);
+  });
 });
