Notice connections to the store that have gone silent within two seconds

Cause: a read that waits for records noticed a silent connection only by its own time-out (11.5 s for the manifest, 5.5 s for the system topic). Then the store counted as lost, and the daemon asked peers with connections as silent as its own for 2 s; the idle connections of its pool timed out one after the other. At most one of two conditional appends takes effect. Two tests changed: an append whose only lost reply is that of the first try is now settled by the second one, so the test of an unknown outcome loses both replies, and the one of a relayed append both direct replies. A test of the settled case is new. Cost, by the constants: 0.65 reads a second of a quiet topic for each daemon, from 0.1 and 0.25.

--- a/packages/deployment/src/store.ts
+++ b/packages/deployment/src/store.ts
@@ -69,11 +69,14 @@
     item: { key: string; value: Buffer },
     options: { expectedEnd?: Offset; timeoutMs: number },
   ): Promise<Result<Appended, StoreError>>;
-  /** Reads records from an offset; waits up to `waitMs` if there is none yet. */
+  /**
+   * Reads records from an offset; waits up to `waitMs` if there is none yet. Fails as unknown without a response
+   * within `timeoutMs`, by default 1.5 s more than the wait.
+   */
   read(
     topic: string,
     from: Offset,
-    options: { waitMs: number; signal: AbortSignal },
+    options: { waitMs: number; timeoutMs?: number; signal: AbortSignal },
   ): Promise<Result<KeyedRead, StoreError>>;
   /** Reads one page of the newest record of each key. */
   readNewest(
--- a/packages/http_client/src/mod.ts
+++ b/packages/http_client/src/mod.ts
@@ -99,6 +99,12 @@
   });
 }
 
+/** Closes the idle connections of an agent; those with a call in flight go on. */
+export function closeIdleConnections(agent: Agent): void {
+  Object.values(agent.freeSockets).flatMap((sockets) => sockets ?? [])
+    .forEach((socket) => socket.destroy());
+}
+
 /**
  * Reads the whole body of a message. Rejects when the body is incomplete, and destroys the message when it is
  * too large, since a faulty sender may send without end.
--- a/packages/ledger_store/src/mod.ts
+++ b/packages/ledger_store/src/mod.ts
@@ -28,6 +28,7 @@
 export {
   handleStoreCall,
   itemSchema,
+  READ_OVERDUE_MS,
   RelayedStore,
   type RelayedStoreOptions,
 } from "./relayed_store.ts";
--- a/packages/ledger_store/src/relayed_store.ts
+++ b/packages/ledger_store/src/relayed_store.ts
@@ -1,7 +1,9 @@
 /**
  * Store client for instances that may be cut off from the store: while it is unreachable from here, peers that
  * reach it relay the calls. A conditional append takes effect at most once, whichever daemon sends it, so
- * an append without a reply can be resent through a peer.
+ * an append without a reply can be resent through a peer. Open connections may go silent for good while new ones
+ * work, so a direct call without a reply is made once more, on a new connection, before the store counts as
+ * unreachable.
  */
 import { Buffer } from "node:buffer";
 import { Result } from "true-myth";
@@ -24,6 +26,8 @@
 const RELAY_MARGIN_MS = 300;
 /** Timeout of a peer's read after its wait, in milliseconds; the same as for the platform's own reads. */
 const READ_MARGIN_MS = 1_500;
+/** Time after a direct read's wait from which on its connection may be silent, in milliseconds. */
+export const READ_OVERDUE_MS = 500;
 
 /** Methods of the calls between daemons that relay store calls. */
 enum StoreMethod {
@@ -65,11 +69,15 @@
   call: CallPeer;
   /** Called when calls begin to go through peers, and when the store is reachable from here again. */
   onDirect: (isDirect: boolean, reason: string) => void;
+  /** Called when a call had its reply only on a new connection, with what failed before. */
+  onReconnected?: (reason: string) => void;
 }
 
 /** One call to the store, made directly or through a peer. */
 interface Call<T> {
   direct: () => Promise<Result<T, StoreError>>;
+  /** Makes the call again on a new connection; the same as `direct` by default. */
+  directAgain?: () => Promise<Result<T, StoreError>>;
   method: StoreMethod;
   payload: unknown;
   timeoutMs: number;
@@ -132,7 +140,9 @@
     const { signal } = options;
     const waitMs = this.isDirect ? options.waitMs : 0;
     const performed = this.#perform({
-      direct: () => this.#readDirect(topic, from, { waitMs, signal }),
+      direct: () =>
+        this.#readDirect(topic, from, { waitMs, timeoutMs: waitMs + READ_OVERDUE_MS, signal }),
+      directAgain: () => this.#readDirect(topic, from, { waitMs: 0, signal }),
       method: StoreMethod.Read,
       payload: { topic, from, waitMs: options.waitMs },
       timeoutMs: options.waitMs + READ_MARGIN_MS,
@@ -145,15 +155,15 @@
   async #readDirect(
     topic: string,
     from: Offset,
-    options: { waitMs: number; signal: AbortSignal },
+    options: { waitMs: number; timeoutMs?: number; signal: AbortSignal },
   ): Promise<Result<KeyedRead, StoreError>> {
-    const { waitMs, signal } = options;
+    const { signal, ...limits } = options;
     const controller = new AbortController();
     const abort = () => controller.abort();
     signal.addEventListener("abort", abort, { once: true });
     this.#pendingReads.add(controller);
     try {
-      return await this.#options.direct.read(topic, from, { waitMs, signal: controller.signal });
+      return await this.#options.direct.read(topic, from, { ...limits, signal: controller.signal });
     } finally {
       this.#pendingReads.delete(controller);
       signal.removeEventListener("abort", abort);
@@ -167,7 +177,7 @@
       "The store is unreachable from this instance",
     );
     if (this.#shouldTryDirect()) {
-      const result = await call.direct();
+      const result = await this.#callDirect(call);
       if (call.signal?.aborted) {
         return result;
       }
@@ -190,6 +200,26 @@
     return Result.err(new StoreError(kind, failed.message));
   }
 
+  /** Makes a direct call, once more if the first had no reply though the store was reachable until then. */
+  async #callDirect<T>(call: Call<T>): Promise<Result<T, StoreError>> {
+    const { direct, directAgain = direct, signal } = call;
+    const result = await direct();
+    const mayBeSilent = result.isErr && result.error.kind === StoreErrorKind.Unknown &&
+      this.isDirect && !signal?.aborted;
+    if (!mayBeSilent) {
+      return result;
+    }
+    const repeated = await directAgain();
+    if (repeated.isErr && repeated.error.kind === StoreErrorKind.Unavailable) {
+      // The first call may have taken effect.
+      return result;
+    }
+    if (repeated.isOk || !isOutage(repeated.error)) {
+      this.#options.onReconnected?.(result.error.message);
+    }
+    return repeated;
+  }
+
   #shouldTryDirect(): boolean {
     return this.#failedAt === undefined ||
       this.#options.now() - this.#failedAt > DIRECT_RETRY_MS;
@@ -247,7 +277,8 @@
     case StoreMethod.Read: {
       const { topic, from, waitMs } = readCall.parse(payload);
       const { signal } = new AbortController();
-      return direct.read(topic, from, { waitMs, signal }).then(toPayload);
+      const timeoutMs = waitMs + READ_OVERDUE_MS;
+      return direct.read(topic, from, { waitMs, timeoutMs, signal }).then(toPayload);
     }
     case StoreMethod.ReadNewest: {
       const { topic, ...options } = readNewestCall.parse(payload);
--- a/packages/ledger_store/src/relayed_store_test.ts
+++ b/packages/ledger_store/src/relayed_store_test.ts
@@ -50,8 +50,8 @@
     expect(service.endOf(TOPIC)).to.equal(1);
   });
 
-  it("reports that an append may have taken effect when only its reply was lost", async () => {
-    const faults = [AppendFault.LostResponse];
+  it("reports that an append may have taken effect when its replies were lost", async () => {
+    const faults = [AppendFault.LostResponse, AppendFault.LostResponse];
     const service = new KeyedStoreService({ sleep, chooseFault: () => faults.pop()! });
     const { store, state } = createRelayed(service, undefined);
     state.isCut = false;
@@ -59,8 +59,18 @@
     expect(appended.isErr && appended.error.kind).to.equal(StoreErrorKind.Unknown);
   });
 
-  it("settles a lost reply by the conflict of a relayed append", async () => {
-    const faults = [AppendFault.None, AppendFault.LostResponse];
+  it("settles a lost reply by the conflict of the append on a new connection", async () => {
+    const faults = [AppendFault.LostResponse];
+    const service = new KeyedStoreService({ sleep, chooseFault: () => faults.pop()! });
+    const { store, state } = createRelayed(service, undefined);
+    state.isCut = false;
+    const appended = await store.append(TOPIC, ITEM, { expectedEnd: 0, timeoutMs: 20 });
+    expect(appended.isErr && appended.error.kind).to.equal(StoreErrorKind.Conflict);
+    expect(service.endOf(TOPIC)).to.equal(1);
+  });
+
+  it("settles lost replies by the conflict of a relayed append", async () => {
+    const faults = [AppendFault.None, AppendFault.LostRequest, AppendFault.LostResponse];
     const service = new KeyedStoreService({ sleep, chooseFault: () => faults.pop()! });
     const { store, state } = createRelayed(service, service.connect());
     state.isCut = false;
@@ -113,4 +123,31 @@
     const newest = await store.readNewest(TOPIC, { timeoutMs: 100 });
     expect(newest.isErr && newest.error.kind).to.equal(StoreErrorKind.Unavailable);
   });
+
+  // Guards against a manifest that comes into force late because reads wait on connections that have gone silent.
+  it("reads on a new connection soon after the open ones have gone silent", async () => {
+    const service = new KeyedStoreService({ sleep });
+    const { store, state } = createRelayed(service, undefined);
+    state.isCut = false;
+    const [waitMs, startedAt] = [300, now()];
+    const waiting = store.read(TOPIC, 0, { waitMs, signal: SIGNAL });
+    await sleep(20);
+    service.silence();
+    await service.connect().append(TOPIC, ITEM, { timeoutMs: 100 });
+    const read = await waiting;
+    expect(read.unwrapOr(undefined!).items).to.have.length(1);
+    expect(now() - startedAt).to.be.below(waitMs + 700);
+    expect([store.isDirect, state.relayed]).to.deep.equal([true, 0]);
+  });
+
+  it("appends on a new connection after the open ones have gone silent, and takes effect once", async () => {
+    const service = new KeyedStoreService({ sleep, callMs: 30 });
+    const { store, state } = createRelayed(service, undefined);
+    state.isCut = false;
+    const appending = store.append(TOPIC, ITEM, { expectedEnd: 0, timeoutMs: 100 });
+    service.silence();
+    const appended = await appending;
+    expect(appended.isErr && appended.error.kind).to.equal(StoreErrorKind.Conflict);
+    expect([service.endOf(TOPIC), store.isDirect, state.relayed]).to.deep.equal([1, true, 0]);
+  });
 });
--- a/packages/router/src/event_log.ts
+++ b/packages/router/src/event_log.ts
@@ -14,6 +14,7 @@
   SettingsReloaded = "settings-reloaded",
   StoreReachable = "store-reachable",
   StoreRelayed = "store-relayed",
+  StoreReconnected = "store-reconnected",
   StoreLost = "store-lost",
   ManifestApplied = "manifest-applied",
   ManifestRejected = "manifest-refused",
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -20,6 +20,7 @@
   handleStoreCall,
   KeyedFollower,
   rangeOf,
+  READ_OVERDUE_MS,
   RelayedStore,
   SYSTEM_TOPIC,
   TableStore,
@@ -77,13 +78,14 @@
 import { ServerWatch } from "./server_watch.ts";
 import { handleReadiness, handleReports, SideServer } from "./side_servers.ts";
 
-/** Longest wait of a read of the manifest's topic, in milliseconds; peers send newer records as well. */
-const MANIFEST_WAIT_MS = 10_000;
-/** Longest wait of a read of the system topic, in milliseconds; short, since a voter must be up to date. */
-const SYSTEM_WAIT_MS = 4_000;
+/**
+ * Longest wait of a read of the store, in milliseconds. A read on a connection that has gone silent is noticed only
+ * when it is overdue, and changes must be in force within 2 s.
+ */
+const READ_WAIT_MS = 1_500;
 /** Time between reads of the system topic in a large deployment, in milliseconds. */
 const READ_PACE_MS = 250;
-/** Margin beyond a read's wait after which the store counts as unreachable, in milliseconds. */
+/** Margin beyond the time of an overdue read after which the store counts as unreachable, in milliseconds. */
 const STORE_MARGIN_MS = 700;
 /** Time for which the response to a report is held open for updates, as a share of the report interval. */
 const REPORT_HOLD_SHARE = 0.8;
@@ -201,9 +203,10 @@
       call,
       peers: () => this.#view.storePeers(),
       onDirect: (isDirect, reason) => log(Event.StoreRelayed, { isRelayed: !isDirect, reason }),
+      onReconnected: (reason) => log(Event.StoreReconnected, { reason }),
     });
-    this.#manifests = this.#follow(adapter.manifestLocation.topic, MANIFEST_WAIT_MS);
-    this.#system = this.#follow(SYSTEM_TOPIC, SYSTEM_WAIT_MS);
+    this.#manifests = this.#follow(adapter.manifestLocation.topic);
+    this.#system = this.#follow(SYSTEM_TOPIC);
     this.#currentManifest = new CurrentManifest({ follower: this.#manifests, adapter, log });
     const followers = [this.#manifests, this.#system];
     this.#relay = new Relay({ followers, call });
@@ -451,13 +454,13 @@
     this.#sideServers.push(await SideServer.listen(endpoint, handler, { log: this.#log }));
   }
 
-  #follow(topic: string, waitMs: number): KeyedFollower {
+  #follow(topic: string): KeyedFollower {
     return new KeyedFollower({
       store: this.#store,
       topic,
       now,
       sleep,
-      waitMs,
+      waitMs: READ_WAIT_MS,
       paceMs: () => this.#readPaceMs(topic),
       onReachable: (isReachable, reason) => {
         const event = isReachable ? Event.StoreReachable : Event.StoreLost;
@@ -528,7 +531,7 @@
   /** Whether the store responds; an overdue read is noticed here before it times out. */
   get #hasStore(): boolean {
     const sinceMs = now() - this.#system.repliedAt;
-    return this.#system.isReachable && sinceMs < SYSTEM_WAIT_MS + STORE_MARGIN_MS;
+    return this.#system.isReachable && sinceMs < READ_WAIT_MS + READ_OVERDUE_MS + STORE_MARGIN_MS;
   }
 
   /** Whether the store responds to this instance directly; only such daemons plan, so that there is one planner. */
--- a/packages/router/src/router_test.ts
+++ b/packages/router/src/router_test.ts
@@ -290,7 +290,7 @@
     readSettings: () => Result.err(new Error("not used")),
     openStore: () => store.connect(isReachable),
     manifestLocation: { topic: "manifest", key: "manifest" },
-    readManifest: () => Result.ok(MANIFEST),
+    readManifest: (value) => Result.ok({ ...MANIFEST, version: Number(value.toString()) }),
     callers: {
       readRequest: (headers) => ({
         id: headers.id as string,
@@ -680,3 +680,37 @@
     await closeAll(instances);
   });
 });
+
+/** Time in which a changed manifest must be in force, in milliseconds. */
+const APPLY_MS_MAX = 2_000;
+/** Time after a disruption of connections from which on bounds hold again, in milliseconds. */
+const STABLE_MS = 3_000;
+
+describe("router: connections to the store that go silent", () => {
+  // Guards against instances that act on an old manifest until the time-outs of their reads have passed.
+  it("do not delay a manifest beyond the time for connections to be replaced", async () => {
+    const store = new KeyedStoreService({ sleep });
+    const instances = await startThree(GrantDelivery.Orders, store);
+    const applied = async (version: number) => {
+      const versions = await Promise.all(
+        instances.map((instance) => readMetric(instance, "bulrushwood_manifest_version")),
+      );
+      return versions.every((value) => value === version);
+    };
+    // The silence begins at different moments of the reads.
+    for (const [index, quietMs] of [600, 1_100, 1_700].entries()) {
+      await sleep(quietMs);
+      store.silence();
+      const silentAt = now();
+      await sleep(200);
+      const item = { key: "manifest", value: Buffer.from(String(index + 2)) };
+      await store.connect().append("manifest", item, { timeoutMs: 100 });
+      const inForceBy = Math.max(now() + APPLY_MS_MAX, silentAt + STABLE_MS);
+      while (!(await applied(index + 2))) {
+        expect(now(), "time until the manifest is in force").to.be.below(inForceBy);
+        await sleep(50);
+      }
+    }
+    await closeAll(instances);
+  });
+});
--- a/packages/stand_ins/src/keyed_store.ts
+++ b/packages/stand_ins/src/keyed_store.ts
@@ -1,6 +1,7 @@
 /**
  * In-memory stand-in for the deployment's store: keyed topics with conditional appends. It simulates the faults of the
- * real store: outages, lost requests and responses, appends that take effect late, and history that is dropped.
+ * real store: outages, lost requests and responses, appends that take effect late, history that is dropped, and
+ * connections that go silent while new ones work.
  */
 import { Buffer } from "node:buffer";
 import { Result } from "true-myth";
@@ -37,6 +38,9 @@
   lateMs?: number;
 }
 
+/** Time after its wait at which a read without a response fails by default, in milliseconds. */
+const READ_MARGIN_MS = 1_500;
+
 interface Topic {
   items: Item[];
   /** Oldest offset that a read still returns. */
@@ -51,6 +55,8 @@
   readonly #topics = new Map<string, Topic>();
   /** While set, every call fails as unavailable and has no effect. */
   isDown = false;
+  /** Callbacks that silence the calls in flight. */
+  readonly #silencers = new Set<() => void>();
 
   constructor(options: KeyedStoreOptions) {
     this.#options = options;
@@ -59,13 +65,45 @@
   /** Returns the store as one daemon sees it; `isReachable` returns whether that daemon can reach the service. */
   connect(isReachable: () => boolean = () => true): Store {
     return {
-      append: (topic, item, limits) => this.#append(topic, item, { ...limits, isReachable }),
-      read: (topic, from, limits) => this.#read(topic, from, { ...limits, isReachable }),
-      readNewest: (topic) => this.#readNewest(topic, isReachable),
+      append: (topic, item, limits) =>
+        this.#unlessSilent(this.#append(topic, item, { ...limits, isReachable }), limits),
+      read: (topic, from, limits) => {
+        const { waitMs, timeoutMs = waitMs + READ_MARGIN_MS, signal } = limits;
+        const read = this.#read(topic, from, { ...limits, isReachable });
+        return this.#unlessSilent(read, { timeoutMs, signal });
+      },
+      readNewest: (topic, limits) =>
+        this.#unlessSilent(this.#readNewest(topic, isReachable), limits),
       close: () => {},
     };
   }
 
+  /** Lets all calls in flight get no response any more, as on connections that have gone silent. */
+  silence(): void {
+    this.#silencers.forEach((silenceCall) => silenceCall());
+    this.#silencers.clear();
+  }
+
+  /**
+   * Resolves to the response of a call. If its connection goes silent, resolves to a failure when its timeout has
+   * passed from then on.
+   */
+  async #unlessSilent<T>(
+    call: Promise<Result<T, StoreError>>,
+    options: { timeoutMs: number; signal?: AbortSignal },
+  ): Promise<Result<T, StoreError>> {
+    const { timeoutMs, signal } = options;
+    let silenceCall = () => {};
+    const silenced = new Promise<undefined>((resolve) => silenceCall = () => resolve(undefined));
+    this.#silencers.add(silenceCall);
+    const result = await Promise.race([call, silenced]);
+    this.#silencers.delete(silenceCall);
+    if (result === undefined) {
+      await this.#options.sleep(timeoutMs, signal);
+    }
+    return result ?? fail(StoreErrorKind.Unknown);
+  }
+
   /** Drops the history of a topic: reads from older offsets expire; the newest record of each key stays. */
   dropHistory(name: string): void {
     const topic = this.#topicOf(name);
