Drop idle connections to the backend server once one had no response

Cause: an idle connection shows nothing of its silence, and the pool uses them in turn. Evidence: the two new tests of the client fail before, for a request and for an order. Why it works: what silences one open connection silences all of them, so after a request on a kept connection, or an order, had no response, all idle ones are closed, and the next request opens a new one.

--- a/packages/router/src/server_client.ts
+++ b/packages/router/src/server_client.ts
@@ -14,7 +14,7 @@
   ServerResponseHead,
   ServerWire,
 } from "@bulrushwood/deployment";
-import { callHttp, readBody } from "@bulrushwood/http_client";
+import { CallErrorKind, callHttp, closeIdleConnections, readBody } from "@bulrushwood/http_client";
 import type { OrderResponse } from "@bulrushwood/lease_ranges";
 import { type Header, type RequestHead } from "@bulrushwood/protocol";
 import { now } from "@bulrushwood/types";
@@ -107,7 +107,11 @@
     options: { timeoutMs: number },
   ): Promise<Result<OrderResponse, Error>> {
     const { host, port } = this.#options.endpoint;
-    return await callHttp({ agent: this.#orderAgent, host, port, ...order, ...options });
+    const called = await callHttp({ agent: this.#orderAgent, host, port, ...order, ...options });
+    if (called.isErr && called.error.kind === CallErrorKind.NoResponse) {
+      this.#closeIdleConnections();
+    }
+    return called;
   }
 
   /** Checks the server's health; returns the id of the server that responded as healthy. */
@@ -154,10 +158,12 @@
       setDefaultHeaders: false,
     } as object);
     const abort = () => outgoing.destroy(new Error("cancelled"));
-    const timer = setTimeout(
-      () => outgoing.destroy(new Error("the deadline passed")),
-      Math.max(0, deadline + DEADLINE_MARGIN_MS - now()),
-    );
+    const timer = setTimeout(() => {
+      if (outgoing.reusedSocket) {
+        this.#closeIdleConnections();
+      }
+      outgoing.destroy(new Error("the deadline passed"));
+    }, Math.max(0, deadline + DEADLINE_MARGIN_MS - now()));
     signal.addEventListener("abort", abort, { once: true });
     try {
       return await this.#exchange(outgoing, call, body);
@@ -257,6 +263,12 @@
     };
   }
 
+  /** Closes idle connections after one had no response: open connections may go silent together. */
+  #closeIdleConnections(): void {
+    closeIdleConnections(this.#requestAgent);
+    closeIdleConnections(this.#orderAgent);
+  }
+
   #recordRejected(id: string): void {
     this.#rejectedIds.add(id);
     if (this.#rejectedIds.size > REJECTED_MAX) {
--- a/packages/router/src/server_client_test.ts
+++ b/packages/router/src/server_client_test.ts
@@ -312,6 +312,35 @@
     });
   }
 
+  // Guards against requests that fail one after the other on idle connections that have gone silent together.
+  for (const by of ["a request", "an order"]) {
+    it(`drops its idle connections once ${by} on one of them has no response`, async () => {
+      const open = new Set<Socket>();
+      let silent = new Set<Socket>();
+      const respond: Script = (socket) => {
+        open.add(socket);
+        if (!silent.has(socket)) {
+          setTimeout(() => socket.write(encodeResponse("r1", "whole")), 20);
+        }
+      };
+      const scripts = Array.from({ length: 9 }, () => respond);
+      const outcomes = await withServer(scripts, async (client) => {
+        const order = { method: "POST", path: "/grant", headers: {}, body: Buffer.alloc(0) };
+        await Promise.all([send(client), send(client), client.order(order, { timeoutMs: 200 })]);
+        silent = new Set(open);
+        if (by === "an order") {
+          await client.order(order, { timeoutMs: 200 });
+        } else {
+          await send(client, { waitMs: 200 });
+        }
+        const repeated = await client.order(order, { timeoutMs: 200 });
+        return [repeated.isOk, (await send(client, { waitMs: 200 })).outcome];
+      });
+      expect(silent.size).to.equal(3);
+      expect(outcomes).to.deep.equal([true, ServerOutcome.Responded]);
+    });
+  }
+
   it("reports not-run if no connection could be opened", async () => {
     const client = new ServerClient({
       endpoint: { host: "127.0.0.1", port: 1 },
