Wait for ports that are still held instead of ending

By reading: a second error of a listener, such as a lack of descriptors at an accept, ended it too, since errors were handled once. Cause: the error of a listener rejected the start. Why it works: a taken port is tried again until it is free, errors after that are logged, and the metrics delay nothing.

--- a/packages/http_server/src/mod.ts
+++ b/packages/http_server/src/mod.ts
@@ -1,11 +1,12 @@
 /**
- * Ends responses of HTTP servers, and closes the servers. A response that closes its connection ends only when the
+ * Lets HTTP servers listen, ends their responses, and closes them. A response that closes its connection ends only when the
  * whole request has arrived: ending it earlier would reset the connection, and a caller that still sends would fail
  * before it reads the response.
  */
 import type { Buffer } from "node:buffer";
 import type { Server, ServerResponse } from "node:http";
 
+export { listen, type ListenAddress, type ListenOptions } from "./listen.ts";
 export { EventLoop, type EventLoopOptions } from "./event_loop.ts";
 
 /** Longest wait for the rest of a request that has its response already, in milliseconds. */
--- a/packages/protocol/src/links.ts
+++ b/packages/protocol/src/links.ts
@@ -5,6 +5,7 @@
 import { createServer, type Server } from "node:http";
 import { WebSocket, WebSocketServer } from "ws";
 import { Result } from "true-myth";
+import { listen } from "@bulrushwood/http_server";
 import type { Address } from "@bulrushwood/types";
 import { MESSAGE_BYTES_MAX } from "./codec.ts";
 import { LinkError, LinkErrorKind } from "./errors.ts";
@@ -24,6 +25,10 @@
   host: string;
   port: number;
   handlers: LinkHandlers;
+  /** Called with each error of the listener, such as a port that is taken. */
+  onListenError?: (error: NodeJS.ErrnoException) => void;
+  /** Ends the wait for a taken port when it aborts. */
+  signal?: AbortSignal;
 }
 
 interface FailedDial {
@@ -61,10 +66,8 @@
   /** Starts listening for peers. */
   static async listen(options: LinksOptions): Promise<Links> {
     const links = new Links(options);
-    await new Promise<void>((resolve, reject) => {
-      links.#http.once("error", reject);
-      links.#http.listen(options.port, options.host, resolve);
-    });
+    const { signal, onListenError: onError } = options;
+    await listen(links.#http, options, { signal, onError });
     return links;
   }
 
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -6,7 +6,7 @@
 import type { Socket } from "node:net";
 import type { LoadShedder, Shutdown } from "@bulrushwood/admission";
 import type { CallerWire, Endpoint, Manifest, Route } from "@bulrushwood/deployment";
-import { closeGracefully, endWithBody, type EventLoop } from "@bulrushwood/http_server";
+import { closeGracefully, endWithBody, type EventLoop, listen } from "@bulrushwood/http_server";
 import { type Header, Reason, type RequestHead } from "@bulrushwood/protocol";
 import {
   ManifestRoutes,
@@ -37,6 +37,8 @@
 
 export interface CallerServerOptions {
   endpoint: Endpoint;
+  /** Ends the wait for a taken port when it aborts. */
+  signal?: AbortSignal;
   wire: CallerWire;
   /** Service of this instance, which is sent to backend servers as the caller's. */
   service: string;
@@ -122,11 +124,9 @@
   /** Starts listening. */
   static async listen(options: CallerServerOptions): Promise<CallerServer> {
     const callers = new CallerServer(options);
-    const { host, port } = options.endpoint;
-    await new Promise<void>((resolve, reject) => {
-      callers.#server.once("error", reject);
-      callers.#server.listen(port, host, resolve);
-    });
+    const { endpoint, signal, log } = options;
+    const onError = ({ message: reason }: Error) => log(Event.ListenerFailed, { reason });
+    await listen(callers.#server, endpoint, { signal, onError });
     return callers;
   }
 
--- a/packages/router/src/event_log.ts
+++ b/packages/router/src/event_log.ts
@@ -12,6 +12,7 @@
   Stopping = "stopping",
   Stopped = "stopped",
   SettingsReloaded = "settings-reloaded",
+  ListenerFailed = "listener-failed",
   StoreReachable = "store-reachable",
   StoreRelayed = "store-relayed",
   StoreReconnected = "store-reconnected",
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -381,14 +381,21 @@
     const hasReadDepartures = () => this.#system.confirmedAt > Number.NEGATIVE_INFINITY;
     const reports = { watch: this.#watch, respond, hasReadDepartures, log: this.#log };
     await this.#listenSide(listen.reports, handleReports(this.#adapter.servers, reports));
-    await this.#listenSide(this.#settings.metrics, async (request, response) => {
-      request.resume();
-      response.end(await this.#metrics.registry.metrics());
-    });
+    // Nobody is served later because the port of the metrics is taken.
+    this.#tasks.push(
+      this.#listenSide(this.#settings.metrics, async (request, response) => {
+        request.resume();
+        response.end(await this.#metrics.registry.metrics());
+      }).catch((error: Error) =>
+        this.#log(Event.TaskFailed, { task: "metrics", reason: error.message })
+      ),
+    );
     this.#links = await Links.listen({
       ...listen.peers,
       self: this.#self,
       incarnation: this.#incarnation,
+      signal: this.#stop.signal,
+      onListenError: ({ message: reason }) => this.#log(Event.ListenerFailed, { reason }),
       handlers: {
         onCall: (method, payload) => this.#handleCall(method, payload),
         onRequest: (exchange) => this.#handleRequest(exchange),
@@ -400,6 +407,7 @@
     this.#dispatcher = this.#createDispatcher();
     this.#callers = await CallerServer.listen({
       endpoint: listen.callers,
+      signal: this.#stop.signal,
       wire: this.#adapter.callers,
       service,
       manifest: () => this.#currentManifest.manifest,
@@ -463,7 +471,8 @@
     endpoint: { host: string; port: number },
     handler: Parameters<typeof SideServer.listen>[1],
   ): Promise<void> {
-    this.#sideServers.push(await SideServer.listen(endpoint, handler, { log: this.#log }));
+    const { signal } = this.#stop;
+    this.#sideServers.push(await SideServer.listen(endpoint, handler, { log: this.#log, signal }));
   }
 
   #follow(topic: string): KeyedFollower {
--- a/packages/router/src/side_servers.ts
+++ b/packages/router/src/side_servers.ts
@@ -10,6 +10,7 @@
   type ServerWire,
 } from "@bulrushwood/deployment";
 import { readBody } from "@bulrushwood/http_client";
+import { listen } from "@bulrushwood/http_server";
 import { Event, type EventLog } from "./event_log.ts";
 import type { ServerWatch } from "./server_watch.ts";
 
@@ -36,13 +37,12 @@
   static async listen(
     endpoint: Endpoint,
     handler: Handler,
-    options: { log: EventLog },
+    options: { log: EventLog; signal?: AbortSignal },
   ): Promise<SideServer> {
-    const side = new SideServer(handler, options.log);
-    await new Promise<void>((resolve, reject) => {
-      side.#server.once("error", reject);
-      side.#server.listen(endpoint.port, endpoint.host, resolve);
-    });
+    const { log, signal } = options;
+    const side = new SideServer(handler, log);
+    const onError = ({ message: reason }: Error) => log(Event.ListenerFailed, { reason });
+    await listen(side.#server, endpoint, { signal, onError });
     return side;
   }
 
