Read a settings file again while it is missing or half-written

Seen on real processes: a daemon that started while its settings file was being replaced ended with code 1 (FAULT). Cause: the file was read once, and whatever it contained at that moment decided. Why it works: the file is read again for 5 s, longer than a file is being written, before the fault in it is reported.

--- a/packages/cli/src/serve_deployment.ts
+++ b/packages/cli/src/serve_deployment.ts
@@ -1,13 +1,19 @@
 /**
  * Runs the daemon on a platform's deployment until a signal stops it.
  */
-import { readFileSync } from "node:fs";
+import { readFile } from "node:fs/promises";
 import process from "node:process";
-import type { Adapter } from "@bulrushwood/deployment";
+import type { Adapter, DeploymentSettings } from "@bulrushwood/deployment";
 import { createEventLog, Router } from "@bulrushwood/router";
-import { now } from "@bulrushwood/types";
+import { now, sleep } from "@bulrushwood/types";
+import type { Result } from "true-myth";
 import { type CommonOptions, ExitCode, writeFailure } from "./output.ts";
 
+/** Time for which a settings file is read again while it is missing or malformed, in milliseconds. */
+const SETTINGS_TIMEOUT_MS = 5_000;
+/** Pause before the settings file is read again, in milliseconds. */
+const SETTINGS_RETRY_MS = 100;
+
 /** Runs the daemon with the settings that the environment names. SIGHUP reloads them. */
 export async function serveDeployment(adapter: Adapter, options: CommonOptions): Promise<void> {
   const path = adapter.settingsPath(process.env);
@@ -16,13 +22,13 @@
     writeFailure(message, { json: options.json, code: ExitCode.Malformed });
     return;
   }
-  const read = adapter.readSettings(readFileSync(path, "utf8"));
+  const read = await readSettings(path, adapter);
   if (read.isErr) {
     writeFailure(`${path}: ${read.error.message}`, {
       json: options.json,
       code: ExitCode.Malformed,
     });
-    return;
+    process.exit(ExitCode.Malformed);
   }
   const settings = read.value;
   const log = createEventLog(settings.instance, { now });
@@ -35,3 +41,18 @@
   await router.leave();
   process.exit(ExitCode.Ok);
 }
+
+/** Reads the settings; a file that is being replaced may be missing or incomplete for a moment. */
+async function readSettings(
+  path: string,
+  adapter: Adapter,
+): Promise<Result<DeploymentSettings, Error>> {
+  const until = now() + SETTINGS_TIMEOUT_MS;
+  while (true) {
+    const read = adapter.readSettings(await readFile(path, "utf8").catch(() => ""));
+    if (read.isOk || now() >= until) {
+      return read;
+    }
+    await sleep(SETTINGS_RETRY_MS);
+  }
+}
