Handle signals from a daemon's first moment until it exits

Cause: handlers were set after the start, and each handler to stop ran once; before and after, signals have their default action. Only the first signal to stop counts; before the start it ends the process, which has no requests yet.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,6 +1,7 @@
 /**
  * Entry point of the command line `bulrushwood`.
  */
+import "./signals.ts";
 import process from "node:process";
 import { createProgram } from "./program.ts";
 
--- a/packages/cli/src/serve.ts
+++ b/packages/cli/src/serve.ts
@@ -7,6 +7,7 @@
 import { PLATFORM } from "@bulrushwood/platform";
 import { formatFaults } from "./check.ts";
 import { serveDeployment } from "./serve_deployment.ts";
+import { handleSignals } from "./signals.ts";
 import { type CommonOptions, ExitCode, writeFailure } from "./output.ts";
 
 /** Runs the daemon with a settings file or, without one, on the deployment that the environment names. */
@@ -35,8 +36,7 @@
     log(LogLevel.Info, "Stopping the daemon", { signal });
     daemon.close();
   };
-  process.on("SIGTERM", () => stop("SIGTERM"));
-  process.on("SIGINT", () => stop("SIGINT"));
+  handleSignals({ onStop: stop });
   await daemon.stopped;
   process.exit(ExitCode.Ok);
 }
--- a/packages/cli/src/serve_deployment.ts
+++ b/packages/cli/src/serve_deployment.ts
@@ -8,6 +8,7 @@
 import { now, sleep } from "@bulrushwood/types";
 import type { Result } from "true-myth";
 import { type CommonOptions, ExitCode, writeFailure } from "./output.ts";
+import { handleSignals } from "./signals.ts";
 
 /** Time for which a settings file is read again while it is missing or malformed, in milliseconds. */
 const SETTINGS_TIMEOUT_MS = 5_000;
@@ -22,6 +23,12 @@
     writeFailure(message, { json: options.json, code: ExitCode.Malformed });
     return;
   }
+  let router: Router | undefined;
+  const stopped = new Promise<void>((resolve) => {
+    handleSignals({ onStop: () => resolve(), onReload: () => router?.reload() });
+  });
+  // A daemon that has not started yet has no requests to respond to.
+  stopped.then(() => router ?? process.exit(ExitCode.Ok));
   const read = await readSettings(path, adapter);
   if (read.isErr) {
     writeFailure(`${path}: ${read.error.message}`, {
@@ -32,12 +39,8 @@
   }
   const settings = read.value;
   const log = createEventLog(settings.instance, { now });
-  const router = await Router.start({ settings, adapter, log });
-  process.on("SIGHUP", () => router.reload());
-  await new Promise<void>((resolve) => {
-    process.once("SIGTERM", resolve);
-    process.once("SIGINT", resolve);
-  });
+  router = await Router.start({ settings, adapter, log });
+  await stopped;
   await router.leave();
   process.exit(ExitCode.Ok);
 }
