Go on when the reader of a daemon's output has gone

Cause: the next line of the log failed with EPIPE, an error event of the stream that nobody handled. Why it works: errors of the two output streams are handled, and a log line without a reader is dropped.

--- a/packages/cli/src/signals.ts
+++ b/packages/cli/src/signals.ts
@@ -18,7 +18,7 @@
 let stopSignal: NodeJS.Signals | undefined;
 let hasReloadSignal = false;
 
-/** Starts to receive signals. */
+/** Starts to receive signals for the process, and keeps it alive when the reader of its output goes. */
 function receive(): void {
   for (const signal of STOP_SIGNALS) {
     process.on(signal, () => {
@@ -32,6 +32,9 @@
     hasReloadSignal = true;
     handlers?.onReload?.();
   });
+  for (const output of [process.stdout, process.stderr]) {
+    output.on("error", () => {});
+  }
 }
 
 /** Sets the handlers; calls them at once for the signals that have come already. */
