Bound the memory of all bodies that a daemon holds

Cause: each body was bounded, their sum was not, and a body was held twice while its parts were joined. A request whose body does not fit is rejected before it is read, a response that does not fit is given up. A body of known length is collected in one buffer. The body of a request is awaited only as long as its caller waits, so that it frees its share then.

--- a/packages/cli/src/serve_deployment.ts
+++ b/packages/cli/src/serve_deployment.ts
@@ -23,12 +23,12 @@
     writeFailure(message, { json: options.json, code: ExitCode.Malformed });
     return;
   }
-  let router: Router | undefined;
+  const daemon: { router?: Router } = {};
   const stopped = new Promise<void>((resolve) => {
-    handleSignals({ onStop: () => resolve(), onReload: () => router?.reload() });
+    handleSignals({ onStop: () => resolve(), onReload: () => daemon.router?.reload() });
   });
   // A daemon that has not started yet has no requests to respond to.
-  stopped.then(() => router ?? process.exit(ExitCode.Ok));
+  stopped.then(() => daemon.router ?? process.exit(ExitCode.Ok));
   const read = await readSettings(path, adapter);
   if (read.isErr) {
     writeFailure(`${path}: ${read.error.message}`, {
@@ -39,9 +39,9 @@
   }
   const settings = read.value;
   const log = createEventLog(settings.instance, { now });
-  router = await Router.start({ settings, adapter, log });
+  daemon.router = await Router.start({ settings, adapter, log });
   await stopped;
-  await router.leave();
+  await daemon.router.leave();
   process.exit(ExitCode.Ok);
 }
 
--- a/packages/deployment/src/settings.ts
+++ b/packages/deployment/src/settings.ts
@@ -43,6 +43,8 @@
     /** Largest record that the store accepts, in bytes. */
     recordBytes: number;
   };
+  /** Memory that the process may take, in bytes. */
+  memoryBytes: number;
   grantDelivery: GrantDelivery;
   /** Interval between the status reports of a backend server. */
   reportEveryMs: number;
--- a/packages/http_client/src/mod.ts
+++ b/packages/http_client/src/mod.ts
@@ -1,10 +1,19 @@
 /**
  * HTTP calls with a timeout, whose errors show whether the call may have taken effect.
  */
-import { Buffer } from "node:buffer";
-import { type Agent, type IncomingHttpHeaders, type IncomingMessage, request } from "node:http";
+import type { Buffer } from "node:buffer";
+import {
+  type Agent,
+  type ClientRequest,
+  type IncomingHttpHeaders,
+  type IncomingMessage,
+  request,
+} from "node:http";
 import type { Socket } from "node:net";
 import { Result } from "true-myth";
+import { BodyCollector } from "./body_collector.ts";
+
+export { BodyCollector, type BodyCollectorOptions, BodyFailure } from "./body_collector.ts";
 
 /** Largest body that is read, in bytes; far above any response, and a fraction of a small instance's memory. */
 const BODY_BYTES_MAX = 32 * 1024 * 1024;
@@ -39,6 +48,8 @@
   headers?: Record<string, string>;
   body?: Buffer;
   timeoutMs: number;
+  /** Largest body of the response, in bytes. */
+  bodyBytesMax?: number;
   signal?: AbortSignal;
   /** Returns whether the call may use the connection that it got; it is not sent otherwise. By default it may. */
   mayUse?: (socket: Socket) => boolean;
@@ -94,7 +105,7 @@
     });
     outgoing.on("error", (error) => fail(error.message));
     outgoing.on("response", (message) => {
-      readBody(message).then(
+      readBody(message, { bytesMax: call.bodyBytesMax }).then(
         (body) => {
           const { statusCode = 0, headers: responseHeaders } = message;
           settle(Result.ok({ status: statusCode, headers: responseHeaders, body }));
@@ -112,36 +123,45 @@
     .forEach((socket) => socket.destroy());
 }
 
+/** Options of `readBody`. */
+export interface ReadBodyOptions {
+  /** Largest length, in bytes. */
+  bytesMax?: number;
+  /** Takes memory for some bytes; returns false where there is none. By default there always is. */
+  take?: (bytes: number) => boolean;
+}
+
 /**
  * Reads the whole body of a message. Rejects when the body is incomplete, and destroys the message when it is
  * too large, since a faulty sender may send without end.
  */
-export function readBody(
-  message: IncomingMessage,
-  options: { bytesMax?: number } = {},
-): Promise<Buffer> {
-  const { bytesMax = BODY_BYTES_MAX } = options;
+export function readBody(message: IncomingMessage, options: ReadBodyOptions = {}): Promise<Buffer> {
+  const { bytesMax = BODY_BYTES_MAX, take } = options;
+  const body = new BodyCollector({ length: lengthOf(message), bytesMax, take });
   return new Promise((resolve, reject) => {
-    const parts: Buffer[] = [];
-    let bytes = 0;
     const fail = () => reject(new Error("the body was cut short"));
-    message.on("data", (part: Buffer) => {
-      bytes += part.length;
-      if (bytes > bytesMax) {
-        reject(new Error(`the body has more than ${bytesMax} bytes`));
-        message.destroy();
-        return;
-      }
-      parts.push(part);
-    });
-    message.on("end", () => {
-      if (message.complete) {
-        resolve(parts.length === 1 ? parts[0] : Buffer.concat(parts));
-      } else {
-        fail();
-      }
-    });
+    const rejectBody = () => {
+      reject(new Error(`the body cannot be read: ${body.failure}`));
+      message.destroy();
+    };
+    if (body.failure !== undefined) {
+      rejectBody();
+      return;
+    }
+    message.on("data", (part: Buffer) => body.add(part) || rejectBody());
+    message.on("end", () => message.complete ? resolve(body.end()) : fail());
     message.on("error", fail);
     message.on("close", fail);
   });
 }
+
+/** Returns the length that a message announces for its body; undefined where it announces none. */
+export function lengthOf(message: IncomingMessage): number | undefined {
+  const { headers } = message;
+  const { req: request } = message as { req?: ClientRequest };
+  if (request?.method === "HEAD") {
+    return undefined;
+  }
+  const length = headers["transfer-encoding"] === undefined ? headers["content-length"] : undefined;
+  return length === undefined ? undefined : Number(length);
+}
--- a/packages/protocol/src/codec.ts
+++ b/packages/protocol/src/codec.ts
@@ -60,6 +60,7 @@
   firstAttempt: isBoolean,
   priority: optional(isNumber),
   targetMs: optional(isNumber),
+  bodyBytes: optional(isNumber),
   excludedServer: optional(isString),
 };
 
@@ -71,6 +72,7 @@
   detail: optional(isString),
   retryAfterMs: optional(isNumber),
   isUnframed: optional(isBoolean),
+  bodyBytes: optional(isNumber),
   leavingServer: optional(isString),
 };
 
--- a/packages/protocol/src/frames.ts
+++ b/packages/protocol/src/frames.ts
@@ -89,6 +89,8 @@
   priority?: number;
   /** Time left until the target when the frame was sent, in milliseconds. */
   targetMs?: number;
+  /** Length of a body that follows in parts, in bytes; absent for others, and in heads of older daemons. */
+  bodyBytes?: number;
   /** Name of a server incarnation that must not run the request, since it announced to the ingress that it leaves. */
   excludedServer?: string;
 }
@@ -107,6 +109,8 @@
   retryAfterMs?: number;
   /** Whether the body had no length or chunks, so that only the close of the server's connection ended it. */
   isUnframed?: boolean;
+  /** Length of a body that follows in parts, in bytes; absent for others, and in heads of older daemons. */
+  bodyBytes?: number;
   /** Name of the server incarnation that announced with this response that it leaves. */
   leavingServer?: string;
 }
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -4,7 +4,7 @@
 import { Buffer } from "node:buffer";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import type { LoadShedder, Shutdown } from "@bulrushwood/admission";
+import type { BodyMemory, LoadShedder, RequestMemory, Shutdown } from "@bulrushwood/admission";
 import type { CallerWire, Endpoint, Manifest, Route } from "@bulrushwood/deployment";
 import { closeGracefully, endWithBody, type EventLoop, listen } from "@bulrushwood/http_server";
 import { type Header, Reason, type RequestHead } from "@bulrushwood/protocol";
@@ -16,10 +16,12 @@
   unknown,
 } from "@bulrushwood/routing";
 import { now, Outcome } from "@bulrushwood/types";
+import { BodyRejection, readCallerBody } from "./caller_body.ts";
 import { CallerConnection, type Exchange } from "./caller_connection.ts";
 import type { Dispatcher, DispatchRequest } from "./dispatcher.ts";
 import { Event, type EventLog } from "./event_log.ts";
 import { readHeaders, toFlatHeaders } from "./headers.ts";
+import { BODY_RETRY_AFTER_MS } from "./long_bodies.ts";
 import { RequestStage } from "./request_stage.ts";
 
 /** Idle connections are kept this much longer than callers keep them, in milliseconds. */
@@ -48,6 +50,7 @@
   shutdown: Shutdown;
   eventLoop: EventLoop;
   shedder: LoadShedder;
+  bodyMemory: BodyMemory;
   /** Called at the first request on each connection with the time since it was accepted, in milliseconds. */
   onFirstRequest: (ms: number) => void;
   /** Called when a connection closes before a request on it was read. */
@@ -61,6 +64,20 @@
   detail: string;
 }
 
+/** A request that may run, before its body was read. */
+interface AcceptedRequest {
+  id: string;
+  route: Route;
+  manifest: Manifest;
+  key: number | undefined;
+  /** Time that the caller waits, in milliseconds; undefined if it does not say. */
+  deadlineMs: number | undefined;
+  arrivedAt: number;
+  deadline: number;
+  exchange: Exchange;
+  memory: RequestMemory;
+}
+
 /** Receives callers' requests, dispatches them and sends the responses. */
 export class CallerServer {
   readonly #options: CallerServerOptions;
@@ -222,16 +239,30 @@
       await this.#reject(response, this.#rejectLate(), { id, exchange });
       return;
     }
-    const body = await readBody(request, manifest.limits.bodyBytes);
-    if (body === TOO_LARGE) {
-      const detail = `The body must have at most ${manifest.limits.bodyBytes} bytes`;
-      this.#sendError(response, { status: 413, detail }, { exchange });
-      return;
+    const memory = this.#options.bodyMemory.open();
+    try {
+      const options = { id, route, manifest, key, deadlineMs, arrivedAt, deadline, exchange };
+      await this.#handleAccepted(request, response, { ...options, memory });
+    } finally {
+      memory.release();
     }
-    if (body === TRUNCATED) {
-      response.destroy();
+  }
+
+  /** Reads the body of a request that may run, dispatches it and sends its response. */
+  async #handleAccepted(
+    request: IncomingMessage,
+    response: ServerResponse,
+    options: AcceptedRequest,
+  ): Promise<void> {
+    const { id, route, manifest, key, deadlineMs, arrivedAt, deadline, exchange, memory } = options;
+    const waitMs = deadline - arrivedAt;
+    const { bodyBytes: bytesMax } = manifest.limits;
+    const received = await readCallerBody(request, { bytesMax, memory, deadline });
+    if ("rejection" in received) {
+      await this.#rejectBody(response, received.rejection, options);
       return;
     }
+    const { body } = received;
     const service = this.#routesFor(manifest).chooseService(route) ?? "";
     const isKeyed = manifest.services.get(service)?.isKeyed ?? false;
     const head = this.#toHead(request, { id, route, service, key: isKeyed ? key : undefined });
@@ -242,6 +273,7 @@
       targetAt: arrivedAt + route.targetMs - this.#elapsedBeforeMs(route, deadlineMs ?? waitMs),
       deadline,
       signal: exchange.signal,
+      memory,
       stage: RequestStage.Arrival,
     };
     await this.#options.eventLoop.nextPoll();
@@ -251,6 +283,35 @@
     await this.#send(response, routed, { id, exchange });
   }
 
+  /** Responds to a request whose body was not read, so that it has not run. */
+  async #rejectBody(
+    response: ServerResponse,
+    rejection: BodyRejection,
+    { id, route, manifest, arrivedAt, exchange }: AcceptedRequest,
+  ): Promise<void> {
+    switch (rejection) {
+      case BodyRejection.Truncated:
+        response.destroy();
+        return;
+      case BodyRejection.TooLarge: {
+        const detail = `The body must have at most ${manifest.limits.bodyBytes} bytes`;
+        this.#sendError(response, { status: 413, detail }, { exchange });
+        return;
+      }
+      default: {
+        const routed = rejection === BodyRejection.Late
+          ? notRun(Reason.DeadlinePassed, "The body did not arrive before the deadline")
+          : notRun(
+            Reason.Overloaded,
+            "The bodies of other requests leave no memory for this one",
+            BODY_RETRY_AFTER_MS,
+          );
+        this.#options.onResponse(route, routed, now() - arrivedAt);
+        await this.#reject(response, routed, { id, exchange });
+      }
+    }
+  }
+
   async #dispatch(request: DispatchRequest): Promise<RoutedResponse> {
     const { dispatcher, shutdown } = this.#options;
     if (request.signal.aborted) {
@@ -414,9 +475,6 @@
   }
 }
 
-const TOO_LARGE = Symbol("too large");
-const TRUNCATED = Symbol("truncated");
-
 function validate(
   route: Route | undefined,
   id: string | undefined,
@@ -429,31 +487,3 @@
     ? { status: 400, detail: `${wire.idHeader}: each request must carry its own id` }
     : undefined;
 }
-
-/** Reads a request's body; undefined if it has none. */
-function readBody(
-  request: IncomingMessage,
-  bytesMax: number,
-): Promise<Buffer | undefined | typeof TOO_LARGE | typeof TRUNCATED> {
-  const hasBody = request.headers["content-length"] !== undefined ||
-    request.headers["transfer-encoding"] !== undefined;
-  if (!hasBody) {
-    request.resume();
-    return Promise.resolve(undefined);
-  }
-  return new Promise((resolve) => {
-    const parts: Buffer[] = [];
-    let size = 0;
-    request.on("data", (part: Buffer) => {
-      size += part.length;
-      if (size > bytesMax) {
-        resolve(TOO_LARGE);
-        return;
-      }
-      parts.push(part);
-    });
-    request.on("end", () => resolve(request.complete ? Buffer.concat(parts) : TRUNCATED));
-    request.on("error", () => resolve(TRUNCATED));
-    request.on("close", () => resolve(TRUNCATED));
-  });
-}
--- a/packages/router/src/caller_server_fixture.ts
+++ b/packages/router/src/caller_server_fixture.ts
@@ -1,7 +1,7 @@
 /**
  * Test fixture: the HTTP server for callers, with a given dispatcher.
  */
-import { LoadShedder, Shutdown } from "@bulrushwood/admission";
+import { BodyMemory, LoadShedder, Shutdown } from "@bulrushwood/admission";
 import { type Manifest, RouteKind } from "@bulrushwood/deployment";
 import { EventLoop } from "@bulrushwood/http_server";
 import { now } from "@bulrushwood/types";
@@ -29,7 +29,7 @@
 /** Starts a server that hands all requests to a dispatcher. */
 export function listenForCallers(
   dispatcher: Dispatcher,
-  options: { port: number; shutdown?: Shutdown },
+  options: { port: number; shutdown?: Shutdown; bodyMemoryBytes?: number },
 ): Promise<CallerServer> {
   const { port, shutdown = new Shutdown({ now, shutdownMs: 6_000 }) } = options;
   const shedder = new LoadShedder({ now, random: Math.random, onOverload: () => {} });
@@ -47,6 +47,7 @@
     shutdown,
     eventLoop: new EventLoop({ now, onRelease: (waitMs) => shedder.recordWait(waitMs) }),
     shedder,
+    bodyMemory: new BodyMemory({ bytesMax: options.bodyMemoryBytes ?? 100e6 }),
     onFirstRequest: () => {},
     onUnread: () => {},
     onResponse: () => {},
--- a/packages/router/src/caller_server_test.ts
+++ b/packages/router/src/caller_server_test.ts
@@ -1,4 +1,5 @@
 import { Buffer } from "node:buffer";
+import { request } from "node:http";
 import { connect, type Socket } from "node:net";
 import { Worker } from "node:worker_threads";
 import { expect } from "chai";
@@ -230,3 +231,65 @@
     });
   }
 });
+
+describe("bodies of callers' requests", () => {
+  const [bodyMemoryBytes, bodyBytes] = [1_500_000, 900_000];
+
+  /** Starts a server with memory for two of the bodies; `upload` resolves to the status of the response. */
+  async function withUploads(
+    test: (dispatcher: FakeDispatcher, upload: (id: string) => Promise<number>) => Promise<void>,
+  ): Promise<void> {
+    const dispatcher = new FakeDispatcher();
+    const port = await findFreePort();
+    const server = await listenForCallers(dispatcher as unknown as Dispatcher, {
+      port,
+      bodyMemoryBytes,
+    });
+    const upload = (id: string) =>
+      new Promise<number>((resolve, reject) => {
+        const headers = { host: "h", id, "content-length": bodyBytes };
+        const call = request({
+          host: HOST,
+          port,
+          method: "POST",
+          path: "/x",
+          headers,
+          agent: false,
+        });
+        call.on("response", (response) => resolve(response.resume().statusCode ?? 0));
+        call.on("error", reject);
+        call.end(Buffer.alloc(bodyBytes));
+      });
+    try {
+      await test(dispatcher, upload);
+    } finally {
+      await server.close({ timeoutMs: 0 });
+    }
+  }
+
+  // Guards against a few long uploads at once that end a daemon by its memory.
+  it("are rejected before they are read where the bodies of other requests leave no memory", async () => {
+    await withUploads(async (dispatcher, upload) => {
+      const uploads = ["r1", "r2"].map(upload);
+      await waitUntil(() => dispatcher.open.size === 2);
+      expect(await upload("r3")).to.equal(503);
+      expect(dispatcher.open.has("r3")).to.equal(false);
+      dispatcher.respond("r1");
+      expect(await uploads[0]).to.equal(200);
+      const next = upload("r4");
+      await waitUntil(() => dispatcher.open.has("r4"));
+      ["r2", "r4"].forEach((id) => dispatcher.respond(id));
+      expect(await Promise.all([uploads[1], next])).to.deep.equal([200, 200]);
+    });
+  });
+
+  it("are not awaited beyond the time that the caller waits", async () => {
+    await runScenario(async ({ socket, received }) => {
+      socket.write(`POST /x HTTP/1.1\r\nhost: h\r\nid: r1\r\ncontent-length: 9\r\n\r\nshort`);
+      await sleep(900);
+      expect(received()).to.equal("");
+      await waitUntil(() => received() !== "");
+      expect(received()).to.match(/^HTTP\/1.1 50\d /);
+    });
+  });
+});
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -4,6 +4,7 @@
  * one that may have run is resent only if it is idempotent, time is left and the retry budget allows it.
  */
 import type { Buffer } from "node:buffer";
+import type { RequestMemory } from "@bulrushwood/admission";
 import { type Route, RouteKind } from "@bulrushwood/deployment";
 import {
   type LinkError,
@@ -21,7 +22,7 @@
 } from "@bulrushwood/routing";
 import { type Address, now, Outcome, type WaitOptions } from "@bulrushwood/types";
 import { Event, type EventLog } from "./event_log.ts";
-import { openExchange, readResponse } from "./exchange.ts";
+import { BodyError, openExchange, readResponse } from "./exchange.ts";
 import { LeavingServers } from "./leaving_servers.ts";
 import { OverloadBackoff } from "./overload_backoff.ts";
 import { RequestStage } from "./request_stage.ts";
@@ -51,11 +52,19 @@
 /** Extra time for a response that is sent at the deadline, in milliseconds. */
 const DEADLINE_MARGIN_MS = 60;
 
+/** Options of `Serve`. */
+export interface ServeOptions {
+  /** Aborts when the caller leaves. */
+  signal: AbortSignal;
+  /** Counts the response's body; without it the body is not counted. */
+  memory?: RequestMemory;
+}
+
 /** Runs a request at this daemon's backend server. */
 export type Serve = (
   head: RequestHead,
   body: Buffer | undefined,
-  signal: AbortSignal,
+  options: ServeOptions,
 ) => Promise<RoutedResponse>;
 
 /** This daemon's view of the owners of keys. */
@@ -103,6 +112,8 @@
   /** Time when the caller stops waiting, on this process's clock in milliseconds. */
   deadline: number;
   signal: AbortSignal;
+  /** Counts the bodies of the request and its response; without it they are not counted. */
+  memory?: RequestMemory;
   /** Where the request waits now; updated by the dispatcher. */
   stage: RequestStage;
 }
@@ -287,7 +298,8 @@
     const { self, serve, links, owners } = this.#options;
     if (address === self) {
       request.stage = RequestStage.Server;
-      return await serve(this.#headFor(request, address), request.body, request.signal);
+      const { signal, memory } = request;
+      return await serve(this.#headFor(request, address), request.body, { signal, memory });
     }
     request.stage = RequestStage.Dial;
     const linked = await links.get(address);
@@ -310,10 +322,13 @@
     const forwardedAt = now();
     request.signal.addEventListener("abort", cancel, { once: true });
     try {
-      const response = await readResponse(exchange);
+      const response = await readResponse(exchange, request.memory);
       this.#recordResponse(request, address, response);
       return response;
     } catch (error) {
+      if (error instanceof BodyError) {
+        return unknown(Reason.Overloaded, error.message);
+      }
       if (now() - forwardedAt >= request.route.targetMs) {
         this.#backoff.recordUnanswered(address, request.head.priority ?? 0);
       }
--- a/packages/router/src/exchange.ts
+++ b/packages/router/src/exchange.ts
@@ -3,6 +3,8 @@
  * follow in parts with credit-based flow control, so that they do not delay the frames of other requests.
  */
 import { Buffer } from "node:buffer";
+import type { RequestMemory } from "@bulrushwood/admission";
+import { BodyCollector, type BodyFailure } from "@bulrushwood/http_client";
 import {
   type IncomingExchange,
   type Link,
@@ -14,13 +16,41 @@
 /** Largest body that is sent in the first frame, in bytes; longer ones are sent once the peer requests them. */
 const FIRST_FRAME_BYTES = 16 * 1024;
 
-/** Joins all parts of a body; undefined if there are none. */
-export async function readParts(parts: AsyncIterable<Buffer>): Promise<Buffer | undefined> {
-  const all: Buffer[] = [];
-  for await (const part of parts) {
-    all.push(part);
+/** Largest body of a request or response between daemons, in bytes; larger ones are refused where they come from. */
+const BODY_BYTES_MAX = 256 * 1024 * 1024;
+
+/**
+ * Joins all parts of a body; undefined if there are none. Rejects with an error if there is no memory for it, which may
+ * show before the first part is requested.
+ */
+export async function readParts(
+  parts: AsyncIterable<Buffer>,
+  options: { length?: number; memory?: RequestMemory },
+): Promise<Buffer | undefined> {
+  const { length, memory } = options;
+  const take = memory && memory.take.bind(memory);
+  const body = new BodyCollector({ length, bytesMax: BODY_BYTES_MAX, take });
+  let isEmpty = true;
+  if (body.failure === undefined) {
+    for await (const part of parts) {
+      isEmpty = false;
+      if (!body.add(part)) {
+        break;
+      }
+    }
+  }
+  if (body.failure !== undefined) {
+    throw new BodyError(body.failure);
+  }
+  return isEmpty ? undefined : body.end();
+}
+
+/** A body that cannot be held here. */
+export class BodyError extends Error {
+  constructor(failure: BodyFailure) {
+    super(`The body cannot be held here: ${failure}`);
+    this.name = "BodyError";
   }
-  return all.length === 0 ? undefined : Buffer.concat(all);
 }
 
 /** Sends a request on a link. */
@@ -33,7 +63,7 @@
   if (body === undefined || body.length <= FIRST_FRAME_BYTES) {
     return link.open(head, { body, end: true });
   }
-  const exchange = link.open(head, { end: false });
+  const exchange = link.open({ ...head, bodyBytes: body.length }, { end: false });
   exchange.requestBody.write(body).then((isOpen) => {
     if (isOpen) {
       exchange.requestBody.end(Buffer.alloc(0));
@@ -42,10 +72,21 @@
   return exchange;
 }
 
-/** Reads the whole response to a request on a link. */
-export async function readResponse(exchange: OutgoingExchange): Promise<RoutedResponse> {
+/** Reads the whole response to a request on a link; rejects with a `BodyError` if there is no memory for its body. */
+export async function readResponse(
+  exchange: OutgoingExchange,
+  memory?: RequestMemory,
+): Promise<RoutedResponse> {
   const { head, body } = await exchange.response;
-  return { head, body: body.isWhole ? body.takeWhole() : await readParts(body) };
+  if (body.isWhole) {
+    return { head, body: body.takeWhole() };
+  }
+  try {
+    return { head, body: await readParts(body, { length: head.bodyBytes ?? undefined, memory }) };
+  } catch (error) {
+    exchange.cancel();
+    throw error;
+  }
 }
 
 /** Sends the response to a request from a link. */
@@ -58,7 +99,7 @@
     exchange.respond(head, bytes, true);
     return;
   }
-  exchange.respond(head, undefined, false);
+  exchange.respond({ ...head, bodyBytes: bytes.length }, undefined, false);
   if (await exchange.responseBody.write(bytes)) {
     exchange.responseBody.end(Buffer.alloc(0));
   }
--- a/packages/router/src/grant_connections.ts
+++ b/packages/router/src/grant_connections.ts
@@ -18,6 +18,7 @@
 import { CallErrorKind, callHttp } from "@bulrushwood/http_client";
 import type { OrderConnection } from "@bulrushwood/lease_ranges";
 import { now, waitForChange } from "@bulrushwood/types";
+import { CONTROL_BODY_BYTES_MAX } from "./server_client.ts";
 
 /** Largest number of open connections; each carries one grant at a time. */
 const CONNECTIONS_MAX = 16;
@@ -78,6 +79,7 @@
       method: "GET",
       path,
       timeoutMs: IDENTIFY_TIMEOUT_MS,
+      bodyBytesMax: CONTROL_BODY_BYTES_MAX,
       mayUse: (socket) => {
         this.#socket = socket;
         let hasEnded = false;
@@ -102,6 +104,7 @@
       ...this.#endpoint,
       ...order,
       ...limits,
+      bodyBytesMax: CONTROL_BODY_BYTES_MAX,
       agent: this.#agent,
       mayUse: (socket) => socket === this.#socket,
     });
--- a/packages/router/src/long_bodies.ts
+++ b/packages/router/src/long_bodies.ts
@@ -3,11 +3,17 @@
  * send at once would delay every other message on this instance's link by seconds. The others wait at their
  * ingress, and those that would not arrive in time are rejected before they are sent.
  */
-import { Buffer } from "node:buffer";
-import { Gate } from "@bulrushwood/admission";
-import { deductDelay, type IncomingExchange, type RequestHead } from "@bulrushwood/protocol";
-import type { RoutedResponse } from "@bulrushwood/routing";
+import type { Buffer } from "node:buffer";
+import { Gate, type RequestMemory } from "@bulrushwood/admission";
+import {
+  deductDelay,
+  type IncomingExchange,
+  Reason,
+  type RequestHead,
+} from "@bulrushwood/protocol";
+import { notRun, type RoutedResponse } from "@bulrushwood/routing";
 import { now } from "@bulrushwood/types";
+import { BodyError, readParts } from "./exchange.ts";
 import { toRejection } from "./runner.ts";
 
 /** Number of bodies that are received at a time, so that the link stays busy while the next one is requested. */
@@ -15,6 +21,9 @@
 /** Time without a part after which a body no longer counts as being received, in milliseconds. */
 const STALLED_MS = 200;
 
+/** Retry-after time for callers whose bodies cannot be held here now, in milliseconds. */
+export const BODY_RETRY_AFTER_MS = 500;
+
 /** A forwarded request with its whole body and the time that is left for it, or the reason why it is rejected. */
 export type ReceivedRequest =
   | { head: RequestHead; body: Buffer | undefined }
@@ -25,7 +34,7 @@
   readonly #gate = new Gate({ now, random: Math.random, limit: () => CONCURRENT_BODIES });
 
   /** Receives the body of a request; short bodies have arrived with the request. */
-  async receive(exchange: IncomingExchange): Promise<ReceivedRequest> {
+  async receive(exchange: IncomingExchange, memory?: RequestMemory): Promise<ReceivedRequest> {
     const { head, requestBody, signal } = exchange;
     if (requestBody.isWhole) {
       return { head, body: requestBody.takeWhole() };
@@ -44,12 +53,14 @@
     const { release } = admitted.value;
     const stalled = setTimeout(release, STALLED_MS);
     try {
-      const parts: Buffer[] = [];
-      for await (const part of requestBody) {
-        parts.push(part);
-        stalled.refresh();
+      const parts = withProgress(requestBody, () => stalled.refresh());
+      const body = await readParts(parts, { length: head.bodyBytes ?? undefined, memory });
+      return { head: deductDelay(head, now() - arrivedAt), body };
+    } catch (error) {
+      if (error instanceof BodyError) {
+        return { rejection: notRun(Reason.Overloaded, error.message, BODY_RETRY_AFTER_MS) };
       }
-      return { head: deductDelay(head, now() - arrivedAt), body: Buffer.concat(parts) };
+      throw error;
     } finally {
       clearTimeout(stalled);
       release();
@@ -66,3 +77,14 @@
     this.#gate.close();
   }
 }
+
+/** Passes on the parts of a body, and reports each. */
+async function* withProgress(
+  parts: AsyncIterable<Buffer>,
+  onPart: () => void,
+): AsyncIterable<Buffer> {
+  for await (const part of parts) {
+    onPart();
+    yield part;
+  }
+}
--- a/packages/router/src/long_bodies_test.ts
+++ b/packages/router/src/long_bodies_test.ts
@@ -1,14 +1,17 @@
 import { Buffer } from "node:buffer";
 import { expect } from "chai";
+import { BodyMemory } from "@bulrushwood/admission";
 import { findFreePort } from "@bulrushwood/stand_ins";
 import { type IncomingExchange, type Link, Links } from "@bulrushwood/protocol";
-import { now, sleep } from "@bulrushwood/types";
-import { openExchange, readResponse, sendResponse } from "./exchange.ts";
+import { now, Outcome, sleep } from "@bulrushwood/types";
+import { BodyError, openExchange, readResponse, sendResponse } from "./exchange.ts";
 import { REQUEST_HEAD } from "./head_fixture.ts";
 import { LongBodies } from "./long_bodies.ts";
 
 const HOST = "127.0.0.1";
 const UPLOAD = Buffer.alloc(60_000, "u");
+/** Body that is not so short that it is always accepted. */
+const LARGE = Buffer.alloc(400_000, "l");
 const UPLOADS = 30;
 /** Most bytes of uploads that may be on their way to a daemon at once; a tenth of a second at 20 Mbit/s. */
 const BYTES_MAX = 250_000;
@@ -158,4 +161,33 @@
       expect(heads[0]).to.be.within(500, 720);
     });
   });
+
+  // Guards against uploads from many ingresses that end the daemon of their server by its memory.
+  it("are rejected before they are sent if there is no memory for them", async () => {
+    const longBodies = new LongBodies();
+    const memory = new BodyMemory({ bytesMax: 1 });
+    const handle = async (exchange: IncomingExchange) => {
+      const request = await longBodies.receive(exchange, memory.open());
+      if ("rejection" in request) {
+        await sendResponse(exchange, request.rejection);
+      }
+    };
+    await withLink(handle, async (link, receiver) => {
+      const before = receiver.bytes;
+      const { head } = await readResponse(openExchange(link, REQUEST_HEAD, { body: LARGE }));
+      expect(head).to.include({ status: 503, outcome: Outcome.NotRun });
+      expect(receiver.bytes - before).to.be.below(10_000);
+    });
+  });
+
+  it("of responses are not read at an ingress without memory for them", async () => {
+    const handle = (exchange: IncomingExchange) =>
+      sendResponse(exchange, { head: { status: 200, headers: [] }, body: LARGE });
+    await withLink(handle, async (link) => {
+      const memory = new BodyMemory({ bytesMax: 1 }).open();
+      const exchange = openExchange(link, REQUEST_HEAD, { body: undefined });
+      const failed = await readResponse(exchange, memory).catch((error: Error) => error);
+      expect(failed).to.be.instanceOf(BodyError);
+    });
+  });
 });
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -5,7 +5,13 @@
 import { randomUUID } from "node:crypto";
 import { skip } from "rxjs";
 import type { Result } from "true-myth";
-import { LoadShedder, Quarantine, Shutdown } from "@bulrushwood/admission";
+import {
+  BodyMemory,
+  LoadShedder,
+  Quarantine,
+  type RequestMemory,
+  Shutdown,
+} from "@bulrushwood/admission";
 import {
   type Adapter,
   type DeploymentSettings,
@@ -91,6 +97,8 @@
 const STORE_MARGIN_MS = 700;
 /** Time for which the response to a report is held open for updates, as a share of the report interval. */
 const REPORT_HOLD_SHARE = 0.8;
+/** Share of the process's memory that long bodies may take. */
+const BODY_MEMORY_SHARE = 0.4;
 /** Length of the random incarnation id; it must differ only between incarnations at one address. */
 const INCARNATION_CHARACTERS = 8;
 /** Share of the allowed retries that is used; the rest is reserved for requests whose key changes its owner. */
@@ -159,6 +167,7 @@
   readonly #voteManager: VoteManager;
   readonly #heartbeats: Heartbeats;
   readonly #longBodies = new LongBodies();
+  readonly #bodyMemory: BodyMemory;
   readonly #runner: Runner;
   readonly #view: ServerView;
   readonly #keyTransfers: KeyTransfers;
@@ -185,6 +194,7 @@
     this.#settings = settings;
     this.#adapter = adapter;
     this.#log = log;
+    this.#bodyMemory = new BodyMemory({ bytesMax: settings.memoryBytes * BODY_MEMORY_SHARE });
     this.#shutdown = new Shutdown({
       now,
       shutdownMs: settings.bounds.shutdownMs - END_MARGIN_MS,
@@ -416,6 +426,7 @@
       shutdown: this.#shutdown,
       eventLoop: this.#eventLoop,
       shedder: this.#shedder,
+      bodyMemory: this.#bodyMemory,
       onFirstRequest: (ms) => this.#metrics.recordFirstRequest(ms),
       onUnread: () => this.#metrics.recordUnread(),
       onResponse: (route, response, ms) => this.#metrics.recordResponse(route, response, ms),
@@ -517,7 +528,7 @@
     return new Dispatcher({
       self: this.#self,
       links: this.#links,
-      serve: (head, body, signal) => this.#runner.serve(head, body, signal),
+      serve: (head, body, options) => this.#runner.serve(head, body, options),
       owners: {
         ownerOf: (service, key) => {
           return rangeOf(this.#tableOf(service).table.value, key).owner;
@@ -710,14 +721,24 @@
       await sendResponse(exchange, notRun(Reason.Overloaded, detail, retryAfterMs));
       return;
     }
-    const received = await this.#longBodies.receive(exchange);
+    const memory = this.#bodyMemory.open();
+    try {
+      await this.#receiveAndServe(exchange, memory);
+    } finally {
+      memory.release();
+    }
+  }
+
+  async #receiveAndServe(exchange: IncomingExchange, memory: RequestMemory): Promise<void> {
+    const received = await this.#longBodies.receive(exchange, memory);
     if ("rejection" in received) {
       await sendResponse(exchange, received.rejection);
       return;
     }
     await this.#eventLoop.nextPoll();
     const { head, body } = received;
-    await sendResponse(exchange, await this.#runner.serve(head, body, exchange.signal));
+    const { signal } = exchange;
+    await sendResponse(exchange, await this.#runner.serve(head, body, { signal, memory }));
   }
 
   #logCancelled({ id, workClass }: RequestHead, stage: RequestStage, ms: number): void {
--- a/packages/router/src/router_test.ts
+++ b/packages/router/src/router_test.ts
@@ -354,6 +354,7 @@
       listen: { callers, ready, reports, peers },
       metrics,
       store: { endpoint: peers, recordBytes: 1e6 },
+      memoryBytes: 350e6,
       grantDelivery,
       reportEveryMs: REPORT_EVERY_MS,
       bounds: {
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -10,6 +10,7 @@
 import { Reason, type RequestHead } from "@bulrushwood/protocol";
 import { notRun, type RoutedResponse, unknown, waitLimitMs } from "@bulrushwood/routing";
 import { now } from "@bulrushwood/types";
+import type { ServeOptions } from "./dispatcher.ts";
 import { Event, type EventLog } from "./event_log.ts";
 import { toFlatHeaders } from "./headers.ts";
 import { LEAVING_MARGIN_MS } from "./leaving_servers.ts";
@@ -112,7 +113,7 @@
   async serve(
     head: RequestHead,
     body: Buffer | undefined,
-    signal: AbortSignal,
+    { signal, memory }: ServeOptions,
   ): Promise<RoutedResponse> {
     const arrivedAt = now();
     const deadline = arrivedAt + head.remainingMs;
@@ -160,7 +161,7 @@
       return signal.aborted ? cancel(RequestStage.Slot) : toRejection(admitted.error);
     }
     try {
-      const response = await this.#run(head, body, { deadline, signal });
+      const response = await this.#run(head, body, { deadline, signal, memory });
       if (signal.aborted) {
         cancel(RequestStage.Server);
       }
@@ -216,10 +217,10 @@
   async #run(
     head: RequestHead,
     body: Buffer | undefined,
-    options: { deadline: number; signal: AbortSignal },
+    options: ServeOptions & { deadline: number },
   ): Promise<RoutedResponse> {
     const { client, watch, grantManager, ends, wire, log, onResult } = this.#options;
-    const { deadline, signal } = options;
+    const { deadline, signal, memory } = options;
     const quarantinedMs = ends.quarantinedMs(head, body);
     if (quarantinedMs > 0) {
       return toQuarantineRejection(quarantinedMs);
@@ -244,7 +245,7 @@
       callerService: head.tenant,
       key: head.shard >= 0 ? head.shard : undefined,
     }));
-    const result = await client.send({ head, headers, body, deadline, signal });
+    const result = await client.send({ head, headers, body, deadline, signal, memory });
     onResult(head, result, now() - startedAt);
     if (result.isConnectionLost && !signal.aborted) {
       ends.recordLost(report, { head, body, startedAt });
--- a/packages/router/src/runner_test.ts
+++ b/packages/router/src/runner_test.ts
@@ -98,7 +98,7 @@
   const responses = [];
   const until = now() + options.forMs;
   while (now() < until) {
-    responses.push(runner.serve(HEAD, undefined, NEVER));
+    responses.push(runner.serve(HEAD, undefined, { signal: NEVER }));
     await sleep(1_000 / options.perSecond);
   }
   return await Promise.all(responses);
@@ -150,7 +150,9 @@
     const responses = [];
     while (now() < leftAt + DRAIN_MS + 300) {
       // Two concurrent requests, so that one is queued for the slot.
-      responses.push(...await Promise.all([1, 2].map(() => runner.serve(HEAD, undefined, NEVER))));
+      responses.push(
+        ...await Promise.all([1, 2].map(() => runner.serve(HEAD, undefined, { signal: NEVER }))),
+      );
       await sleep(10);
     }
     expect(reachedAt.length).to.be.above(0);
@@ -166,12 +168,12 @@
     });
     const { runner, watch, reachedAt } = createRunner({ respond });
     watch.apply(report());
-    const { head } = await runner.serve(HEAD, undefined, NEVER);
+    const { head } = await runner.serve(HEAD, undefined, { signal: NEVER });
     const announcedAt = now();
     expect(head.leavingServer).to.equal(incarnationName(REPORT));
     watch.apply(report({ sequence: 2 }));
     while (now() < announcedAt + DRAIN_MS + 200) {
-      await runner.serve(HEAD, undefined, NEVER);
+      await runner.serve(HEAD, undefined, { signal: NEVER });
       await sleep(10);
     }
     expect(Math.max(...reachedAt)).to.be.below(announcedAt + DRAIN_MS);
@@ -181,12 +183,12 @@
     const { runner, watch, reachedAt } = createRunner();
     const excluded = { ...HEAD, excludedServer: incarnationName(REPORT) };
     watch.apply(report({ state: ServerState.Draining }));
-    const { head } = await runner.serve(excluded, undefined, NEVER);
+    const { head } = await runner.serve(excluded, undefined, { signal: NEVER });
     expect(head).to.include({ outcome: Outcome.NotRun, reason: Reason.Draining });
-    await runner.serve(HEAD, undefined, NEVER);
+    await runner.serve(HEAD, undefined, { signal: NEVER });
     expect(reachedAt).to.deep.equal([]);
     watch.apply(report({ bornMs: 2 }));
-    expect((await runner.serve(excluded, undefined, NEVER)).head.status).to.equal(200);
+    expect((await runner.serve(excluded, undefined, { signal: NEVER })).head.status).to.equal(200);
   });
 
   it("sends nothing to a server that sent its farewell without draining first", async () => {
@@ -194,7 +196,9 @@
     watch.apply(report());
     watch.apply({ kind: "farewell", id: REPORT.id });
     await sleep(DRAIN_MS);
-    expect((await runner.serve(HEAD, undefined, NEVER)).head.outcome).to.equal(Outcome.NotRun);
+    expect((await runner.serve(HEAD, undefined, { signal: NEVER })).head.outcome).to.equal(
+      Outcome.NotRun,
+    );
     expect(reachedAt).to.deep.equal([]);
   });
 
@@ -203,14 +207,14 @@
     const state = () => now() - startedAt > 150 ? KeyState.Granted : KeyState.Pending;
     const { runner, watch } = createRunner({ state });
     watch.apply(report());
-    expect((await runner.serve(HEAD, undefined, NEVER)).head.status).to.equal(200);
+    expect((await runner.serve(HEAD, undefined, { signal: NEVER })).head.status).to.equal(200);
   });
 
   it("rejects a request whose key is not granted before the target has passed", async () => {
     const { runner, watch, reachedAt } = createRunner({ state: () => KeyState.Moving });
     watch.apply(report());
     const startedAt = now();
-    const { head } = await runner.serve(HEAD, undefined, NEVER);
+    const { head } = await runner.serve(HEAD, undefined, { signal: NEVER });
     expect(head).to.include({ outcome: Outcome.NotRun, reason: Reason.NotHolder });
     expect(head.retryAfterMs).to.be.above(0);
     expect(now() - startedAt).to.be.below(TARGET_MS + 100);
@@ -226,7 +230,7 @@
     watch.apply(report());
     const startedAt = now();
     setTimeout(() => caller.abort(), 50);
-    const { head } = await runner.serve(HEAD, undefined, caller.signal);
+    const { head } = await runner.serve(HEAD, undefined, { signal: caller.signal });
     expect(head).to.include({ reason: Reason.Cancelled });
     expect(now() - startedAt).to.be.below(120);
     expect(reachedAt).to.deep.equal([]);
@@ -236,8 +240,8 @@
     const caller = new AbortController();
     const { runner, watch, reachedAt } = createRunner({ workMs: 100 });
     watch.apply(report());
-    const running = runner.serve(HEAD, undefined, NEVER);
-    const waiting = runner.serve(HEAD, undefined, caller.signal);
+    const running = runner.serve(HEAD, undefined, { signal: NEVER });
+    const waiting = runner.serve(HEAD, undefined, { signal: caller.signal });
     caller.abort();
     expect((await waiting).head).to.include({ reason: Reason.Cancelled });
     await running;
@@ -252,13 +256,13 @@
     };
     const pending = createRunner({ state: () => KeyState.Pending });
     pending.watch.apply(report());
-    await pending.runner.serve(HEAD, undefined, leaving());
+    await pending.runner.serve(HEAD, undefined, { signal: leaving() });
     expect(pending.stages).to.deep.equal([RequestStage.Key]);
     const busy = createRunner({ workMs: 60 });
     busy.watch.apply(report());
-    await Promise.all([1, 2].map(() => busy.runner.serve(HEAD, undefined, leaving())));
+    await Promise.all([1, 2].map(() => busy.runner.serve(HEAD, undefined, { signal: leaving() })));
     expect(busy.stages).to.have.members([RequestStage.Server, RequestStage.Slot]);
-    await busy.runner.serve(HEAD, undefined, AbortSignal.abort());
+    await busy.runner.serve(HEAD, undefined, { signal: AbortSignal.abort() });
     expect(busy.stages.at(-1)).to.equal(RequestStage.Arrival);
   });
 
@@ -267,7 +271,9 @@
     for (const shard of [-1, REQUEST_HEAD.shard]) {
       const { runner, watch, reachedAt } = createRunner();
       watch.apply(report());
-      const { head } = await runner.serve({ ...HEAD, shard, pool: "bodega" }, undefined, NEVER);
+      const { head } = await runner.serve({ ...HEAD, shard, pool: "bodega" }, undefined, {
+        signal: NEVER,
+      });
       expect(head).to.include({ outcome: Outcome.NotRun, reason: Reason.NotHolder });
       expect(reachedAt).to.deep.equal([]);
     }
--- a/packages/router/src/server_client.ts
+++ b/packages/router/src/server_client.ts
@@ -6,6 +6,7 @@
 import { Agent, type ClientRequest, type IncomingMessage, request } from "node:http";
 import { connect, type Socket } from "node:net";
 import { Result } from "true-myth";
+import type { RequestMemory } from "@bulrushwood/admission";
 import type {
   Endpoint,
   Order,
@@ -23,6 +24,8 @@
 const IDLE_TIMEOUT_MS = 4_000;
 /** Extra time for a response that is sent at the deadline, in milliseconds. */
 const DEADLINE_MARGIN_MS = 40;
+/** Largest body of the response to an order or a health check, in bytes; it is not used. */
+export const CONTROL_BODY_BYTES_MAX = 64 * 1024;
 /** Timeout of a health check, in milliseconds. */
 const HEALTH_TIMEOUT_MS = 400;
 /** Rejected requests that are remembered; a request that is sent once more follows its rejection within seconds. */
@@ -75,6 +78,8 @@
   /** Deadline on this process's clock, in milliseconds. */
   deadline: number;
   signal: AbortSignal;
+  /** Counts the response's body; without it the body is not counted. */
+  memory?: RequestMemory;
 }
 
 export interface ServerClientOptions {
@@ -107,7 +112,14 @@
     options: { timeoutMs: number },
   ): Promise<Result<OrderResponse, Error>> {
     const { host, port } = this.#options.endpoint;
-    const called = await callHttp({ agent: this.#orderAgent, host, port, ...order, ...options });
+    const called = await callHttp({
+      agent: this.#orderAgent,
+      host,
+      port,
+      bodyBytesMax: CONTROL_BODY_BYTES_MAX,
+      ...order,
+      ...options,
+    });
     if (called.isErr && called.error.kind === CallErrorKind.NoResponse) {
       this.closeIdleConnections();
     }
@@ -123,6 +135,7 @@
       method: "GET",
       path,
       timeoutMs: HEALTH_TIMEOUT_MS,
+      bodyBytesMax: CONTROL_BODY_BYTES_MAX,
     });
     return called.isOk && called.value.status === STATUS_OK
       ? wire.readHealth(called.value.headers)
@@ -212,7 +225,8 @@
       notice = responseHead.notice;
       // Node.js reports a response without a length as complete even if its connection was reset.
       const reset = new Promise<never>((_, reject) => outgoing.on("error", reject));
-      const whole = await Promise.race([readBody(message), reset]);
+      const take = call.memory && call.memory.take.bind(call.memory);
+      const whole = await Promise.race([readBody(message, { take }), reset]);
       const result = this.#classify(message, whole, { id: call.head.id, responseHead });
       if (!outgoing.writableFinished) {
         usedSocket?.destroy();
--- a/packages/router/src/server_client_test.ts
+++ b/packages/router/src/server_client_test.ts
@@ -1,6 +1,7 @@
 import { Buffer } from "node:buffer";
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { expect } from "chai";
+import { BodyMemory, type RequestMemory } from "@bulrushwood/admission";
 import type { ServerWire } from "@bulrushwood/deployment";
 import type { RequestHead } from "@bulrushwood/protocol";
 import { now, sleep } from "@bulrushwood/types";
@@ -67,13 +68,17 @@
   }
 }
 
-function send(client: ServerClient, options: { id?: string; waitMs?: number; body?: Buffer } = {}) {
-  const { id = "r1", waitMs = 1_000, body } = options;
+function send(
+  client: ServerClient,
+  options: { id?: string; waitMs?: number; body?: Buffer; memory?: RequestMemory } = {},
+) {
+  const { id = "r1", waitMs = 1_000, body, memory } = options;
   return client.send({
     head: { ...HEAD, id, method: body === undefined ? "GET" : "POST" },
     headers: [],
     body,
     deadline: now() + waitMs,
+    memory,
     signal: new AbortController().signal,
   });
 }
@@ -312,6 +317,82 @@
     });
   }
 
+  // Guards against a faulty server whose endless bytes exhaust the memory of the daemon that calls it.
+  it("reads endless bodies at once within the memory for all bodies, and short ones beside them", async () => {
+    const [bytesMax, count] = [20e6, 16];
+    const memory = new BodyMemory({ bytesMax });
+    const part = Buffer.alloc(64 * 1024);
+    let most = 0;
+    const endless: Script = (socket) => {
+      socket.write("HTTP/1.1 200 OK\r\nid: r1\r\nmark: m\r\n\r\n");
+      const write = () => {
+        most = Math.max(most, memory.bytes);
+        while (!socket.destroyed && socket.write(part)) {
+          most = Math.max(most, memory.bytes);
+        }
+      };
+      socket.on("drain", write);
+      write();
+    };
+    const short: Script = (socket) => socket.write(encodeResponse("r1", "short"));
+    const scripts = [...Array.from({ length: count }, () => endless), short];
+    const outcomes = await withServer(scripts, async (client) => {
+      const sendCounted = () => {
+        const request = memory.open();
+        return send(client, { waitMs: 5_000, memory: request }).finally(() => request.release());
+      };
+      const all = Array.from({ length: count }, sendCounted);
+      await sleep(20);
+      expect((await sendCounted()).outcome).to.equal(ServerOutcome.Responded);
+      return (await Promise.all(all)).map(({ outcome }) => outcome);
+    });
+    expect(outcomes).to.deep.equal(outcomes.map(() => ServerOutcome.Unknown));
+    expect(most).to.be.within(1, bytesMax);
+    expect(memory.bytes).to.equal(0);
+  });
+
+  const endlessBytes: [string, string, string][] = [
+    ["headers", "HTTP/1.1 200 OK\r\nid: r1\r\nmark: m\r\n", "x: y\r\n"],
+    [
+      "trailers",
+      "HTTP/1.1 200 OK\r\nid: r1\r\nmark: m\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
+      "x: y\r\n",
+    ],
+    [
+      "chunk extensions",
+      "HTTP/1.1 200 OK\r\nid: r1\r\nmark: m\r\ntransfer-encoding: chunked\r\n\r\n1",
+      ";x=y",
+    ],
+    ["a body", "HTTP/1.1 200 OK\r\nid: r1\r\nmark: m\r\n\r\n", "x".repeat(1024)],
+  ];
+  for (const [name, begin, part] of endlessBytes) {
+    for (const by of ["a request", "an order", "a health check"]) {
+      it(`does not read endless ${name} in response to ${by} until the deadline`, async () => {
+        const bytes = Buffer.from(part.repeat(Math.ceil(10_000 / part.length)));
+        const script: Script = (socket) => {
+          socket.write(begin);
+          const write = () => !socket.destroyed && socket.write(bytes, () => setImmediate(write));
+          write();
+        };
+        const startedAt = now();
+        await withServer([script], async (client) => {
+          if (by === "a request") {
+            const memory = new BodyMemory({ bytesMax: 5e6 }).open();
+            const { outcome } = await send(client, { waitMs: 20_000, memory });
+            expect(outcome).to.equal(ServerOutcome.Unknown);
+          } else if (by === "an order") {
+            const order = { method: "POST", path: "/release", headers: {}, body: Buffer.alloc(0) };
+            const sent = await client.order(order, { timeoutMs: 20_000 });
+            expect(sent.isOk).to.equal(false);
+          } else {
+            expect(await client.check("/health")).to.equal(undefined);
+          }
+        });
+        expect(now() - startedAt).to.be.below(by === "a health check" ? 350 : 5_000);
+      });
+    }
+  }
+
   // Guards against requests that fail one after the other on idle connections that have gone silent together.
   for (const by of ["a request", "an order"]) {
     it(`drops its idle connections once ${by} on one of them has no response`, async () => {
