End calls whose server sends informational responses without end

Cause: Node.js reports each informational response and waits for the final one; nothing counted them. Evidence: three new tests failed before, for requests, orders and health checks (read for 20 s, to their deadline). The tests of endless headers, trailers, chunk extensions and bodies passed before too; they state what was not stated. Why it works: a call ends as unanswered after 16 informational responses.

--- a/packages/http_client/src/mod.ts
+++ b/packages/http_client/src/mod.ts
@@ -17,6 +17,8 @@
 
 /** Largest body that is read, in bytes; far above any response, and a fraction of a small instance's memory. */
 const BODY_BYTES_MAX = 32 * 1024 * 1024;
+/** Largest number of informational responses before the response. */
+const INFORMATION_MAX = 16;
 
 /** Whether a failed call may have taken effect. */
 export enum CallErrorKind {
@@ -104,6 +106,7 @@
       }
     });
     outgoing.on("error", (error) => fail(error.message));
+    limitInformation(outgoing);
     outgoing.on("response", (message) => {
       readBody(message, { bytesMax: call.bodyBytesMax }).then(
         (body) => {
@@ -165,3 +168,13 @@
   const length = headers["transfer-encoding"] === undefined ? headers["content-length"] : undefined;
   return length === undefined ? undefined : Number(length);
 }
+
+/** Ends a call whose server sends informational responses without end, in place of the response. */
+export function limitInformation(outgoing: ClientRequest): void {
+  let count = 0;
+  outgoing.on("information", () => {
+    if (++count > INFORMATION_MAX) {
+      outgoing.destroy(new Error("too many informational responses"));
+    }
+  });
+}
--- a/packages/router/src/server_client.ts
+++ b/packages/router/src/server_client.ts
@@ -15,7 +15,13 @@
   ServerResponseHead,
   ServerWire,
 } from "@bulrushwood/deployment";
-import { CallErrorKind, callHttp, closeIdleConnections, readBody } from "@bulrushwood/http_client";
+import {
+  CallErrorKind,
+  callHttp,
+  closeIdleConnections,
+  limitInformation,
+  readBody,
+} from "@bulrushwood/http_client";
 import type { OrderResponse } from "@bulrushwood/lease_ranges";
 import { type Header, type RequestHead } from "@bulrushwood/protocol";
 import { now } from "@bulrushwood/types";
@@ -207,6 +213,7 @@
         outgoing.once("response", resolve);
         outgoing.on("error", reject);
       });
+      limitInformation(outgoing);
       if (call.signal.aborted) {
         outgoing.destroy(new Error("cancelled"));
       }
--- a/packages/router/src/server_client_test.ts
+++ b/packages/router/src/server_client_test.ts
@@ -352,6 +352,7 @@
   });
 
   const endlessBytes: [string, string, string][] = [
+    ["informational responses", "", "HTTP/1.1 100 Continue\r\n\r\n"],
     ["headers", "HTTP/1.1 200 OK\r\nid: r1\r\nmark: m\r\n", "x: y\r\n"],
     [
       "trailers",
