End requests whose response switches protocols

Cause: Node.js closes such a connection and ends the request with "close" only; the client waited for a response or an error. Evidence: the new tests for a request, an order and a health check failed before, and pass. Why it works: whatever ends a call before its response also closes it, and that now fails the call.

--- a/packages/http_client/src/mod.ts
+++ b/packages/http_client/src/mod.ts
@@ -107,7 +107,11 @@
     });
     outgoing.on("error", (error) => fail(error.message));
     limitInformation(outgoing);
+    let hasResponse = false;
+    // A response that switches protocols ends the call without any other event.
+    outgoing.on("close", () => hasResponse || fail("the connection ended without a response"));
     outgoing.on("response", (message) => {
+      hasResponse = true;
       readBody(message, { bytesMax: call.bodyBytesMax }).then(
         (body) => {
           const { statusCode = 0, headers: responseHeaders } = message;
--- a/packages/router/src/server_client.ts
+++ b/packages/router/src/server_client.ts
@@ -212,6 +212,8 @@
       const responded = new Promise<IncomingMessage>((resolve, reject) => {
         outgoing.once("response", resolve);
         outgoing.on("error", reject);
+        // A response that switches protocols ends the request without any other event.
+        outgoing.once("close", () => reject(new Error("the connection ended without a response")));
       });
       limitInformation(outgoing);
       if (call.signal.aborted) {
--- a/packages/router/src/server_client_test.ts
+++ b/packages/router/src/server_client_test.ts
@@ -317,6 +317,28 @@
     });
   }
 
+  // Guards against requests that are never answered, and hold their slot, since no event ends them.
+  for (const by of ["a request", "an order", "a health check"]) {
+    it(`does not wait after a response to ${by} that switches protocols`, async () => {
+      const script: Script = (socket) =>
+        socket.end("HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n");
+      const ended = withServer([script], async (client) => {
+        const order = { method: "POST", path: "/release", headers: {}, body: Buffer.alloc(0) };
+        switch (by) {
+          case "a request":
+            return (await send(client)).outcome;
+          case "an order":
+            return (await client.order(order, { timeoutMs: 1_000 })).isErr;
+          default:
+            return await client.check("/health");
+        }
+      });
+      const waited = sleep(300).then(() => "no end");
+      const expected = { "a request": ServerOutcome.Unknown, "an order": true }[by];
+      expect(await Promise.race([ended, waited])).to.equal(expected);
+    });
+  }
+
   // Guards against a faulty server whose endless bytes exhaust the memory of the daemon that calls it.
   it("reads endless bodies at once within the memory for all bodies, and short ones beside them", async () => {
     const [bytesMax, count] = [20e6, 16];
