Send each release on a connection of its own

Cause: orders shared kept connections, and a late second copy of a grant's answer was taken for the answer to a release. Why it works: an answer can only be repeated on its own connection, and that of a release carries nothing else. An idle connection for grants on which data arrives is closed, as those for requests are. The test that an unanswered order closes idle connections for requests moved to the connections for grants, which report it; a release no longer has a kept connection that could go silent.

--- a/packages/router/src/grant_connections.ts
+++ b/packages/router/src/grant_connections.ts
@@ -18,7 +18,7 @@
 import { CallErrorKind, callHttp } from "@bulrushwood/http_client";
 import type { OrderConnection } from "@bulrushwood/lease_ranges";
 import { now, waitForChange } from "@bulrushwood/types";
-import { CONTROL_BODY_BYTES_MAX } from "./server_client.ts";
+import { closeIdleConnection, CONTROL_BODY_BYTES_MAX } from "./server_client.ts";
 
 /** Largest number of open connections; each carries one grant at a time. */
 const CONNECTIONS_MAX = 16;
@@ -54,6 +54,7 @@
   constructor(endpoint: Endpoint, incarnation: string) {
     this.#endpoint = endpoint;
     this.incarnation = incarnation;
+    this.#agent.on("free", (socket: Socket) => socket.on("data", closeIdleConnection));
   }
 
   /** Whether the connection can carry a grant. */
@@ -106,7 +107,10 @@
       ...limits,
       bodyBytesMax: CONTROL_BODY_BYTES_MAX,
       agent: this.#agent,
-      mayUse: (socket) => socket === this.#socket,
+      mayUse: (socket) => {
+        socket.off("data", closeIdleConnection);
+        return socket === this.#socket;
+      },
     });
     if (called.isErr) {
       // The response may still come, in place of that to the next order.
--- a/packages/router/src/grant_connections_test.ts
+++ b/packages/router/src/grant_connections_test.ts
@@ -54,12 +54,13 @@
 
 async function createConnections() {
   const port = await findFreePort(HOST);
-  const state = { reportedAt: now() };
+  const state = { reportedAt: now(), unanswered: 0 };
   const connections = new GrantConnections({
     endpoint: { host: HOST, port },
     wire: { readHealth: (headers) => headers.server } as ServerWire,
     healthPath: () => "/health",
     reportedAt: () => state.reportedAt,
+    onNoResponse: () => state.unanswered++,
   });
   /** Sends a grant for an incarnation; resolves to whether it had a response. */
   const grant = async (server: ServerIdentity) => {
@@ -134,13 +135,15 @@
   });
 
   it("are replaced at once after a grant without a response", async () => {
-    const { connections, port, grant } = await createConnections();
+    const { connections, port, state, grant } = await createConnections();
     const server = await startServer("s1", port);
     server.isMute = true;
     expect(await grant(FIRST)).to.equal(false);
     server.isMute = false;
     expect(await grant(FIRST)).to.equal(true);
     expect([server.checks, server.grants]).to.deep.equal([2, 2]);
+    // The idle connections for requests are closed then, since they may be as silent.
+    expect(state.unanswered).to.equal(1);
     connections.close();
     await server.crash();
   });
--- a/packages/router/src/server_client.ts
+++ b/packages/router/src/server_client.ts
@@ -16,7 +16,6 @@
   ServerWire,
 } from "@bulrushwood/deployment";
 import {
-  CallErrorKind,
   callHttp,
   closeIdleConnections,
   limitInformation,
@@ -103,7 +102,7 @@
     timeout: IDLE_TIMEOUT_MS,
     scheduling: "lifo",
   });
-  readonly #orderAgent = new Agent({ keepAlive: true, timeout: IDLE_TIMEOUT_MS });
+  readonly #healthAgent = new Agent({ keepAlive: true, timeout: IDLE_TIMEOUT_MS });
   /** Ids of the last requests that the server rejected, the oldest first. */
   readonly #rejectedIds = new Set<string>();
 
@@ -112,31 +111,28 @@
     this.#requestAgent.on("free", (socket: Socket) => socket.on("data", closeIdleConnection));
   }
 
-  /** Sends an order that releases keys. */
+  /**
+   * Sends an order that releases keys, on a connection of its own: the server may send a second copy of an earlier
+   * response where the next one is expected, and the response to a release says that all work has ended.
+   */
   async order(
     order: Order,
     options: { timeoutMs: number },
   ): Promise<Result<OrderResponse, Error>> {
-    const { host, port } = this.#options.endpoint;
-    const called = await callHttp({
-      agent: this.#orderAgent,
-      host,
-      port,
-      bodyBytesMax: CONTROL_BODY_BYTES_MAX,
+    return await callHttp({
+      ...this.#options.endpoint,
       ...order,
       ...options,
+      agent: false,
+      bodyBytesMax: CONTROL_BODY_BYTES_MAX,
     });
-    if (called.isErr && called.error.kind === CallErrorKind.NoResponse) {
-      this.closeIdleConnections();
-    }
-    return called;
   }
 
   /** Checks the server's health; returns the id of the server that responded as healthy. */
   async check(path: string): Promise<string | undefined> {
     const { endpoint, wire } = this.#options;
     const called = await callHttp({
-      agent: this.#orderAgent,
+      agent: this.#healthAgent,
       ...endpoint,
       method: "GET",
       path,
@@ -289,7 +285,7 @@
   /** Closes idle connections after one had no response: open connections may go silent together. */
   closeIdleConnections(): void {
     closeIdleConnections(this.#requestAgent);
-    closeIdleConnections(this.#orderAgent);
+    closeIdleConnections(this.#healthAgent);
   }
 
   #recordRejected(id: string): void {
@@ -303,7 +299,7 @@
   /** Closes all connections and aborts requests in flight. */
   close(): void {
     this.#requestAgent.destroy();
-    this.#orderAgent.destroy();
+    this.#healthAgent.destroy();
   }
 }
 
@@ -337,7 +333,7 @@
 }
 
 /** Closes an idle connection on which data arrives: neither it nor what follows belongs to any request. */
-function closeIdleConnection(this: Socket): void {
+export function closeIdleConnection(this: Socket): void {
   this.destroy();
 }
 
--- a/packages/router/src/server_client_test.ts
+++ b/packages/router/src/server_client_test.ts
@@ -417,33 +417,47 @@
   }
 
   // Guards against requests that fail one after the other on idle connections that have gone silent together.
-  for (const by of ["a request", "an order"]) {
-    it(`drops its idle connections once ${by} on one of them has no response`, async () => {
-      const open = new Set<Socket>();
-      let silent = new Set<Socket>();
-      const respond: Script = (socket) => {
-        open.add(socket);
-        if (!silent.has(socket)) {
-          setTimeout(() => socket.write(encodeResponse("r1", "whole")), 20);
-        }
-      };
-      const scripts = Array.from({ length: 9 }, () => respond);
-      const outcomes = await withServer(scripts, async (client) => {
-        const order = { method: "POST", path: "/grant", headers: {}, body: Buffer.alloc(0) };
-        await Promise.all([send(client), send(client), client.order(order, { timeoutMs: 200 })]);
-        silent = new Set(open);
-        if (by === "an order") {
-          await client.order(order, { timeoutMs: 200 });
-        } else {
-          await send(client, { waitMs: 200 });
-        }
-        const repeated = await client.order(order, { timeoutMs: 200 });
-        return [repeated.isOk, (await send(client, { waitMs: 200 })).outcome];
-      });
-      expect(silent.size).to.equal(3);
-      expect(outcomes).to.deep.equal([true, ServerOutcome.Responded]);
+  it("drops its idle connections once a request on one of them has no response", async () => {
+    const open = new Set<Socket>();
+    let silent = new Set<Socket>();
+    const respond: Script = (socket) => {
+      open.add(socket);
+      if (!silent.has(socket)) {
+        setTimeout(() => socket.write(encodeResponse("r1", "whole")), 20);
+      }
+    };
+    const scripts = Array.from({ length: 9 }, () => respond);
+    const outcomes = await withServer(scripts, async (client) => {
+      await Promise.all([send(client), send(client)]);
+      silent = new Set(open);
+      return [
+        (await send(client, { waitMs: 200 })).outcome,
+        (await send(client, { waitMs: 200 })).outcome,
+      ];
     });
-  }
+    expect(silent.size).to.equal(2);
+    expect(outcomes).to.deep.equal([ServerOutcome.Unknown, ServerOutcome.Responded]);
+  });
+
+  // Guards against keys that are given away while the leaving server still works on them.
+  it("does not take a second copy of an earlier response for that to a release", async () => {
+    const sent = new Map<Socket, string>();
+    const respond: Script = (socket) => {
+      const response = `HTTP/1.1 200 OK\r\nhandover: ${sent.size}\r\ncontent-length: 0\r\n\r\n`;
+      socket.write((sent.get(socket) ?? "") + response);
+      sent.set(socket, response);
+    };
+    const handovers = await withServer([respond, respond, respond], async (client) => {
+      const order = { method: "POST", path: "/release", headers: {}, body: Buffer.alloc(0) };
+      const tokens = [];
+      for (let count = 0; count < 3; count++) {
+        const response = await client.order(order, { timeoutMs: 500 });
+        tokens.push(response.isOk ? response.value.headers.handover : undefined);
+      }
+      return tokens;
+    });
+    expect(handovers).to.deep.equal(["0", "1", "2"]);
+  });
 
   it("reports not-run if no connection could be opened", async () => {
     const client = new ServerClient({
