Split access to the store and forwarded requests from the router

`StoreAccess` holds the client, the followers and the tables, `ForwardedRequests` what peers forward. No behaviour changes; the tests of the router pass.

--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -5,13 +5,7 @@
 import { randomUUID } from "node:crypto";
 import { skip } from "rxjs";
 import type { Result } from "true-myth";
-import {
-  BodyMemory,
-  LoadShedder,
-  Quarantine,
-  type RequestMemory,
-  Shutdown,
-} from "@bulrushwood/admission";
+import { BodyMemory, LoadShedder, Quarantine, Shutdown } from "@bulrushwood/admission";
 import {
   type Adapter,
   type DeploymentSettings,
@@ -19,19 +13,9 @@
   type Item,
   ServerState,
   type Service,
-  type Store,
 } from "@bulrushwood/deployment";
 import { EventLoop } from "@bulrushwood/http_server";
-import {
-  countKeys,
-  handleStoreCall,
-  KeyedFollower,
-  rangeOf,
-  READ_OVERDUE_MS,
-  RelayedStore,
-  SYSTEM_TOPIC,
-  TableStore,
-} from "@bulrushwood/ledger_store";
+import { countKeys, rangeOf } from "@bulrushwood/ledger_store";
 import {
   type GrantContext,
   GrantManager,
@@ -41,12 +25,7 @@
   reportSupportMs,
   TenureManager,
 } from "@bulrushwood/lease_ranges";
-import {
-  SUPPORT_MS,
-  SuspensionDetector,
-  VoteManager,
-  VOTER_STORE_TIMEOUT_MS,
-} from "@bulrushwood/lease_votes";
+import { SUPPORT_MS, SuspensionDetector, VoteManager } from "@bulrushwood/lease_votes";
 import {
   addMember,
   type DaemonStatus,
@@ -56,45 +35,29 @@
   readMember,
 } from "@bulrushwood/membership_beats";
 import { PlannerEvent, RangePlanner, TRANSFER_METHOD } from "@bulrushwood/planner_ranges";
-import {
-  type IncomingExchange,
-  type LinkError,
-  Links,
-  Reason,
-  type RequestHead,
-} from "@bulrushwood/protocol";
-import { notRun, RetryBudget, TwoChoices } from "@bulrushwood/routing";
+import { type LinkError, Links } from "@bulrushwood/protocol";
+import { RetryBudget, TwoChoices } from "@bulrushwood/routing";
 import { type Address, createStop, now, sleep, waitForChange } from "@bulrushwood/types";
 import { CallerServer } from "./caller_server.ts";
 import { Departures } from "./departures.ts";
 import { Dispatcher } from "./dispatcher.ts";
 import { GrantConnections } from "./grant_connections.ts";
 import { Event, type EventLog } from "./event_log.ts";
-import { sendResponse } from "./exchange.ts";
+import { ForwardedRequests } from "./forwarded_requests.ts";
 import { readHeaders } from "./headers.ts";
 import { CurrentManifest } from "./current_manifest.ts";
 import { KeyTransfers } from "./key_transfers.ts";
-import { LongBodies } from "./long_bodies.ts";
 import { LoopDelayMonitor } from "./loop_delay.ts";
 import { Metrics } from "./metrics.ts";
 import { RECORDS_METHOD, Relay } from "./relay.ts";
-import { RequestStage } from "./request_stage.ts";
 import { Runner } from "./runner.ts";
 import { ServerClient } from "./server_client.ts";
 import { ServerEnds } from "./server_ends.ts";
 import { ServerView } from "./server_view.ts";
 import { ServerWatch } from "./server_watch.ts";
 import { handleReadiness, handleReports, SideServer } from "./side_servers.ts";
+import { StoreAccess } from "./store_access.ts";
 
-/**
- * Longest wait of a read of the store, in milliseconds. A read on a connection that has gone silent is noticed only
- * when it is overdue, and changes must be in force within 2 s.
- */
-const READ_WAIT_MS = 1_500;
-/** Time between reads of the system topic in a large deployment, in milliseconds. */
-const READ_PACE_MS = 250;
-/** Margin beyond the time of an overdue read after which the store counts as unreachable, in milliseconds. */
-const STORE_MARGIN_MS = 700;
 /** Time for which the response to a report is held open for updates, as a share of the report interval. */
 const REPORT_HOLD_SHARE = 0.8;
 /** Share of the process's memory that long bodies may take. */
@@ -111,8 +74,6 @@
 const ACCEPT_ALL_MS = 2_800;
 /** Margin between the end of a graceful stop and the time when the platform kills the process, in milliseconds. */
 const END_MARGIN_MS = 600;
-/** Shortest delay of a forwarded request in transit that is logged, in milliseconds. */
-const SLOW_TRANSIT_MS = 250;
 /** Time between a stopping daemon's checks for open requests, in milliseconds. */
 const END_CHECK_MS = 20;
 /** Time reserved for the last requests of a stopping daemon, in milliseconds. */
@@ -147,13 +108,8 @@
     random: Math.random,
     onOverload: (isOverloaded) => this.#log(Event.Overloaded, { isOverloaded }),
   });
-  /** Store client of this instance without relays; serves the store calls of peers. */
-  readonly #directStore: Store;
-  readonly #store: RelayedStore;
-  readonly #manifests: KeyedFollower;
-  readonly #system: KeyedFollower;
+  readonly #storeAccess: StoreAccess;
   readonly #currentManifest: CurrentManifest;
-  readonly #tableStores = new Map<string, TableStore>();
   readonly #relay: Relay;
   readonly #watch: ServerWatch;
   readonly #departures: Departures;
@@ -166,8 +122,8 @@
   #reportChannel: ReportChannel | undefined;
   readonly #voteManager: VoteManager;
   readonly #heartbeats: Heartbeats;
-  readonly #longBodies = new LongBodies();
   readonly #bodyMemory: BodyMemory;
+  readonly #forwarded: ForwardedRequests;
   readonly #runner: Runner;
   readonly #view: ServerView;
   readonly #keyTransfers: KeyTransfers;
@@ -209,25 +165,23 @@
       suspension: new SuspensionDetector(now),
       onSuspended: () => this.#links?.synchronise(),
     });
-    this.#directStore = adapter.openStore(settings);
-    this.#store = new RelayedStore({
-      direct: this.#directStore,
-      now,
-      call,
+    this.#storeAccess = new StoreAccess({
+      adapter,
+      settings,
       peers: () => this.#view.storePeers(),
-      onDirect: (isDirect, reason) => log(Event.StoreRelayed, { isRelayed: !isDirect, reason }),
-      onReconnected: (reason) => log(Event.StoreReconnected, { reason }),
+      call,
+      isFullMesh: () => this.#heartbeats.isFullMesh,
+      log,
     });
-    this.#manifests = this.#follow(adapter.manifestLocation.topic);
-    this.#system = this.#follow(SYSTEM_TOPIC);
-    this.#currentManifest = new CurrentManifest({ follower: this.#manifests, adapter, log });
-    const followers = [this.#manifests, this.#system];
+    const { store, manifests, system } = this.#storeAccess;
+    this.#currentManifest = new CurrentManifest({ follower: manifests, adapter, log });
+    const followers = [manifests, system];
     this.#relay = new Relay({ followers, call });
     this.#watch = new ServerWatch({ ...settings, now });
     this.#departures = new Departures({
       self: this.#self,
-      store: this.#store,
-      follower: this.#system,
+      store,
+      follower: system,
       watch: this.#watch,
       sleep,
       onCorrupt: (reason) => log(Event.TableCorrupt, { record: "departure", reason }),
@@ -248,8 +202,8 @@
     });
     this.#ends = new ServerEnds({
       self: this.#self,
-      store: this.#store,
-      follower: this.#system,
+      store,
+      follower: system,
       watch: this.#watch,
       quarantine: new Quarantine(now),
       now,
@@ -259,7 +213,7 @@
       call,
       log,
     });
-    const table = this.#tableOf(settings.service);
+    const table = this.#storeAccess.tableOf(settings.service);
     const self = this.#self;
     const incarnation = this.#incarnation;
     const supportMs = settings.grantDelivery === GrantDelivery.Orders
@@ -297,7 +251,7 @@
     this.#voteManager = new VoteManager({
       now,
       supportMs,
-      mustReject: (tenure) => this.#mustReject(tenure),
+      mustReject: (tenure) => this.#storeAccess.mustReject(tenure),
       isOwn: (tenure) => this.#tenure.isOwn(tenure),
     });
     this.#heartbeats = new Heartbeats({
@@ -330,7 +284,15 @@
       drainMs: settings.bounds.drainMs,
       log,
       onResult: (head, result, ms) => this.#metrics.recordServerResult(head, result, ms),
-      onCancelled: (head, stage, ms) => this.#logCancelled(head, stage, ms),
+      onCancelled: (head, stage, ms) => this.#forwarded.recordCancelled(head, stage, ms),
+    });
+    this.#forwarded = new ForwardedRequests({
+      serve: (head, body, options) => this.#runner.serve(head, body, options),
+      shedder: this.#shedder,
+      eventLoop: this.#eventLoop,
+      bodyMemory: this.#bodyMemory,
+      metrics: this.#metrics,
+      log,
     });
     this.#view = new ServerView({
       self,
@@ -339,7 +301,7 @@
       watch: this.#watch,
       runner: this.#runner,
       grantManager: this.#grantManager,
-      openBodies: () => this.#longBodies.open,
+      openBodies: () => this.#forwarded.openBodies,
       table: () => table.table.value,
       isKeyed: () => this.#isKeyed,
       isEnding: () => this.#shutdown.isEnding,
@@ -355,7 +317,7 @@
       probe: () => this.#probe(),
       notifyPeers: () => this.#heartbeats.sendNow(),
       isEnding: () => this.#shutdown.isEnding,
-      hasStore: () => this.#hasStore,
+      hasStore: () => this.#storeAccess.isReachable,
       log,
     });
     this.#planner = new RangePlanner({
@@ -366,7 +328,9 @@
       supportMs,
       table,
       heartbeats: this.#heartbeats,
-      mayPlan: () => this.#isKeyed && !this.#shutdown.isEnding && this.#reachesStore,
+      mayPlan: () =>
+        this.#isKeyed && !this.#shutdown.isEnding &&
+        this.#storeAccess.isReachableDirectly,
       candidates: () => this.#view.candidates(),
       call,
       transferOwn: (moves) => this.#keyTransfers.transferMoves(moves),
@@ -388,7 +352,7 @@
     await this.#listenSide(listen.ready, handleReadiness(isReady));
     const channel = this.#reportChannel;
     const respond = channel && channel.respond.bind(channel);
-    const hasReadDepartures = () => this.#system.confirmedAt > Number.NEGATIVE_INFINITY;
+    const hasReadDepartures = () => this.#storeAccess.hasReadAll;
     const reports = { watch: this.#watch, respond, hasReadDepartures, log: this.#log };
     await this.#listenSide(listen.reports, handleReports(this.#adapter.servers, reports));
     // Nobody is served later because the port of the metrics is taken.
@@ -408,7 +372,7 @@
       onListenError: ({ message: reason }) => this.#log(Event.ListenerFailed, { reason }),
       handlers: {
         onCall: (method, payload) => this.#handleCall(method, payload),
-        onRequest: (exchange) => this.#handleRequest(exchange),
+        onRequest: (exchange) => this.#forwarded.handle(exchange),
         onMalformed: (error, peer) => {
           this.#log(Event.PeerMalformed, { peer, reason: error.message });
         },
@@ -437,9 +401,9 @@
       this.#callers.applyManifest();
       // A voter needs the tables of all services, since a tenure may be suspected in any of them.
       [...manifest.services.values()].filter(({ isKeyed }) => isKeyed)
-        .forEach(({ name }) => this.#tableOf(name));
+        .forEach(({ name }) => this.#storeAccess.tableOf(name));
     });
-    this.#system.changes.subscribe((item) => this.#addMember(item));
+    this.#storeAccess.system.changes.subscribe((item) => this.#addMember(item));
     this.#watch.changes.subscribe(() => this.#logServerState());
     this.#addGauges();
     const member = {
@@ -451,9 +415,8 @@
     };
     const { signal } = this.#stop;
     this.#tasks.push(
-      this.#manifests.start(),
-      this.#system.start(),
-      addMember(this.#store, member, { sleep, signal }),
+      this.#storeAccess.start(),
+      addMember(this.#storeAccess.store, member, { sleep, signal }),
     );
     this.#keyTransfers.start();
     this.#tenure.start();
@@ -486,44 +449,6 @@
     this.#sideServers.push(await SideServer.listen(endpoint, handler, { log: this.#log, signal }));
   }
 
-  #follow(topic: string): KeyedFollower {
-    return new KeyedFollower({
-      store: this.#store,
-      topic,
-      now,
-      sleep,
-      waitMs: READ_WAIT_MS,
-      paceMs: () => this.#readPaceMs(topic),
-      onReachable: (isReachable, reason) => {
-        const event = isReachable ? Event.StoreReachable : Event.StoreLost;
-        this.#log(event, { topic, reason });
-      },
-    });
-  }
-
-  /** Returns the time between reads; large deployments read changes in batches, a few times a second. */
-  #readPaceMs(topic: string): number {
-    return topic === SYSTEM_TOPIC && !this.#heartbeats.isFullMesh ? READ_PACE_MS : 0;
-  }
-
-  #tableOf(service: string): TableStore {
-    const existing = this.#tableStores.get(service);
-    if (existing !== undefined) {
-      return existing;
-    }
-    const table = new TableStore({
-      store: this.#store,
-      follower: this.#system,
-      now,
-      sleep,
-      service,
-      random: Math.random,
-      onCorrupt: (reason) => this.#log(Event.TableCorrupt, { service, reason }),
-    });
-    this.#tableStores.set(service, table);
-    return table;
-  }
-
   #createDispatcher(): Dispatcher {
     return new Dispatcher({
       self: this.#self,
@@ -531,10 +456,10 @@
       serve: (head, body, options) => this.#runner.serve(head, body, options),
       owners: {
         ownerOf: (service, key) => {
-          return rangeOf(this.#tableOf(service).table.value, key).owner;
+          return rangeOf(this.#storeAccess.tableOf(service).table.value, key).owner;
         },
         waitForChange: (service, options) =>
-          waitForChange(this.#tableOf(service).table.pipe(skip(1)), options),
+          waitForChange(this.#storeAccess.tableOf(service).table.pipe(skip(1)), options),
         unreachableMs: (address) => this.#heartbeats.unreachableMs(address),
         recordReachability: (address, isReached) =>
           this.#heartbeats.recordReachability(address, isReached),
@@ -560,17 +485,6 @@
     return budget;
   }
 
-  /** Whether the store responds; an overdue read is noticed here before it times out. */
-  get #hasStore(): boolean {
-    const sinceMs = now() - this.#system.repliedAt;
-    return this.#system.isReachable && sinceMs < READ_WAIT_MS + READ_OVERDUE_MS + STORE_MARGIN_MS;
-  }
-
-  /** Whether the store responds to this instance directly; only such daemons plan, so that there is one planner. */
-  get #reachesStore(): boolean {
-    return this.#hasStore && this.#store.isDirect;
-  }
-
   /** This daemon's service in the manifest in force. */
   get #ownService(): Service | undefined {
     return this.#currentManifest.manifest?.services.get(this.#settings.service);
@@ -587,16 +501,6 @@
     return mayNotOwn ? undefined : this.#watch.ready;
   }
 
-  /** A voter rejects suspected tenures, and all tenures while its view of the store is too old. */
-  #mustReject(tenure: string): boolean {
-    if (now() - this.#system.confirmedAt > VOTER_STORE_TIMEOUT_MS) {
-      return true;
-    }
-    return [...this.#tableStores.values()].some(({ table }) =>
-      Object.values(table.value.hosts).some((host) => host.tenure === tenure && host.isSuspected)
-    );
-  }
-
   #status(options: { withPieces: boolean }): DaemonStatus {
     const { service, dataCentre } = this.#settings;
     return {
@@ -605,7 +509,7 @@
       service,
       dataCentre,
       isLeaving: this.#shutdown.isEnding,
-      hasStore: this.#reachesStore,
+      hasStore: this.#storeAccess.isReachableDirectly,
       server: this.#view.status(options),
     };
   }
@@ -678,7 +582,7 @@
         case RECORDS_METHOD:
           return Promise.resolve(this.#relay.handleCall(payload));
         default: {
-          const reply = handleStoreCall(this.#directStore, method, payload) ??
+          const reply = this.#storeAccess.handleCall(method, payload) ??
             this.#heartbeats.handleCall(method, payload) ??
             this.#ends.handleCall(method, payload);
           return reply === undefined
@@ -692,60 +596,11 @@
     }
   }
 
-  #handleRequest(exchange: IncomingExchange): void {
-    const { head, signal, transitMs } = exchange;
-    this.#metrics.recordTransit(transitMs);
-    if (transitMs >= SLOW_TRANSIT_MS) {
-      const ms = Math.round(transitMs);
-      this.#log(Event.RequestDelayed, { id: head.id, route: head.workClass, ms });
-    }
-    this.#serveExchange(exchange).catch((error: Error) => {
-      if (signal.aborted) {
-        this.#logCancelled(head, RequestStage.Arrival, 0);
-      } else {
-        this.#log(Event.TaskFailed, { task: "peer request", id: head.id, reason: error.message });
-      }
-      exchange.abort();
-    });
-  }
-
   #recordWait(ms: number): void {
     this.#metrics.recordWait(ms);
     this.#shedder.recordWait(ms);
   }
 
-  async #serveExchange(exchange: IncomingExchange): Promise<void> {
-    if (!this.#shedder.mayAccept(exchange.head.priority ?? 0)) {
-      const { retryAfterMs } = this.#shedder;
-      const detail = "The daemon of the server lacks processor time";
-      await sendResponse(exchange, notRun(Reason.Overloaded, detail, retryAfterMs));
-      return;
-    }
-    const memory = this.#bodyMemory.open();
-    try {
-      await this.#receiveAndServe(exchange, memory);
-    } finally {
-      memory.release();
-    }
-  }
-
-  async #receiveAndServe(exchange: IncomingExchange, memory: RequestMemory): Promise<void> {
-    const received = await this.#longBodies.receive(exchange, memory);
-    if ("rejection" in received) {
-      await sendResponse(exchange, received.rejection);
-      return;
-    }
-    await this.#eventLoop.nextPoll();
-    const { head, body } = received;
-    const { signal } = exchange;
-    await sendResponse(exchange, await this.#runner.serve(head, body, { signal, memory }));
-  }
-
-  #logCancelled({ id, workClass }: RequestHead, stage: RequestStage, ms: number): void {
-    this.#metrics.recordCancelled(stage);
-    this.#log(Event.RequestCancelled, { id, route: workClass, stage, ms: Math.round(ms) });
-  }
-
   #addGauges(): void {
     this.#metrics.addGauges({
       running: () => this.#view.measuredLoad.running,
@@ -753,7 +608,7 @@
       requestLimit: () => this.#watch.limit.requestsPerSecond ?? Infinity,
       ownKeys: () => countKeys(this.#grantManager.ownRanges),
       supportedMs: () => Math.max(0, this.#tenure.supportedUntil - now()),
-      isStoreReachable: () => this.#hasStore,
+      isStoreReachable: () => this.#storeAccess.isReachable,
       manifestVersion: () => this.#currentManifest.version,
       reachablePeers: () => this.#heartbeats.responsivePeers.length,
     });
@@ -781,7 +636,7 @@
       Promise.all([transferred, closed]),
       sleep(endAt - LAST_REQUESTS_MS - now()),
     ]);
-    this.#longBodies.close();
+    this.#forwarded.close();
     this.#runner.rejectNew();
     while (this.#runner.open + this.#callers.open > 0 && now() < endAt) {
       await sleep(END_CHECK_MS);
@@ -802,16 +657,14 @@
       this.#planner.close(),
       this.#grantManager.close(),
       this.#tenure.close(),
-      this.#manifests.close(),
-      this.#system.close(),
+      this.#storeAccess.stop(),
     ]);
     this.#keyTransfers.close();
     this.#departures.close();
     this.#ends.close();
     this.#currentManifest.close();
-    this.#tableStores.forEach((table) => table.close());
     this.#client.close();
     this.#grantConnections.close();
-    this.#store.close();
+    this.#storeAccess.close();
   }
 }
--- /dev/null
+++ b/packages/router/src/store_access.ts
@@ -0,0 +1,152 @@
+/**
+ * One daemon's access to the store: the client, which goes through peers while the store is out of reach, the followers
+ * of the topics, and the ownership tables of all services.
+ */
+import type { Adapter, DeploymentSettings, Store } from "@bulrushwood/deployment";
+import {
+  handleStoreCall,
+  KeyedFollower,
+  READ_OVERDUE_MS,
+  RelayedStore,
+  SYSTEM_TOPIC,
+  TableStore,
+} from "@bulrushwood/ledger_store";
+import { VOTER_STORE_TIMEOUT_MS } from "@bulrushwood/lease_votes";
+import { type Address, type CallPeer, now, sleep } from "@bulrushwood/types";
+import { Event, type EventLog } from "./event_log.ts";
+
+/**
+ * Longest wait of a read of the store, in milliseconds. A read on a connection that has gone silent is noticed only
+ * when it is overdue, and changes must be in force within 2 s.
+ */
+const READ_WAIT_MS = 1_500;
+/** Time between reads of the system topic in a large deployment, in milliseconds. */
+const READ_PACE_MS = 250;
+/** Margin beyond the time of an overdue read after which the store counts as unreachable, in milliseconds. */
+const STORE_MARGIN_MS = 700;
+
+export interface StoreAccessOptions {
+  adapter: Adapter;
+  settings: DeploymentSettings;
+  /** Returns the peers that can reach the store, in the order to try them. */
+  peers: () => Address[];
+  call: CallPeer;
+  /** Whether the deployment is small, so that each change is read at once. */
+  isFullMesh: () => boolean;
+  log: EventLog;
+}
+
+/** The store as one daemon sees it. */
+export class StoreAccess {
+  readonly #options: StoreAccessOptions;
+  /** Client of this instance without relays; serves the store calls of peers. */
+  readonly #direct: Store;
+  readonly store: RelayedStore;
+  /** Follower of the topic that contains the manifest. */
+  readonly manifests: KeyedFollower;
+  /** Follower of the topic that contains the ownership tables and the records of all daemons. */
+  readonly system: KeyedFollower;
+  readonly #tables = new Map<string, TableStore>();
+
+  constructor(options: StoreAccessOptions) {
+    this.#options = options;
+    const { adapter, settings, peers, call, log } = options;
+    this.#direct = adapter.openStore(settings);
+    this.store = new RelayedStore({
+      direct: this.#direct,
+      now,
+      call,
+      peers,
+      onDirect: (isDirect, reason) => log(Event.StoreRelayed, { isRelayed: !isDirect, reason }),
+      onReconnected: (reason) => log(Event.StoreReconnected, { reason }),
+    });
+    this.manifests = this.#follow(adapter.manifestLocation.topic);
+    this.system = this.#follow(SYSTEM_TOPIC);
+  }
+
+  #follow(topic: string): KeyedFollower {
+    const { log } = this.#options;
+    return new KeyedFollower({
+      store: this.store,
+      topic,
+      now,
+      sleep,
+      waitMs: READ_WAIT_MS,
+      paceMs: () => this.#readPaceMs(topic),
+      onReachable: (isReachable, reason) => {
+        log(isReachable ? Event.StoreReachable : Event.StoreLost, { topic, reason });
+      },
+    });
+  }
+
+  /** Returns the time between reads; large deployments read changes in batches, a few times a second. */
+  #readPaceMs(topic: string): number {
+    return topic === SYSTEM_TOPIC && !this.#options.isFullMesh() ? READ_PACE_MS : 0;
+  }
+
+  /** Returns the ownership table of a service. */
+  tableOf(service: string): TableStore {
+    const existing = this.#tables.get(service);
+    if (existing !== undefined) {
+      return existing;
+    }
+    const table = new TableStore({
+      store: this.store,
+      follower: this.system,
+      now,
+      sleep,
+      service,
+      random: Math.random,
+      onCorrupt: (reason) => this.#options.log(Event.TableCorrupt, { service, reason }),
+    });
+    this.#tables.set(service, table);
+    return table;
+  }
+
+  /** Whether the store responds; an overdue read is noticed here before it times out. */
+  get isReachable(): boolean {
+    const sinceMs = now() - this.system.repliedAt;
+    return this.system.isReachable && sinceMs < READ_WAIT_MS + READ_OVERDUE_MS + STORE_MARGIN_MS;
+  }
+
+  /** Whether the store responds to this instance directly; only such daemons plan, so that there is one planner. */
+  get isReachableDirectly(): boolean {
+    return this.isReachable && this.store.isDirect;
+  }
+
+  /** Whether the daemon knows all records that an earlier process of it wrote. */
+  get hasReadAll(): boolean {
+    return this.system.confirmedAt > Number.NEGATIVE_INFINITY;
+  }
+
+  /** A voter rejects suspected tenures, and all tenures while its view of the store is too old. */
+  mustReject(tenure: string): boolean {
+    if (now() - this.system.confirmedAt > VOTER_STORE_TIMEOUT_MS) {
+      return true;
+    }
+    return [...this.#tables.values()].some(({ table }) =>
+      Object.values(table.value.hosts).some((host) => host.tenure === tenure && host.isSuspected)
+    );
+  }
+
+  /** Makes a store call for a peer; returns undefined when the method is not a store call. */
+  handleCall(method: string, payload: unknown): Promise<unknown> | undefined {
+    return handleStoreCall(this.#direct, method, payload);
+  }
+
+  /** Starts to follow the topics; resolves once both have been read. */
+  async start(): Promise<void> {
+    await Promise.all([this.manifests.start(), this.system.start()]);
+  }
+
+  /** Stops following the topics. */
+  async stop(): Promise<void> {
+    await Promise.all([this.manifests.close(), this.system.close()]);
+  }
+
+  /** Closes the tables and the client. */
+  close(): void {
+    this.#tables.forEach((table) => table.close());
+    this.store.close();
+  }
+}
