Reject requests without a key for another pool at the holder

Cause: only keyed requests were checked, by their lease group. Why it works: the announcement of the server names its pool; a request for another one is rejected as not run.

--- a/packages/daemon/src/holder.ts
+++ b/packages/daemon/src/holder.ts
@@ -105,7 +105,9 @@
 
   async #serve(job: Job): Promise<RoutedResponse> {
     if (!this.#isKeyed(job)) {
-      return await this.#serveAdmitted(job);
+      return this.#isOfOtherPool(job)
+        ? notRun(Reason.NotHolder, `The backend server here is not of the pool ${job.head.pool}`)
+        : await this.#serveAdmitted(job);
     }
     if (!(await this.#awaitOwnership(job))) {
       return notRun(Reason.NotHolder, "This daemon does not hold the key");
@@ -113,6 +115,12 @@
     return await this.#serveAdmitted(job);
   }
 
+  /** Whether a request without a key was meant for an earlier daemon at this address. */
+  #isOfOtherPool({ head }: Job): boolean {
+    const { announcement } = this.#options.server;
+    return announcement !== undefined && announcement.pool !== head.pool;
+  }
+
   #isKeyed(job: Job): boolean {
     return job.head.shard >= 0;
   }
