Open one connection for grants at a time

When a daemon had no connection to its server, each of its grants opened one, and took a slot of the server for the check of its id. Now the others wait for the one that is being opened. The new test sends ten grants at once: at most three checks.

--- a/packages/router/src/grant_connections.ts
+++ b/packages/router/src/grant_connections.ts
@@ -137,6 +137,9 @@
   /** Connections that are open or being opened. */
   readonly #open = new Set<GrantConnection>();
   #idle: GrantConnection[] = [];
+  /** Whether a connection is being opened; one is at a time. */
+  #isOpening = false;
+  /** Emits when a connection is not used any more, or could not be opened. */
   readonly #released = new Subject<void>();
   /** When a connection last ended that nobody had announced the end of. */
   #lostAt = Number.NEGATIVE_INFINITY;
@@ -149,16 +152,24 @@
   /** Returns a connection that certainly leads to an incarnation; undefined while there is none. */
   async connect(server: ServerIdentity): Promise<OrderConnection | undefined> {
     const name = incarnationName(server);
-    const until = now() + SHARE_WAIT_MS;
+    let sharedUntil = now() + SHARE_WAIT_MS;
     let connection = this.#takeIdle(name);
-    while (connection === undefined && this.#isConnectedTo(name) && now() < until) {
-      await waitForChange(this.#released, { ms: until - now() });
+    while (connection === undefined && this.#mayBeShared(name, sharedUntil)) {
+      const waitsForOpening = this.#isOpening;
+      const ms = waitsForOpening ? IDENTIFY_TIMEOUT_MS : sharedUntil - now();
+      await waitForChange(this.#released, { ms });
+      sharedUntil = waitsForOpening ? now() + SHARE_WAIT_MS : sharedUntil;
       connection = this.#takeIdle(name);
     }
     connection ??= await this.#openTo(server);
     return connection && this.#lend(connection);
   }
 
+  /** Whether a connection may become free soon, so that no further one is opened. */
+  #mayBeShared(incarnation: string, until: number): boolean {
+    return this.#isOpening || (this.#isConnectedTo(incarnation) && now() < until);
+  }
+
   #takeIdle(incarnation: string): GrantConnection | undefined {
     this.#idle = this.#idle.filter(({ isUsable }) => isUsable);
     const found = this.#idle.find((connection) => connection.incarnation === incarnation);
@@ -178,6 +189,7 @@
     }
     const connection = new GrantConnection(endpoint, incarnationName(server));
     this.#open.add(connection);
+    this.#isOpening = true;
     const id = await connection.open(path, {
       readId: (headers) => wire.readHealth(headers),
       onEnd: (isLost) => {
@@ -185,12 +197,14 @@
         this.#lostAt = isLost ? now() : this.#lostAt;
       },
     });
+    this.#isOpening = false;
     connection.isCertain = id === server.id && this.#isContinued(connection.incarnation);
     if (connection.isUsable) {
       return connection;
     }
     connection.close();
     this.#open.delete(connection);
+    this.#released.next();
     return undefined;
   }
 
--- a/packages/router/src/grant_connections_test.ts
+++ b/packages/router/src/grant_connections_test.ts
@@ -88,6 +88,17 @@
     await server.crash();
   });
 
+  it("are few when many grants are sent at once, also the first ones", async () => {
+    const { connections, port, grant } = await createConnections();
+    const server = await startServer("s1", port);
+    const sent = await Promise.all(Array.from({ length: 10 }, () => grant(FIRST)));
+    expect(sent).to.deep.equal(sent.map(() => true));
+    expect(server.grants).to.equal(10);
+    expect(server.checks).to.be.at.most(3);
+    connections.close();
+    await server.crash();
+  });
+
   it("never carry a grant to another server that has taken the address", async () => {
     const { connections, port, state, grant } = await createConnections();
     const first = await startServer("s1", port);
