Log listener errors by one function; let links make their incarnation

Three places built the same handler for errors of a listener. The incarnation of links was an option with a default that only one of two callers set, and that nothing compared with any other; links now make their own.

--- a/packages/protocol/src/links.ts
+++ b/packages/protocol/src/links.ts
@@ -19,8 +19,6 @@
 export interface LinksOptions {
   /** Address that peers dial. */
   self: Address;
-  /** Identifies this daemon among all that have had its address; a random one by default. */
-  incarnation?: string;
   /** IP address to listen on and to dial from. */
   host: string;
   port: number;
@@ -38,7 +36,9 @@
 
 /** The links of one daemon, by peer. */
 export class Links {
-  readonly #options: LinksOptions & { incarnation: string };
+  readonly #options: LinksOptions;
+  /** Identifies these links among all that have had their address. */
+  readonly #incarnation = randomUUID();
   readonly #links = new Map<Address, Link>();
   readonly #all = new Set<Link>();
   readonly #dials = new Map<Address, Promise<Result<Link, LinkError>>>();
@@ -52,7 +52,7 @@
   #closedBytes = 0;
 
   private constructor(options: LinksOptions) {
-    this.#options = { incarnation: randomUUID(), ...options };
+    this.#options = options;
     this.#http = createServer((_request, response) => response.writeHead(426).end());
     this.#server = new WebSocketServer({
       server: this.#http,
@@ -86,7 +86,8 @@
   }
 
   #accept(socket: WebSocket): void {
-    const { self, incarnation, handlers } = this.#options;
+    const { self, handlers } = this.#options;
+    const incarnation = this.#incarnation;
     const link = this.#track(new Link({ socket, self, incarnation, handlers }));
     link.ready.then((ready) => {
       if (ready.isOk) {
@@ -178,7 +179,8 @@
 
   /** Opens a link, with its listeners attached before the peer's first message can arrive. */
   #openLink(peer: Address): Promise<Result<Link, LinkError>> {
-    const { self, incarnation, host, handlers } = this.#options;
+    const { self, host, handlers } = this.#options;
+    const incarnation = this.#incarnation;
     let socket: WebSocket;
     try {
       socket = new WebSocket(`ws://${peer}/`, {
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -19,7 +19,7 @@
 import { BodyRejection, readCallerBody } from "./caller_body.ts";
 import { CallerConnection, type Exchange } from "./caller_connection.ts";
 import type { Dispatcher, DispatchRequest } from "./dispatcher.ts";
-import { Event, type EventLog } from "./event_log.ts";
+import { Event, type EventLog, logListenerErrors } from "./event_log.ts";
 import { readHeaders, toFlatHeaders } from "./headers.ts";
 import { BODY_RETRY_AFTER_MS } from "./long_bodies.ts";
 import { RequestStage } from "./request_stage.ts";
@@ -142,8 +142,7 @@
   static async listen(options: CallerServerOptions): Promise<CallerServer> {
     const callers = new CallerServer(options);
     const { endpoint, signal, log } = options;
-    const onError = ({ message: reason }: Error) => log(Event.ListenerFailed, { reason });
-    await listen(callers.#server, endpoint, { signal, onError });
+    await listen(callers.#server, endpoint, { signal, onError: logListenerErrors(log) });
     return callers;
   }
 
--- a/packages/router/src/event_log.ts
+++ b/packages/router/src/event_log.ts
@@ -61,6 +61,11 @@
   dropped: number;
 }
 
+/** Returns a function that logs each error of a listener. */
+export function logListenerErrors(log: EventLog): (error: Error) => void {
+  return ({ message }) => log(Event.ListenerFailed, { reason: message });
+}
+
 /** Creates a log on standard output whose lines name the instance. */
 export function createEventLog(instance: string, options: { now: Clock }): EventLog {
   const { combine, timestamp, json } = winston.format;
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -42,7 +42,7 @@
 import { Departures } from "./departures.ts";
 import { Dispatcher } from "./dispatcher.ts";
 import { GrantConnections } from "./grant_connections.ts";
-import { Event, type EventLog } from "./event_log.ts";
+import { Event, type EventLog, logListenerErrors } from "./event_log.ts";
 import { ForwardedRequests } from "./forwarded_requests.ts";
 import { readHeaders } from "./headers.ts";
 import { CurrentManifest } from "./current_manifest.ts";
@@ -367,9 +367,8 @@
     this.#links = await Links.listen({
       ...listen.peers,
       self: this.#self,
-      incarnation: this.#incarnation,
       signal: this.#stop.signal,
-      onListenError: ({ message: reason }) => this.#log(Event.ListenerFailed, { reason }),
+      onListenError: logListenerErrors(this.#log),
       handlers: {
         onCall: (method, payload) => this.#handleCall(method, payload),
         onRequest: (exchange) => this.#forwarded.handle(exchange),
--- a/packages/router/src/side_servers.ts
+++ b/packages/router/src/side_servers.ts
@@ -11,7 +11,7 @@
 } from "@bulrushwood/deployment";
 import { readBody } from "@bulrushwood/http_client";
 import { listen } from "@bulrushwood/http_server";
-import { Event, type EventLog } from "./event_log.ts";
+import { Event, type EventLog, logListenerErrors } from "./event_log.ts";
 import type { ServerWatch } from "./server_watch.ts";
 
 /** Size limit of status reports, in bytes; a server that holds many ranges sends some tens of KB. */
@@ -41,8 +41,7 @@
   ): Promise<SideServer> {
     const { log, signal } = options;
     const side = new SideServer(handler, log);
-    const onError = ({ message: reason }: Error) => log(Event.ListenerFailed, { reason });
-    await listen(side.#server, endpoint, { signal, onError });
+    await listen(side.#server, endpoint, { signal, onError: logListenerErrors(log) });
     return side;
   }
 
