Collect bodies of requests and responses by one function

The reader of callers' bodies and that of responses were two copies of the same loop, with two enums for why a body was not read, a table between them and a state that only one of them set. The progress of a long body is a callback instead of a second generator, and the count of memory can be passed on as it is.

--- a/packages/admission/src/body_memory.ts
+++ b/packages/admission/src/body_memory.ts
@@ -52,7 +52,7 @@
   }
 
   /** Adds bytes; returns false, and adds none, if all bodies together would take too many. */
-  take(bytes: number): boolean {
+  readonly take = (bytes: number): boolean => {
     const more = Math.max(0, this.#bytes + bytes - SHORT_BYTES_MAX) - this.#counted;
     if (!this.#change(more)) {
       return false;
@@ -60,7 +60,7 @@
     this.#bytes += bytes;
     this.#counted += more;
     return true;
-  }
+  };
 
   /** Ends the count, once nothing holds the bodies any more. */
   release(): void {
--- a/packages/http_client/src/body_collector.ts
+++ b/packages/http_client/src/body_collector.ts
@@ -4,14 +4,16 @@
  */
 import { Buffer } from "node:buffer";
 
-/** Why a body cannot be collected. */
+/** Why a body was not collected. */
 export enum BodyFailure {
   /** It has more bytes than are allowed, or than it announced. */
   TooLarge = "too-large",
   /** The memory for bodies is used up. */
   NoMemory = "no-memory",
-  /** Its collector was told to forget it. */
-  Cancelled = "cancelled",
+  /** Its message ended before it was whole. */
+  CutShort = "cut-short",
+  /** It was not whole in time. */
+  Late = "late",
 }
 
 /** Options of `BodyCollector`. */
@@ -67,31 +69,26 @@
     return true;
   }
 
-  /** Returns what was collected; the collector forgets it. */
+  /** Returns what was collected, and forgets it. */
   end(): Buffer {
     const whole = this.#whole?.subarray(0, this.#bytes) ??
       (this.#parts.length === 1 ? this.#parts[0] : Buffer.concat(this.#parts));
-    this.#forget();
+    this.forget();
     return whole;
   }
 
-  /** Forgets the body; parts that still come are not collected. */
-  cancel(): void {
-    this.#failure ??= BodyFailure.Cancelled;
-    this.#forget();
-  }
-
   #take(bytes: number): boolean {
     return this.#options.take?.(bytes) ?? true;
   }
 
   #fail(failure: BodyFailure): false {
     this.#failure = failure;
-    this.#forget();
+    this.forget();
     return false;
   }
 
-  #forget(): void {
+  /** Frees what was collected. */
+  forget(): void {
     this.#whole = undefined;
     this.#parts = [];
   }
--- a/packages/http_client/src/mod.ts
+++ b/packages/http_client/src/mod.ts
@@ -11,7 +11,7 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import { Result } from "true-myth";
-import { BodyCollector } from "./body_collector.ts";
+import { BodyCollector, BodyFailure } from "./body_collector.ts";
 
 export { BodyCollector, type BodyCollectorOptions, BodyFailure } from "./body_collector.ts";
 
@@ -130,40 +130,78 @@
     .forEach((socket) => socket.destroy());
 }
 
-/** Options of `readBody`. */
-export interface ReadBodyOptions {
+/** Options of `collectBody`. */
+export interface CollectOptions {
   /** Largest length, in bytes. */
   bytesMax?: number;
   /** Takes memory for some bytes; returns false where there is none. By default there always is. */
   take?: (bytes: number) => boolean;
+  /** Longest wait for the whole body, in milliseconds; by default there is no limit. */
+  timeoutMs?: number;
 }
 
-/**
- * Reads the whole body of a message. Rejects when the body is incomplete, and destroys the message when it is
- * too large, since a faulty sender may send without end.
- */
-export function readBody(message: IncomingMessage, options: ReadBodyOptions = {}): Promise<Buffer> {
-  const { bytesMax = BODY_BYTES_MAX, take } = options;
+/** Collects the whole body of a message. After a failure, what still arrives of it is discarded. */
+export function collectBody(
+  message: IncomingMessage,
+  options: CollectOptions = {},
+): Promise<Result<Buffer, BodyFailure>> {
+  const { bytesMax = BODY_BYTES_MAX, take, timeoutMs } = options;
   const body = new BodyCollector({ length: lengthOf(message), bytesMax, take });
-  return new Promise((resolve, reject) => {
-    const fail = () => reject(new Error("the body was cut short"));
-    const rejectBody = () => {
-      reject(new Error(`the body cannot be read: ${body.failure}`));
-      message.destroy();
+  return new Promise((resolve) => {
+    const settle = (result: Result<Buffer, BodyFailure>) => {
+      clearTimeout(timer);
+      message.off("data", add);
+      resolve(result);
+    };
+    const fail = (failure: BodyFailure) => {
+      body.forget();
+      settle(Result.err(failure));
+    };
+    const add = (part: Buffer) => {
+      if (!body.add(part)) {
+        fail(body.failure!);
+      }
     };
+    const timer = timeoutMs === undefined
+      ? undefined
+      : setTimeout(() => fail(BodyFailure.Late), timeoutMs);
     if (body.failure !== undefined) {
-      rejectBody();
+      fail(body.failure);
       return;
     }
-    message.on("data", (part: Buffer) => body.add(part) || rejectBody());
-    message.on("end", () => message.complete ? resolve(body.end()) : fail());
-    message.on("error", fail);
-    message.on("close", fail);
+    message.on("data", add);
+    message.on(
+      "end",
+      () => message.complete ? settle(Result.ok(body.end())) : fail(BodyFailure.CutShort),
+    );
+    message.on("error", () => fail(BodyFailure.CutShort));
+    message.on("close", () => fail(BodyFailure.CutShort));
   });
 }
 
+/**
+ * Reads the whole body of a message. Rejects when the body is incomplete, and destroys the message when it is
+ * too large, since a faulty sender may send without end.
+ */
+export async function readBody(
+  message: IncomingMessage,
+  options: CollectOptions = {},
+): Promise<Buffer> {
+  const collected = await collectBody(message, options);
+  if (collected.isOk) {
+    return collected.value;
+  }
+  message.destroy();
+  throw new Error(`the body cannot be read: ${collected.error}`);
+}
+
+/** Whether a message has a body, which may be empty. */
+export function hasBody({ headers }: IncomingMessage): boolean {
+  return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+}
+
 /** Returns the length that a message announces for its body; undefined where it announces none. */
-export function lengthOf(message: IncomingMessage): number | undefined {
+function lengthOf(message: IncomingMessage): number | undefined {
   const { headers } = message;
   const { req: request } = message as { req?: ClientRequest };
   if (request?.method === "HEAD") {
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -6,6 +6,7 @@
 import type { Socket } from "node:net";
 import type { BodyMemory, LoadShedder, RequestMemory, Shutdown } from "@bulrushwood/admission";
 import type { CallerWire, Endpoint, Manifest, Route } from "@bulrushwood/deployment";
+import { BodyFailure, collectBody, hasBody } from "@bulrushwood/http_client";
 import { closeGracefully, endWithBody, type EventLoop, listen } from "@bulrushwood/http_server";
 import { type Header, Reason, type RequestHead } from "@bulrushwood/protocol";
 import {
@@ -16,7 +17,6 @@
   unknown,
 } from "@bulrushwood/routing";
 import { now, Outcome } from "@bulrushwood/types";
-import { BodyRejection, readCallerBody } from "./caller_body.ts";
 import { CallerConnection, type Exchange } from "./caller_connection.ts";
 import type { Dispatcher, DispatchRequest } from "./dispatcher.ts";
 import { Event, type EventLog, logListenerErrors } from "./event_log.ts";
@@ -255,13 +255,20 @@
   ): Promise<void> {
     const { id, route, manifest, key, deadlineMs, arrivedAt, deadline, exchange, memory } = options;
     const waitMs = deadline - arrivedAt;
-    const { bodyBytes: bytesMax } = manifest.limits;
-    const received = await readCallerBody(request, { bytesMax, memory, deadline });
-    if ("rejection" in received) {
-      await this.#rejectBody(response, received.rejection, options);
+    const received = hasBody(request)
+      ? await collectBody(request, {
+        bytesMax: manifest.limits.bodyBytes,
+        take: memory.take,
+        timeoutMs: Math.max(0, deadline - now()),
+      })
+      : undefined;
+    if (received?.isErr) {
+      await this.#rejectBody(response, received.error, options);
       return;
     }
-    const { body } = received;
+    // A request without a body ends only once it is read.
+    request.resume();
+    const body = received?.value;
     const service = this.#routesFor(manifest).chooseService(route) ?? "";
     const isKeyed = manifest.services.get(service)?.isKeyed ?? false;
     const head = this.#toHead(request, { id, route, service, key: isKeyed ? key : undefined });
@@ -285,20 +292,20 @@
   /** Responds to a request whose body was not read, so that it has not run. */
   async #rejectBody(
     response: ServerResponse,
-    rejection: BodyRejection,
+    failure: BodyFailure,
     { id, route, manifest, arrivedAt, exchange }: AcceptedRequest,
   ): Promise<void> {
-    switch (rejection) {
-      case BodyRejection.Truncated:
+    switch (failure) {
+      case BodyFailure.CutShort:
         response.destroy();
         return;
-      case BodyRejection.TooLarge: {
+      case BodyFailure.TooLarge: {
         const detail = `The body must have at most ${manifest.limits.bodyBytes} bytes`;
         this.#sendError(response, { status: 413, detail }, { exchange });
         return;
       }
       default: {
-        const routed = rejection === BodyRejection.Late
+        const routed = failure === BodyFailure.Late
           ? notRun(Reason.DeadlinePassed, "The body did not arrive before the deadline")
           : notRun(
             Reason.Overloaded,
--- a/packages/router/src/exchange.ts
+++ b/packages/router/src/exchange.ts
@@ -25,15 +25,15 @@
  */
 export async function readParts(
   parts: AsyncIterable<Buffer>,
-  options: { length?: number; memory?: RequestMemory },
+  options: { length?: number; memory?: RequestMemory; onPart?: () => void },
 ): Promise<Buffer | undefined> {
-  const { length, memory } = options;
-  const take = memory && memory.take.bind(memory);
-  const body = new BodyCollector({ length, bytesMax: BODY_BYTES_MAX, take });
+  const { length, memory, onPart } = options;
+  const body = new BodyCollector({ length, bytesMax: BODY_BYTES_MAX, take: memory?.take });
   let isEmpty = true;
   if (body.failure === undefined) {
     for await (const part of parts) {
       isEmpty = false;
+      onPart?.();
       if (!body.add(part)) {
         break;
       }
--- a/packages/router/src/long_bodies.ts
+++ b/packages/router/src/long_bodies.ts
@@ -53,8 +53,11 @@
     const { release } = admitted.value;
     const stalled = setTimeout(release, STALLED_MS);
     try {
-      const parts = withProgress(requestBody, () => stalled.refresh());
-      const body = await readParts(parts, { length: head.bodyBytes ?? undefined, memory });
+      const body = await readParts(requestBody, {
+        length: head.bodyBytes ?? undefined,
+        memory,
+        onPart: () => stalled.refresh(),
+      });
       return { head: deductDelay(head, now() - arrivedAt), body };
     } catch (error) {
       if (error instanceof BodyError) {
@@ -77,14 +80,3 @@
     this.#gate.close();
   }
 }
-
-/** Passes on the parts of a body, and reports each. */
-async function* withProgress(
-  parts: AsyncIterable<Buffer>,
-  onPart: () => void,
-): AsyncIterable<Buffer> {
-  for await (const part of parts) {
-    onPart();
-    yield part;
-  }
-}
--- a/packages/router/src/server_client.ts
+++ b/packages/router/src/server_client.ts
@@ -230,8 +230,7 @@
       notice = responseHead.notice;
       // Node.js reports a response without a length as complete even if its connection was reset.
       const reset = new Promise<never>((_, reject) => outgoing.on("error", reject));
-      const take = call.memory && call.memory.take.bind(call.memory);
-      const whole = await Promise.race([readBody(message, { take }), reset]);
+      const whole = await Promise.race([readBody(message, { take: call.memory?.take }), reset]);
       const result = this.#classify(message, whole, { id: call.head.id, responseHead });
       if (!outgoing.writableFinished) {
         usedSocket?.destroy();
