Add a fault soak of the real programs

Users saw processes that ended by themselves and requests that ran and got no answer. No test of ours signals a real daemon again and again while callers keep using their open connections.

`npm run soak` starts the binary as one process a daemon on loopback addresses and plays a seeded schedule of overlapping faults from outside: signals in series and at any stage of a process, manifests in quick succession, backend servers that leave, crash and return. Checks compare what callers and backend servers saw: FAULT, LOST, OWNER, ROUTE and CONFIG.

--- /dev/null
+++ b/packages/soak/src/backend_server.ts
@@ -0,0 +1,244 @@
+/**
+ * Stand-in for a backend server: it runs requests in slots, responds in several ways, takes grants of keys, and
+ * reports its status to the daemon on its machine.
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  request as sendRequest,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import { ServerState } from "@bulrushwood/deployment";
+import { closeServer, listenOn, readBody } from "@bulrushwood/stand_ins";
+import { now, sleep } from "@bulrushwood/types";
+import { HeldKeys, type Ownership } from "./held_keys.ts";
+import { type Machine, REPORT_EVERY_MS } from "./machine.ts";
+import { ServiceName } from "./manifests.ts";
+import type { Outside, ReportCall } from "./outside.ts";
+import { type Requests, type Run, RunEnding } from "./requests.ts";
+import { ResponseShape, sendShape } from "./response_shape.ts";
+
+const SLOTS = 100;
+/** Work of the servers of each service in turn, in milliseconds. */
+const WORK_MS = [20, 100, 400];
+const ACK_TIMEOUT_MS = 1_000;
+/** Time before a report without an acknowledgement is sent again, in milliseconds. */
+const RETRY_MS = 250;
+const POLL_MS = 20;
+const MISDIRECTED = 421;
+const CONFLICT = 409;
+
+/** Options of a backend server. */
+export interface BackendServerOptions {
+  machine: Machine;
+  index: number;
+  /** Number of servers that ran on the machine before. */
+  generation: number;
+  outside: Outside;
+  requests: Requests;
+  ownership: Ownership;
+}
+
+/** One run of a backend server. */
+export class BackendServer {
+  readonly #options: BackendServerOptions;
+  readonly #server: Server;
+  readonly #bornMs = Date.now();
+  readonly #keys: HeldKeys;
+  readonly #isKeyed: boolean;
+  readonly id: string;
+  #state = ServerState.Ready;
+  #sequence = 0;
+  #running = 0;
+  #isOver = false;
+
+  private constructor(options: BackendServerOptions) {
+    this.#options = options;
+    this.id = `i-${options.index}-${options.generation}`;
+    this.#keys = new HeldKeys(this.id);
+    this.#isKeyed = options.machine.settings.service === ServiceName.Bookings;
+    this.#server = createServer((request, response) => {
+      this.#handle(request, response).catch(() => response.destroy());
+    });
+  }
+
+  /** Starts to listen and to report. */
+  static async start(options: BackendServerOptions): Promise<BackendServer> {
+    const server = new BackendServer(options);
+    await listenOn(server.#server, options.machine.server);
+    options.ownership.add(server.#keys);
+    server.#reportUntilOver();
+    return server;
+  }
+
+  async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { outside } = this.#options;
+    const { method = "", url = "" } = request;
+    if (url === "/healthz") {
+      const headers = outside.responseHeaders({ serverId: this.id });
+      response.writeHead(200, { ...headers, "content-length": 0 }).end();
+      return;
+    }
+    const received = outside.readRequest(request.headers);
+    if (received.id === undefined) {
+      const order = outside.readOrder(method, url, await readBody(request));
+      return order === undefined
+        ? this.#reject(response, 400)
+        : await this.#follow(order, response);
+    }
+    const { id, serverId, key } = received;
+    const isMisdirected = serverId !== undefined && serverId !== this.id;
+    if (isMisdirected || (this.#isKeyed && (key === undefined || !this.#keys.has(key)))) {
+      request.resume();
+      return this.#reject(response, MISDIRECTED, id);
+    }
+    if (this.#running >= SLOTS) {
+      request.resume();
+      return this.#reject(response, 503, id);
+    }
+    await this.#run(id, { key, request, response });
+  }
+
+  #reject(response: ServerResponse, status: number, id?: string): void {
+    const headers = this.#options.outside.responseHeaders({ id, isNotRun: true });
+    response.writeHead(status, { ...headers, "content-length": 0 }).end();
+  }
+
+  async #run(
+    id: string,
+    options: { key: number | undefined; request: IncomingMessage; response: ServerResponse },
+  ): Promise<void> {
+    const { key, request, response } = options;
+    const { machine, index, requests, ownership, outside } = this.#options;
+    const { service } = machine.settings;
+    this.#running++;
+    const run = requests.startRun({ id, machine: machine.name, server: this.id, service });
+    response.once("finish", () => requests.endRun(run, RunEnding.Answered));
+    response.once("close", () => requests.endRun(run, this.#endingOnClose()));
+    if (this.#isKeyed) {
+      ownership.recordRun(this.#keys, key!);
+    }
+    const endKey = this.#isKeyed ? this.#keys.begin(key!) : () => {};
+    try {
+      await readBody(request);
+      await sleep(WORK_MS[Math.floor(index / WORK_MS.length) % WORK_MS.length]);
+      const load = { running: this.#running, waiting: 0, slots: SLOTS };
+      const headers = outside.responseHeaders({ id, originMarker: `${this.id}.${id}`, load });
+      await sendShape(response, { shape: shapeOf(request.url), headers, body: bodyOf(run) });
+    } finally {
+      this.#running--;
+      endKey();
+    }
+  }
+
+  #endingOnClose(): RunEnding {
+    return this.#isOver ? RunEnding.Crashed : RunEnding.Cut;
+  }
+
+  async #follow(
+    received: NonNullable<ReturnType<Outside["readOrder"]>>,
+    response: ServerResponse,
+  ): Promise<void> {
+    const { outside, ownership } = this.#options;
+    if (received.kind === "release") {
+      await this.#keys.release(received.order);
+      const headers = outside.responseHeaders({ handover: `handover-${this.id}` });
+      response.writeHead(200, { ...headers, "content-length": 0 }).end();
+      return;
+    }
+    const isTaken = this.#keys.grant(received.order);
+    if (isTaken) {
+      ownership.recordGrant(this.#keys, received.order);
+    }
+    response.writeHead(isTaken ? 200 : CONFLICT, { "content-length": 0 }).end();
+  }
+
+  async #reportUntilOver(): Promise<void> {
+    while (!this.#isOver) {
+      const sentAt = now();
+      const isAcked = await this.#report();
+      await sleep(isAcked ? Math.max(0, REPORT_EVERY_MS - (now() - sentAt)) : RETRY_MS);
+    }
+  }
+
+  /** Sends a status report; resolves to whether it was acknowledged. */
+  #report(): Promise<boolean> {
+    const { machine, outside } = this.#options;
+    const { service, dataCentre, serverAddress } = machine.settings;
+    return this.#call(outside.report({
+      id: this.id,
+      bornMs: this.#bornMs,
+      address: serverAddress,
+      service,
+      dataCentre,
+      slots: SLOTS,
+      state: this.#state,
+      sequence: ++this.#sequence,
+      coldMs: 0,
+      held: [],
+      released: [],
+    }));
+  }
+
+  #call({ body, ...call }: ReportCall): Promise<boolean> {
+    return new Promise((resolve) => {
+      const { reports } = this.#options.machine.settings.listen;
+      const outgoing = sendRequest({ ...reports, ...call, agent: false, timeout: ACK_TIMEOUT_MS });
+      outgoing.on("response", (response) => {
+        response.resume();
+        resolve(response.statusCode === 200);
+      });
+      outgoing.on("timeout", () => outgoing.destroy());
+      outgoing.on("error", () => resolve(false));
+      outgoing.on("close", () => resolve(false));
+      outgoing.end(body);
+    });
+  }
+
+  /** Leaves as planned: reports it, serves on for `serveMs`, says farewell, and ends when its work has ended. */
+  async leave(serveMs: number): Promise<void> {
+    this.#state = ServerState.Draining;
+    await this.#report();
+    await sleep(serveMs);
+    const isEnded = this.#isOver;
+    if (!isEnded) {
+      await this.#call(this.#options.outside.farewell(this.id));
+    }
+    while (this.#running > 0 && !this.#isOver) {
+      await sleep(POLL_MS);
+    }
+    await this.close();
+  }
+
+  /** Ends at once, with all connections. */
+  async close(): Promise<void> {
+    this.#isOver = true;
+    this.#options.ownership.remove(this.#keys);
+    await closeServer(this.#server);
+  }
+}
+
+function shapeOf(path = ""): ResponseShape {
+  const last = path.split("/").at(-1);
+  return Object.values(ResponseShape).find((shape) => shape === last) ?? ResponseShape.Sized;
+}
+
+/** End of each body, by which callers see that it is whole. */
+const BODY_END = "end";
+const BODY_BYTES = 5_000;
+
+/** Returns the body of the response to a run: the request's id, the service and the server, padded. */
+function bodyOf({ id, service, server }: Run): string {
+  return `${id} ${service} ${server} `.padEnd(BODY_BYTES - BODY_END.length, ".") + BODY_END;
+}
+
+/** Decodes a body; returns undefined if it is not a whole body of a run. */
+export function readRunBody(
+  body: string,
+): { id: string; service: string; server: string } | undefined {
+  const [id, service, server] = body.split(" ");
+  return body.length === BODY_BYTES && body.endsWith(BODY_END)
+    ? { id, service, server }
+    : undefined;
+}
--- /dev/null
+++ b/packages/soak/src/deployment.ts
@@ -0,0 +1,172 @@
+/**
+ * The deployment of a soak: daemons as processes, and stand-ins for the store, the operator, the backend servers and
+ * the callers in this process.
+ */
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { closeServer, KeyedStoreService, listenOn } from "@bulrushwood/stand_ins";
+import { createRandom, type Random, sleep } from "@bulrushwood/types";
+import { BackendServer } from "./backend_server.ts";
+import { Callers } from "./callers.ts";
+import { DaemonProcess } from "./daemon_process.ts";
+import { Ownership } from "./held_keys.ts";
+import { History, Rule } from "./history.ts";
+import { BOUNDS, createMachine, type Machine } from "./machine.ts";
+import { Operator } from "./manifests.ts";
+import type { Outside } from "./outside.ts";
+import { Requests } from "./requests.ts";
+
+const STORE_HOST = "127.0.0.1";
+const STORE_CALL_MS = 4;
+const SAMPLE_MS = 200;
+/** Number of daemons above which each caller sends less, so that all together send the same. */
+const FULL_RATE_DAEMONS = 8;
+const NETWORKS = 200;
+/** Distance between the request ids of two seeds. */
+const IDS_PER_SEED = 10_000_000;
+
+/** Options of a deployment. */
+export interface DeploymentOptions {
+  seed: number;
+  daemons: number;
+  /** Path of the binary. */
+  binary: string;
+  /** Folder for settings and output of the daemons. */
+  folder: string;
+  outside: Outside;
+}
+
+/** A machine with its processes. */
+export interface Node {
+  machine: Machine;
+  daemon: DaemonProcess;
+  server: BackendServer;
+  callers: Callers;
+  /** Whether a fault has taken its backend server away. */
+  isServerAway: boolean;
+}
+
+/** Deployment whose parts faults act on. */
+export class Deployment {
+  readonly #options: DeploymentOptions;
+  readonly #storeServer: Server;
+  readonly #ownership: Ownership;
+  readonly #serverCounts = new Map<string, number>();
+  #isClosed = false;
+  readonly history = new History();
+  readonly requests: Requests;
+  readonly store = new KeyedStoreService({ sleep, callMs: STORE_CALL_MS });
+  readonly operator: Operator;
+  nodes: Node[] = [];
+
+  private constructor(options: DeploymentOptions) {
+    this.#options = options;
+    this.#storeServer = createServer(options.outside.storeListener(this.store.connect()));
+    this.requests = new Requests(options.seed * IDS_PER_SEED);
+    this.operator = new Operator(this.store, options.outside);
+    this.#ownership = new Ownership({
+      sharedMsMax: BOUNDS.sharedKeyMs,
+      report: (detail) => this.history.report(Rule.Owner, this.names, detail),
+    });
+  }
+
+  /** Starts all parts except the callers, and resolves when all daemons are ready. */
+  static async start(options: DeploymentOptions): Promise<Deployment> {
+    const deployment = new Deployment(options);
+    await listenOn(deployment.#storeServer, { host: STORE_HOST, port: 0 });
+    await deployment.operator.publish();
+    const { port } = deployment.#storeServer.address() as AddressInfo;
+    const store = { host: STORE_HOST, port };
+    const network = 1 + options.seed % NETWORKS;
+    const random = createRandom(options.seed);
+    const indices = Array.from({ length: options.daemons }, (_, index) => index);
+    deployment.nodes = await Promise.all(indices.map(async (index) => {
+      const machine = await createMachine(index, { network, store });
+      return await deployment.#startNode(machine, index, random);
+    }));
+    const isReady = await Promise.all(
+      deployment.nodes.map(({ daemon }) => daemon.waitUntilReady()),
+    );
+    deployment.names.filter((_, index) => !isReady[index]).forEach((name) =>
+      deployment.history.report(Rule.Fault, [name], "the daemon does not become ready")
+    );
+    deployment.#sampleUntilClosed();
+    return deployment;
+  }
+
+  get names(): string[] {
+    return this.nodes.map(({ machine }) => machine.name);
+  }
+
+  async #startNode(machine: Machine, index: number, random: Random): Promise<Node> {
+    const { binary, folder, outside, daemons } = this.#options;
+    const { history, requests, operator } = this;
+    const daemon = new DaemonProcess({ machine, binary, folder, history, outside });
+    daemon.start();
+    const callers = new Callers({
+      machine,
+      outside,
+      requests,
+      random,
+      newestVersion: () => operator.newest,
+      slowness: Math.max(1, daemons / FULL_RATE_DAEMONS),
+    });
+    const server = await this.#createServer(machine, index);
+    return { machine, daemon, server, callers, isServerAway: false };
+  }
+
+  #createServer(machine: Machine, index: number): Promise<BackendServer> {
+    const generation = this.#serverCounts.get(machine.name) ?? 0;
+    this.#serverCounts.set(machine.name, generation + 1);
+    const { outside } = this.#options;
+    const { requests } = this;
+    return BackendServer.start({
+      machine,
+      index,
+      generation,
+      outside,
+      requests,
+      ownership: this.#ownership,
+    });
+  }
+
+  /** Starts a backend server with a new id after the one of a machine has ended. */
+  async restartServer(index: number): Promise<void> {
+    const node = this.nodes[index];
+    if (!this.#isClosed) {
+      node.server = await this.#createServer(node.machine, index);
+      this.history.add(`server ${node.server.id} starts`, node.machine.name);
+    }
+  }
+
+  async #sampleUntilClosed(): Promise<void> {
+    while (!this.#isClosed) {
+      this.nodes.forEach(({ daemon, machine }) => {
+        const reading = daemon.read();
+        if (reading !== undefined && reading.memoryBytes > machine.settings.memoryBytes) {
+          this.history.report(Rule.Fault, [machine.name], `takes ${reading.memoryBytes} bytes`);
+        }
+      });
+      this.#ownership.sample();
+      await sleep(SAMPLE_MS);
+    }
+  }
+
+  /** Returns a node whose daemon is up and has its server, at a random place; undefined if the one there is not. */
+  pickNode(random: Random): Node | undefined {
+    const node = this.nodes[Math.floor(random() * this.nodes.length)];
+    const isMost = this.nodes.filter(({ daemon, isServerAway }) => daemon.isUp && !isServerAway)
+      .length > this.nodes.length / 2;
+    return isMost && node.daemon.isUp && !node.isServerAway ? node : undefined;
+  }
+
+  async close(): Promise<void> {
+    this.#isClosed = true;
+    this.nodes.forEach(({ callers, daemon }) => {
+      callers.close();
+      daemon.close();
+    });
+    await Promise.all(this.nodes.map(({ server }) => server.close()));
+    await closeServer(this.#storeServer);
+  }
+}
--- a/packages/stand_ins/src/http_tools.ts
+++ b/packages/stand_ins/src/http_tools.ts
@@ -4,13 +4,18 @@
 import { Buffer } from "node:buffer";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 
-/** Reads the body of a request as UTF-8 text. */
-export async function readText(request: IncomingMessage): Promise<string> {
+/** Reads the body of a message. */
+export async function readBody(message: IncomingMessage): Promise<Buffer> {
   const chunks: Buffer[] = [];
-  for await (const chunk of request) {
+  for await (const chunk of message) {
     chunks.push(chunk);
   }
-  return Buffer.concat(chunks).toString("utf8");
+  return Buffer.concat(chunks);
+}
+
+/** Reads the body of a request as UTF-8 text. */
+export async function readText(request: IncomingMessage): Promise<string> {
+  return (await readBody(request)).toString("utf8");
 }
 
 /** Sends a response with a JSON body. */
--- a/packages/stand_ins/src/mod.ts
+++ b/packages/stand_ins/src/mod.ts
@@ -10,6 +10,7 @@
   WorkState,
 } from "./backend_server.ts";
 export { type FollowedTable, followTable } from "./followed_table.ts";
+export { closeServer, listenOn, readBody, sendJson } from "./http_tools.ts";
 export { appendEntry, newRecordId, publishPool } from "./ledger_records.ts";
 export { AppendMode, type LogControl, LogService, type LogServiceOptions } from "./log_service.ts";
 export { Network, type NetworkHost } from "./network.ts";
