Receive signals before the executable loads its program

Cause: the handlers are set in the first lines of the bundle, but the whole bundle (2.6 MB, and its code cache) is loaded before its first line runs. Why it works: the executable's entry point is a small bundle that sets the handlers; the program, with its code cache, is an asset that it loads afterwards. Both bundles contain the module that receives signals, so what was received is kept with the process. What bounds it: Node.js resets inherited ignored and blocked signals about 3 ms after its start, so the rest of its own start stays. Assets need Node.js 20.12.

--- a/packages/cli/src/signals.ts
+++ b/packages/cli/src/signals.ts
@@ -12,42 +12,51 @@
   onReload?: () => void;
 }
 
-const STOP_SIGNALS: NodeJS.Signals[] = ["SIGTERM", "SIGINT"];
+/** Signals that have come so far, and who handles them. */
+interface Received {
+  handlers?: SignalHandlers;
+  stopSignal?: NodeJS.Signals;
+  hasReloadSignal: boolean;
+}
 
-let handlers: SignalHandlers | undefined;
-let stopSignal: NodeJS.Signals | undefined;
-let hasReloadSignal = false;
+const STOP_SIGNALS: NodeJS.Signals[] = ["SIGTERM", "SIGINT"];
+/** Where the executable's entry point and its program, which are bundled apart, share what was received. */
+const RECEIVED = Symbol.for("bulrushwood.signals");
+const shared = globalThis as { [RECEIVED]?: Received };
 
 /** Starts to receive signals for the process, and keeps it alive when the reader of its output goes. */
-function receive(): void {
+function receive(): Received {
+  const received: Received = { hasReloadSignal: false };
+  process.on("SIGHUP", () => {
+    received.hasReloadSignal = true;
+    received.handlers?.onReload?.();
+  });
   for (const signal of STOP_SIGNALS) {
     process.on(signal, () => {
-      if (stopSignal === undefined) {
-        stopSignal = signal;
-        handlers?.onStop(signal);
+      if (received.stopSignal === undefined) {
+        received.stopSignal = signal;
+        received.handlers?.onStop(signal);
       }
     });
   }
-  process.on("SIGHUP", () => {
-    hasReloadSignal = true;
-    handlers?.onReload?.();
-  });
   for (const output of [process.stdout, process.stderr]) {
     output.on("error", () => {});
   }
+  return received;
 }
 
 /** Sets the handlers; calls them at once for the signals that have come already. */
-export function handleSignals(all: SignalHandlers): void {
-  handlers = all;
-  if (hasReloadSignal) {
-    all.onReload?.();
+export function handleSignals(handlers: SignalHandlers): void {
+  const received = shared[RECEIVED] ??= receive();
+  received.handlers = handlers;
+  if (received.hasReloadSignal) {
+    handlers.onReload?.();
   }
-  if (stopSignal !== undefined) {
-    all.onStop(stopSignal);
+  if (received.stopSignal !== undefined) {
+    handlers.onStop(received.stopSignal);
   }
 }
 
 if (process.argv.includes("serve")) {
-  receive();
+  shared[RECEIVED] ??= receive();
 }
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -4,9 +4,18 @@
  * `target/bulrushwood`.
  */
 import { execFileSync } from "node:child_process";
-import { chmodSync, copyFileSync, existsSync, mkdirSync, renameSync, writeFileSync } from "node:fs";
+import {
+  chmodSync,
+  copyFileSync,
+  existsSync,
+  mkdirSync,
+  readFileSync,
+  renameSync,
+  writeFileSync,
+} from "node:fs";
 import { createRequire } from "node:module";
 import process from "node:process";
+import { compileFunction } from "node:vm";
 import { build } from "esbuild";
 import { withoutNativeAddons } from "./native_addons.ts";
 
@@ -21,8 +30,15 @@
   outfile: string;
 }
 
+const PRODUCT: Program = { entry: "packages/cli/src/main.ts", outfile: "dist/bulrushwood.cjs" };
+const EXECUTABLE: Program = {
+  entry: "packages/cli/src/executable.ts",
+  outfile: "dist/executable.cjs",
+};
+const CODE_CACHE = "dist/bulrushwood.cache";
+
 const PROGRAMS: Program[] = [
-  { entry: "packages/cli/src/main.ts", outfile: "dist/bulrushwood.cjs" },
+  PRODUCT,
   { entry: "packages/stand_ins/src/main.ts", outfile: "dist/stand_in.cjs" },
   { entry: "packages/sessions/src/demo.ts", outfile: "dist/demo.cjs" },
   { entry: "packages/bench/src/main.ts", outfile: "dist/bench.cjs" },
@@ -42,13 +58,25 @@
   });
 }
 
+/** Compiles the product's bundle ahead, in the same way as the entry point of the executable compiles it. */
+function compileProduct(): void {
+  const source = readFileSync(PRODUCT.outfile, "utf8");
+  const { cachedData } = compileFunction(source, ["require", "module", "exports"], {
+    produceCachedData: true,
+  });
+  writeFileSync(CODE_CACHE, cachedData!);
+}
+
 /** Injects the bundle into a copy of the Node.js executable that runs this script. */
-function buildBinary(): void {
+async function buildBinary(): Promise<void> {
+  await bundle(EXECUTABLE);
+  compileProduct();
   const settings = {
-    main: "dist/bulrushwood.cjs",
+    main: EXECUTABLE.outfile,
     output: "dist/bulrushwood.blob",
     disableExperimentalSEAWarning: true,
     useCodeCache: true,
+    assets: { "program": PRODUCT.outfile, "code-cache": CODE_CACHE },
   };
   writeFileSync("dist/sea.json", JSON.stringify(settings));
   execFileSync(process.execPath, ["--experimental-sea-config", "dist/sea.json"]);
@@ -61,8 +89,8 @@
 
 async function deploy(): Promise<void> {
   mkdirSync("target", { recursive: true });
-  await bundle(PROGRAMS[0]);
-  buildBinary();
+  await bundle(PRODUCT);
+  await buildBinary();
   // A running executable cannot be overwritten, so the new one is renamed into place.
   copyFileSync(BINARY, `${DEPLOYED_BINARY}.new`);
   chmodSync(`${DEPLOYED_BINARY}.new`, 0o755);
@@ -78,7 +106,7 @@
   const present = PROGRAMS.filter((program) => existsSync(program.entry));
   await Promise.all(present.map(bundle));
   if (process.argv.includes("--binary")) {
-    buildBinary();
+    await buildBinary();
   }
 }
 
