Wait for turns of the event loop in the test of links that close

Seen on busy machines: "links close when they open while one side closes" found a link still counted at the side that had not closed; 3 of 16 runs of the test file beside three busy processes (load 22 to 27 on 8 cores). Cause: the test waits 20 ms on a timer. When the process has to wait for a processor, the timer expires before the sockets have been polled, so that the end of the connection was not read yet. No fault of the links. Why it works: the wait is 20 timers of 1 ms, the same time on an idle machine, and sockets are polled between them. Without the check for closed links in `Links` the test still fails in round 0.

--- a/packages/protocol/src/protocol_test.ts
+++ b/packages/protocol/src/protocol_test.ts
@@ -243,7 +243,10 @@
       await new Promise((resolve) => setTimeout(resolve, round % 5));
       await left.links.close();
       await dialling;
-      await new Promise((resolve) => setTimeout(resolve, 20));
+      // A timer of 20 ms may expire before the sockets are polled, when the process had to wait for a processor.
+      for (let count = 0; count < 20; count++) {
+        await sleep(1);
+      }
       expect([left.links.count, right.links.count], `round ${round}`).to.deep.equal([0, 0]);
       await right.links.close();
       open.splice(0);
