--- a/packages/soak/src/report.ts
+++ b/packages/soak/src/report.ts
@@ -1,10 +1,11 @@
 /**
  * Formats the report of a soak.
  */
+import { Rule } from "./history.ts";
 import type { SoakReport } from "./soak.ts";
 
-/** Findings that are shown in full. */
-const SHOWN_FINDINGS = 12;
+/** Findings of each rule that are shown in full. */
+const SHOWN_FINDINGS = 6;
 /** Events that are shown before a finding. */
 const SHOWN_EVENTS = 8;
 const BYTES_PER_MB = 1_000_000;
@@ -48,7 +49,10 @@
   if (findings.length > 0) {
     lines.push(`findings: ${formatCounts(countBy(findings.map(({ rule }) => rule)))}; ${folder}`);
   }
-  for (const { rule, at, machines, detail } of findings.slice(0, SHOWN_FINDINGS)) {
+  const shown = Object.values(Rule).flatMap((rule) =>
+    findings.filter((finding) => finding.rule === rule).slice(0, SHOWN_FINDINGS)
+  );
+  for (const { rule, at, machines, detail } of shown) {
     lines.push(`${rule} at ${seconds(at)} s, ${machines.join(" ")}: ${detail}`);
     const events = history.eventsBefore(at, machines, SHOWN_EVENTS);
     lines.push(
