Check idle links between daemons before a request is sent on them

What callers saw: in a large deployment, where not all daemons exchange heartbeats, the first requests for a peer whose link had gone silent without a reset failed after a second; requests that may not be repeated got 502.

Cause: links are checked for silence only while a message is expected, so an idle one was found silent by the request that was already lost on it.

A link that carries nothing and received nothing for a second is pinged before it is used. Without a reply within 0.3 s it is closed and the peer is dialled again; nothing has been sent by then. Links in use, as in small deployments, are not affected, and idle ones still send nothing.

--- a/packages/protocol/src/link.ts
+++ b/packages/protocol/src/link.ts
@@ -5,7 +5,7 @@
 import type { Buffer } from "node:buffer";
 import type { WebSocket } from "ws";
 import { Result } from "true-myth";
-import type { Address } from "@bulrushwood/types";
+import { type Address, createStop, sleep } from "@bulrushwood/types";
 import { Codec } from "./codec.ts";
 import { LinkError, LinkErrorKind } from "./errors.ts";
 import { IncomingExchange, OutgoingExchange } from "./exchange.ts";
@@ -28,6 +28,10 @@
 const SILENCE_TIMEOUT_MS = 1_000;
 /** Silence after which a peer is pinged, in milliseconds; most requests have their response earlier. */
 const PING_AFTER_MS = 400;
+/** Time without a message after which a link that carries nothing is checked before it is used, in milliseconds. */
+const IDLE_MS = 1_000;
+/** Timeout of that check, in milliseconds; longer than a round trip between data centres. */
+const IDLE_CHECK_TIMEOUT_MS = 300;
 /** Time between two calls of `checkSilence`, in milliseconds. */
 export const SILENCE_CHECK_MS = 250;
 
@@ -76,6 +80,8 @@
   /** Since when a message of the peer has been expected; undefined while none is. */
   #waitingSince: number | undefined;
   #error: LinkError | undefined;
+  /** The check of this link after it was idle; undefined while there is none. */
+  #idleCheck: Promise<void> | undefined;
   /** Smallest difference so far between the arrival and sending times of a frame, on the two ends' clocks. */
   #minClockOffsetMs = Number.POSITIVE_INFINITY;
   #peer: Address;
@@ -388,6 +394,32 @@
     }
   }
 
+  /** Whether nothing has shown for a while that the link still works. */
+  get isIdle(): boolean {
+    const open = this.#calls.size + this.#outgoing.size + this.#incoming.size;
+    return open === 0 && performance.now() - this.#receivedAt >= IDLE_MS;
+  }
+
+  /** Resolves when the peer has replied to a ping, or else after the link has failed. */
+  checkIdle(): Promise<void> {
+    this.#idleCheck ??= this.#awaitPing().finally(() => this.#idleCheck = undefined);
+    return this.#idleCheck;
+  }
+
+  async #awaitPing(): Promise<void> {
+    const receivedAt = this.#receivedAt;
+    this.send({ kind: FrameKind.Ping, wantsReply: true });
+    const replied = new Promise<void>((resolve) => this.#socket.once("message", () => resolve()));
+    const timeout = createStop();
+    await Promise.race([replied, this.closed, sleep(IDLE_CHECK_TIMEOUT_MS, timeout.signal)]);
+    timeout.abort();
+    // A reply that arrived while this process was busy is read after its timers have run.
+    await new Promise((resolve) => setImmediate(resolve));
+    if (this.#receivedAt === receivedAt) {
+      this.#fail(brokenLink(`The peer ${this.#peer} was silent after an idle time`));
+    }
+  }
+
   #fail(error: LinkError): void {
     if (this.#error !== undefined) {
       return;
--- a/packages/protocol/src/links.ts
+++ b/packages/protocol/src/links.ts
@@ -145,10 +145,13 @@
     return link?.isOpen ? link : undefined;
   }
 
-  /** Returns the link to a peer; dials the peer when there is none. */
+  /** Returns the link to a peer; dials the peer when there is none, or the one there is went silent. */
   async get(peer: Address): Promise<Result<Link, LinkError>> {
     const link = this.peek(peer);
-    if (link !== undefined) {
+    if (link?.isIdle) {
+      await link.checkIdle();
+    }
+    if (link?.isOpen) {
       return Result.ok(link);
     }
     if (this.#isClosed) {
--- a/packages/protocol/src/protocol_test.ts
+++ b/packages/protocol/src/protocol_test.ts
@@ -4,7 +4,7 @@
 import { expect } from "chai";
 import { Packr } from "msgpackr";
 import { WebSocketServer } from "ws";
-import { findFreePort } from "@bulrushwood/stand_ins";
+import { findFreePort, SilencingProxy } from "@bulrushwood/stand_ins";
 import { sleep } from "@bulrushwood/types";
 import {
   BodyReceiver,
@@ -120,10 +120,10 @@
   async function listen(
     onRequest: (exchange: IncomingExchange) => void = () => {},
     onMalformed: (message: string) => void = () => {},
-    options: { port?: number } = {},
+    options: { port?: number; address?: string } = {},
   ): Promise<{ links: Links; address: string; port: number }> {
     const port = options.port ?? await findFreePort();
-    const address = `127.0.0.1:${port}`;
+    const { address = `127.0.0.1:${port}` } = options;
     const links = await Links.listen({
       self: address,
       host: "127.0.0.1",
@@ -195,6 +195,40 @@
     silent.clients.forEach((client) => client.terminate());
   });
 
+  // Guards against first requests that are lost on links that went silent while they were idle.
+  it("are replaced when they went silent while idle, before a request is sent on them", async () => {
+    const [from, to] = [await findFreePort(), await findFreePort()];
+    const proxy = await SilencingProxy.listen("127.0.0.1", { from, to });
+    const address = `127.0.0.1:${from}`;
+    const respond = (exchange: IncomingExchange) => {
+      exchange.respond({ status: 200, headers: [] }, Buffer.from("done"), true);
+    };
+    await listen(respond, () => {}, { port: to, address });
+    const left = await listen();
+    const first = await left.links.get(address);
+    expect(first.isOk).to.equal(true);
+    await sleep(1_200);
+    proxy.silence();
+    const startedAt = performance.now();
+    const statuses = await Promise.all([1, 2, 3].map(async () => {
+      const linked = await left.links.get(address);
+      const exchange = linked.isOk ? linked.value.open(HEAD, { end: true }) : undefined;
+      return await exchange?.response.then(({ head }) => head.status, (error) => error.message);
+    }));
+    expect(statuses).to.deep.equal([200, 200, 200]);
+    expect(performance.now() - startedAt).to.be.below(900);
+    expect(left.links.count).to.equal(1);
+    await proxy.close();
+  });
+
+  it("stay in use after they were idle", async () => {
+    const [left, right] = [await listen(), await listen()];
+    const first = await left.links.get(right.address);
+    await sleep(1_200);
+    const again = await left.links.get(right.address);
+    expect(again.isOk && again.value === (first.isOk && first.value)).to.equal(true);
+  });
+
   it("report an unknown method, a peer that does not reply, and an unreachable peer", async () => {
     const [left, right] = [await listen(), await listen()];
     const linked = await left.links.get(right.address);
