Grant no keys of before to a server that started again behind silent connections

What could happen: a server whose connections go silent without a reset, that starts again under the same id and reports late, got a grant with the epoch of its earlier incarnation.

Cause: the daemon closed a connection after a grant without a response itself, so that nothing counted as lost, and the id of the next connection was right. Other open connections spoke for the incarnation although they were as silent.

Evidence: "carry no grant to a server that started again after its connections went silent, until it reports" failed before (the first grant after the time-out reached the new incarnation) and passes now.

A grant without a response now counts like an unannounced end: new connections are used once the server has reported since, or while another connection has responded since. None is opened before, so a wait costs no health checks.

Changed tests: "are replaced at once after a grant without a response" demanded that the next grant goes to whoever has the id, which is the fault. In its place are two: no connection is opened and no grant sent before the report and the first one after it succeeds; and at once while another connection responds. "never carry a grant to another server that has taken the address" relied on the time that refused connections took for the loss to be noticed before the report; it pauses for that as the test after it does.

--- a/packages/router/src/grant_connections.ts
+++ b/packages/router/src/grant_connections.ts
@@ -2,8 +2,9 @@
  * Connections on which the backend server gets its grants. A grant may only reach the incarnation that it is for, but
  * an order names none, and the server at the address may be replaced at any moment, also by one with the same id. A
  * connection leads to one process for good, so the server is asked for its id on each new one before the first grant.
- * The id of an incarnation that started again does not change; that it started again shows in the end of all open
- * connections, after which the next report decides.
+ * The id of an incarnation that started again does not change; that it started again shows in the end of connections,
+ * or in grants without a response where connections go silent. After either, new connections count only if an earlier
+ * one still responds or the server has reported since.
  */
 import { Agent } from "node:http";
 import type { Socket } from "node:net";
@@ -15,7 +16,7 @@
   type ServerIdentity,
   type ServerWire,
 } from "@bulrushwood/deployment";
-import { CallErrorKind, callHttp } from "@bulrushwood/http_client";
+import { CallErrorKind, callHttp, type HttpResponse } from "@bulrushwood/http_client";
 import type { OrderConnection } from "@bulrushwood/lease_ranges";
 import { now, waitForChange } from "@bulrushwood/types";
 import { closeIdleConnection, CONTROL_BODY_BYTES_MAX } from "./server_client.ts";
@@ -48,6 +49,8 @@
   /** Whether a response has announced the end of the connection. */
   #isEnding = false;
   readonly incarnation: string;
+  /** When the server last responded. */
+  respondedAt = Number.NEGATIVE_INFINITY;
   /** Whether it is certain that the connection leads to its incarnation. */
   isCertain = false;
 
@@ -95,7 +98,7 @@
     if (called.isErr) {
       return undefined;
     }
-    this.#noteEnd(called.value.headers.connection);
+    this.#recordResponse(called.value);
     return this.#isOpen ? options.readId(called.value.headers) : undefined;
   }
 
@@ -116,13 +119,14 @@
       // The response may still come, in place of that to the next order.
       this.close();
     } else {
-      this.#noteEnd(called.value.headers.connection);
+      this.#recordResponse(called.value);
     }
     return called;
   }
 
-  #noteEnd(connectionHeader: string | undefined): void {
-    this.#isEnding ||= connectionHeader?.toLowerCase() === "close";
+  #recordResponse({ headers }: HttpResponse): void {
+    this.respondedAt = now();
+    this.#isEnding ||= headers.connection?.toLowerCase() === "close";
   }
 
   close(): void {
@@ -141,7 +145,7 @@
   #isOpening = false;
   /** Emits when a connection is not used any more, or could not be opened. */
   readonly #released = new Subject<void>();
-  /** When a connection last ended that nobody had announced the end of. */
+  /** When a connection last ended unannounced, or a grant last had no response. */
   #lostAt = Number.NEGATIVE_INFINITY;
   #isClosed = false;
 
@@ -184,10 +188,12 @@
   async #openTo(server: ServerIdentity): Promise<GrantConnection | undefined> {
     const { endpoint, wire, healthPath } = this.#options;
     const path = healthPath();
-    if (path === undefined || this.#open.size >= CONNECTIONS_MAX || this.#isClosed) {
+    const name = incarnationName(server);
+    const mayOpen = this.#open.size < CONNECTIONS_MAX && !this.#isClosed && this.#isContinued(name);
+    if (path === undefined || !mayOpen) {
       return undefined;
     }
-    const connection = new GrantConnection(endpoint, incarnationName(server));
+    const connection = new GrantConnection(endpoint, name);
     this.#open.add(connection);
     this.#isOpening = true;
     const id = await connection.open(path, {
@@ -198,7 +204,7 @@
       },
     });
     this.#isOpening = false;
-    connection.isCertain = id === server.id && this.#isContinued(connection.incarnation);
+    connection.isCertain = id === server.id && this.#isContinued(name);
     if (connection.isUsable) {
       return connection;
     }
@@ -210,7 +216,10 @@
 
   /** Whether the incarnation cannot have ended and started again under its id since its last report. */
   #isContinued(incarnation: string): boolean {
-    return this.#isConnectedTo(incarnation) || this.#lostAt < this.#options.reportedAt();
+    const hasResponded = [...this.#open].some((open) =>
+      open.incarnation === incarnation && open.isUsable && open.respondedAt > this.#lostAt
+    );
+    return hasResponded || this.#lostAt < this.#options.reportedAt();
   }
 
   #lend(connection: GrantConnection): OrderConnection {
@@ -218,6 +227,7 @@
       send: async (order, limits) => {
         const called = await connection.send(order, limits);
         if (called.isErr && called.error.kind === CallErrorKind.NoResponse) {
+          this.#lostAt = now();
           this.#options.onNoResponse?.();
         }
         return called;
