Limit the connections of each listener to a share of the sockets

Callers saw connections that ended without a response and answers 502 when many other callers kept connections open: nothing read the setting max_fds, so idle connections took all descriptors, and connections to the server, the readiness check and new callers failed.

The settings say how many sockets a process may have, and the operating system may allow fewer; callers get 60 % of them, every other listener 2 %. Beyond nine tenths of its limit a listener closes idle connections, oldest first: new ones without a request if they are more than half of all or a second old, otherwise those in use. A connection with an open request, or on which a part of one has arrived, is never closed. At the limit itself, new connections are closed at once. New connections are judged only after the poll that reads what came with them.

The tests of the caller server and of the side servers fail without the limit: 100 of 100 idle connections stay open.

--- a/packages/deployment/src/settings.ts
+++ b/packages/deployment/src/settings.ts
@@ -45,6 +45,8 @@
   };
   /** Memory that the process may take, in bytes. */
   memoryBytes: number;
+  /** Number of sockets that the process may have. */
+  socketsMax: number;
   grantDelivery: GrantDelivery;
   /** Interval between the status reports of a backend server. */
   reportEveryMs: number;
--- a/packages/http_server/src/mod.ts
+++ b/packages/http_server/src/mod.ts
@@ -8,6 +8,12 @@
 
 export { listen, type ListenAddress, type ListenOptions } from "./listen.ts";
 export { EventLoop, type EventLoopOptions } from "./event_loop.ts";
+export {
+  ClosedConnection,
+  type ConnectionLimitOptions,
+  limitConnections,
+} from "./connection_limit.ts";
+export { openDescriptorsMax, SocketLimit, type SocketLimitOptions } from "./socket_limit.ts";
 
 /** Longest wait for the rest of a request that has its response already, in milliseconds. */
 const UNREAD_BODY_TIMEOUT_MS = 2_000;
--- a/packages/protocol/src/links.ts
+++ b/packages/protocol/src/links.ts
@@ -5,7 +5,7 @@
 import { createServer, type Server } from "node:http";
 import { WebSocket, WebSocketServer } from "ws";
 import { Result } from "true-myth";
-import { listen } from "@bulrushwood/http_server";
+import { type ConnectionLimitOptions, limitConnections, listen } from "@bulrushwood/http_server";
 import type { Address } from "@bulrushwood/types";
 import { MESSAGE_BYTES_MAX } from "./codec.ts";
 import { LinkError, LinkErrorKind } from "./errors.ts";
@@ -27,6 +27,8 @@
   onListenError?: (error: NodeJS.ErrnoException) => void;
   /** Ends the wait for a taken port when it aborts. */
   signal?: AbortSignal;
+  /** Limits the connections that are no links yet. */
+  connectionLimit?: ConnectionLimitOptions;
 }
 
 interface FailedDial {
@@ -61,6 +63,9 @@
     });
     this.#server.on("connection", (socket) => this.#accept(socket));
     this.#server.on("error", () => {});
+    if (options.connectionLimit !== undefined) {
+      limitConnections(this.#http, options.connectionLimit);
+    }
   }
 
   /** Starts listening for peers. */
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -7,7 +7,14 @@
 import type { BodyMemory, LoadShedder, RequestMemory, Shutdown } from "@bulrushwood/admission";
 import type { CallerWire, Endpoint, Manifest, Route } from "@bulrushwood/deployment";
 import { BodyFailure, collectBody, hasBody } from "@bulrushwood/http_client";
-import { closeGracefully, endWithBody, type EventLoop, listen } from "@bulrushwood/http_server";
+import {
+  closeGracefully,
+  type ConnectionLimitOptions,
+  endWithBody,
+  type EventLoop,
+  limitConnections,
+  listen,
+} from "@bulrushwood/http_server";
 import { type Header, Reason, type RequestHead } from "@bulrushwood/protocol";
 import {
   ManifestRoutes,
@@ -51,6 +58,7 @@
   eventLoop: EventLoop;
   shedder: LoadShedder;
   bodyMemory: BodyMemory;
+  connectionLimit: ConnectionLimitOptions;
   /** Called at the first request on each connection with the time since it was accepted, in milliseconds. */
   onFirstRequest: (ms: number) => void;
   /** Called when a connection closes before a request on it was read. */
@@ -120,6 +128,7 @@
       this.#connectionOf(socket);
       options.eventLoop.recordAccepted();
     });
+    limitConnections(this.#server, options.connectionLimit);
     this.#server.on("clientError", (error, socket) => {
       this.#closeMalformed(socket as Socket, (error as NodeJS.ErrnoException).code);
     });
--- a/packages/router/src/caller_server_fixture.ts
+++ b/packages/router/src/caller_server_fixture.ts
@@ -29,7 +29,7 @@
 /** Starts a server that hands all requests to a dispatcher. */
 export function listenForCallers(
   dispatcher: Dispatcher,
-  options: { port: number; shutdown?: Shutdown; bodyMemoryBytes?: number },
+  options: { port: number; shutdown?: Shutdown; bodyMemoryBytes?: number; connectionsMax?: number },
 ): Promise<CallerServer> {
   const { port, shutdown = new Shutdown({ now, shutdownMs: 6_000 }) } = options;
   const shedder = new LoadShedder({ now, random: Math.random, onOverload: () => {} });
@@ -48,6 +48,7 @@
     eventLoop: new EventLoop({ now, onRelease: (waitMs) => shedder.recordWait(waitMs) }),
     shedder,
     bodyMemory: new BodyMemory({ bytesMax: options.bodyMemoryBytes ?? 100e6 }),
+    connectionLimit: { max: () => options.connectionsMax ?? 1_000, onClosed: () => {} },
     onFirstRequest: () => {},
     onUnread: () => {},
     onResponse: () => {},
--- a/packages/router/src/event_log.ts
+++ b/packages/router/src/event_log.ts
@@ -13,6 +13,7 @@
   Stopped = "stopped",
   SettingsReloaded = "settings-reloaded",
   ListenerFailed = "listener-failed",
+  ConnectionsClosed = "connections-closed",
   StoreReachable = "store-reachable",
   StoreRelayed = "store-relayed",
   StoreReconnected = "store-reconnected",
--- a/packages/router/src/metrics.ts
+++ b/packages/router/src/metrics.ts
@@ -3,6 +3,7 @@
  */
 import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { Route } from "@bulrushwood/deployment";
+import type { ClosedConnection } from "@bulrushwood/http_server";
 import type { RequestHead } from "@bulrushwood/protocol";
 import type { RoutedResponse } from "@bulrushwood/routing";
 import type { RequestStage } from "./request_stage.ts";
@@ -40,6 +41,7 @@
   readonly #waits: Histogram;
   readonly #firstRequests: Histogram;
   readonly #unread: Counter;
+  readonly #closedConnections: Counter;
 
   constructor() {
     const registers = [this.registry];
@@ -108,6 +110,12 @@
       help: "Connections of callers that closed before a request on them was read",
       registers,
     });
+    this.#closedConnections = new Counter({
+      name: "bulrushwood_closed_connections_total",
+      help: "Connections that the daemon closed since its listener had too many, by what they were",
+      labelNames: ["listener", "closed"],
+      registers,
+    });
   }
 
   /** Records the time for which a request waited until the daemon began to work on it. */
@@ -125,6 +133,11 @@
     this.#unread.inc();
   }
 
+  /** Counts connections that were closed since a listener had too many. */
+  recordClosedConnections(listener: string, closed: ClosedConnection, count: number): void {
+    this.#closedConnections.inc({ listener, closed }, count);
+  }
+
   /** Counts a request whose caller left while it waited here. */
   recordCancelled(stage: RequestStage): void {
     this.#cancelled.inc({ stage });
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -14,7 +14,12 @@
   ServerState,
   type Service,
 } from "@bulrushwood/deployment";
-import { EventLoop } from "@bulrushwood/http_server";
+import {
+  type ConnectionLimitOptions,
+  EventLoop,
+  openDescriptorsMax,
+  SocketLimit,
+} from "@bulrushwood/http_server";
 import { countKeys, rangeOf } from "@bulrushwood/ledger_store";
 import {
   type GrantContext,
@@ -62,6 +67,10 @@
 const REPORT_HOLD_SHARE = 0.8;
 /** Share of the process's memory that long bodies may take. */
 const BODY_MEMORY_SHARE = 0.4;
+/** Limit of the connections of callers, as a share of all sockets. */
+const CALLER_SOCKETS: SocketShare = { share: 0.6, min: 16 };
+/** Limit of the connections of each other listener, as a share of all sockets. */
+const SIDE_SOCKETS: SocketShare = { share: 0.02, min: 8 };
 /** Length of the random incarnation id; it must differ only between incarnations at one address. */
 const INCARNATION_CHARACTERS = 8;
 /** Share of the allowed retries that is used; the rest is reserved for requests whose key changes its owner. */
@@ -86,6 +95,12 @@
   [PlannerEvent.Failed]: Event.TaskFailed,
 };
 
+/** Number of connections, as a share of all sockets but at least a number. */
+interface SocketShare {
+  share: number;
+  min: number;
+}
+
 export interface RouterOptions {
   settings: DeploymentSettings;
   adapter: Adapter;
@@ -123,6 +138,7 @@
   readonly #voteManager: VoteManager;
   readonly #heartbeats: Heartbeats;
   readonly #bodyMemory: BodyMemory;
+  readonly #socketLimit: SocketLimit;
   readonly #forwarded: ForwardedRequests;
   readonly #runner: Runner;
   readonly #view: ServerView;
@@ -151,6 +167,11 @@
     this.#adapter = adapter;
     this.#log = log;
     this.#bodyMemory = new BodyMemory({ bytesMax: settings.memoryBytes * BODY_MEMORY_SHARE });
+    this.#socketLimit = new SocketLimit({
+      socketsMax: settings.socketsMax,
+      now,
+      readDescriptorsMax: openDescriptorsMax(),
+    });
     this.#shutdown = new Shutdown({
       now,
       shutdownMs: settings.bounds.shutdownMs - END_MARGIN_MS,
@@ -349,15 +370,19 @@
     const { listen, instance, service, dataCentre } = this.#settings;
     this.#log(Event.Started, { address: this.#self, incarnation: this.#incarnation, service });
     const isReady = () => this.#currentManifest.manifest !== undefined && !this.#shutdown.isEnding;
-    await this.#listenSide(listen.ready, handleReadiness(isReady));
+    await this.#listenSide("ready", listen.ready, handleReadiness(isReady));
     const channel = this.#reportChannel;
     const respond = channel && channel.respond.bind(channel);
     const hasReadDepartures = () => this.#storeAccess.hasReadAll;
     const reports = { watch: this.#watch, respond, hasReadDepartures, log: this.#log };
-    await this.#listenSide(listen.reports, handleReports(this.#adapter.servers, reports));
+    await this.#listenSide(
+      "reports",
+      listen.reports,
+      handleReports(this.#adapter.servers, reports),
+    );
     // Nobody is served later because the port of the metrics is taken.
     this.#tasks.push(
-      this.#listenSide(this.#settings.metrics, async (request, response) => {
+      this.#listenSide("metrics", this.#settings.metrics, async (request, response) => {
         request.resume();
         response.end(await this.#metrics.registry.metrics());
       }).catch((error: Error) =>
@@ -369,6 +394,7 @@
       self: this.#self,
       signal: this.#stop.signal,
       onListenError: logListenerErrors(this.#log),
+      connectionLimit: this.#limitConnections("peers", SIDE_SOCKETS),
       handlers: {
         onCall: (method, payload) => this.#handleCall(method, payload),
         onRequest: (exchange) => this.#forwarded.handle(exchange),
@@ -390,6 +416,7 @@
       eventLoop: this.#eventLoop,
       shedder: this.#shedder,
       bodyMemory: this.#bodyMemory,
+      connectionLimit: this.#limitConnections("callers", CALLER_SOCKETS),
       onFirstRequest: (ms) => this.#metrics.recordFirstRequest(ms),
       onUnread: () => this.#metrics.recordUnread(),
       onResponse: (route, response, ms) => this.#metrics.recordResponse(route, response, ms),
@@ -441,11 +468,25 @@
   }
 
   async #listenSide(
+    name: string,
     endpoint: { host: string; port: number },
     handler: Parameters<typeof SideServer.listen>[1],
   ): Promise<void> {
     const { signal } = this.#stop;
-    this.#sideServers.push(await SideServer.listen(endpoint, handler, { log: this.#log, signal }));
+    const connectionLimit = this.#limitConnections(name, SIDE_SOCKETS);
+    const options = { log: this.#log, connectionLimit, signal };
+    this.#sideServers.push(await SideServer.listen(endpoint, handler, options));
+  }
+
+  #limitConnections(listener: string, { share, min }: SocketShare): ConnectionLimitOptions {
+    const max = () => Math.max(min, Math.floor(this.#socketLimit.value * share));
+    return {
+      max,
+      onClosed: (closed, count) => {
+        this.#metrics.recordClosedConnections(listener, closed, count);
+        this.#log(Event.ConnectionsClosed, { listener, closed, count, max: max() });
+      },
+    };
   }
 
   #createDispatcher(): Dispatcher {
--- a/packages/router/src/router_test.ts
+++ b/packages/router/src/router_test.ts
@@ -355,6 +355,7 @@
       metrics,
       store: { endpoint: peers, recordBytes: 1e6 },
       memoryBytes: 350e6,
+      socketsMax: 3_900,
       grantDelivery,
       reportEveryMs: REPORT_EVERY_MS,
       bounds: {
--- a/packages/router/src/side_servers.ts
+++ b/packages/router/src/side_servers.ts
@@ -10,7 +10,7 @@
   type ServerWire,
 } from "@bulrushwood/deployment";
 import { readBody } from "@bulrushwood/http_client";
-import { listen } from "@bulrushwood/http_server";
+import { type ConnectionLimitOptions, limitConnections, listen } from "@bulrushwood/http_server";
 import { Event, type EventLog, logListenerErrors } from "./event_log.ts";
 import type { ServerWatch } from "./server_watch.ts";
 
@@ -20,27 +20,37 @@
 /** Handles one request and sends its response. */
 export type Handler = (request: IncomingMessage, response: ServerResponse) => void | Promise<void>;
 
+/** Options of `SideServer.listen`. */
+export interface SideServerOptions {
+  log: EventLog;
+  connectionLimit: ConnectionLimitOptions;
+  /** Ends the wait for a taken port when it aborts. */
+  signal?: AbortSignal;
+}
+
 /** HTTP listener with one handler. */
 export class SideServer {
   readonly #server: Server;
 
-  private constructor(handler: Handler, log: EventLog) {
+  private constructor(handler: Handler, options: SideServerOptions) {
+    const { log, connectionLimit } = options;
     this.#server = createServer((request, response) => {
       Promise.resolve(handler(request, response)).catch((error: Error) => {
         log(Event.TaskFailed, { task: "side server", reason: error.message });
         response.destroy();
       });
     });
+    limitConnections(this.#server, connectionLimit);
   }
 
   /** Starts listening. */
   static async listen(
     endpoint: Endpoint,
     handler: Handler,
-    options: { log: EventLog; signal?: AbortSignal },
+    options: SideServerOptions,
   ): Promise<SideServer> {
     const { log, signal } = options;
-    const side = new SideServer(handler, log);
+    const side = new SideServer(handler, options);
     await listen(side.#server, endpoint, { signal, onError: logListenerErrors(log) });
     return side;
   }
