Enforce the manifest's time for a head to within half a second

A caller could hold a connection with half a head for 28 s where the manifest allows 3 s, since Node.js checks for late heads every 30 s only; a head after a request on the same connection was ended by the idle timeout after 18 s. A connection with malformed input stayed open for as long as its caller wanted. A caller that sent nothing was ended by the time for heads, not by the idle time.

Late heads are looked for every 500 ms. Connections that sent nothing have the idle timeout from the start. A late head ends its connection only once the poll that follows has not completed it, so that a head that arrived while the process was suspended is served, and only after the responses to the requests before it. A connection that is closed for malformed input or a late head is destroyed two seconds after its last response.

--- a/packages/router/src/caller_connection.ts
+++ b/packages/router/src/caller_connection.ts
@@ -32,13 +32,15 @@
 /** Tracks the requests in flight on one connection. */
 export class CallerConnection {
   readonly #options: CallerConnectionOptions;
+  readonly #socket: Socket;
   readonly #acceptedAt: number;
-  #hasRequest = false;
+  #requests = 0;
   readonly #inFlight: AbortController[] = [];
   #isClosing = false;
   #close: (() => void) | undefined;
 
   constructor(socket: Socket, options: CallerConnectionOptions) {
+    this.#socket = socket;
     this.#options = options;
     this.#acceptedAt = options.now();
     // Node.js emits no event on a queued response when its connection closes, so all requests are aborted here. It
@@ -50,7 +52,7 @@
     socket.once("end", abort);
     socket.once("close", () => {
       abort();
-      if (!this.#hasRequest) {
+      if (this.#requests === 0) {
         options.onUnread();
       }
     });
@@ -61,6 +63,16 @@
     return this.#isClosing;
   }
 
+  /** Number of requests that were read. */
+  get requests(): number {
+    return this.#requests;
+  }
+
+  /** Whether all requests that were read have their responses. */
+  get isIdle(): boolean {
+    return this.#inFlight.length === 0;
+  }
+
   /** Whether the limit of requests in flight is reached. */
   get isFull(): boolean {
     return this.#inFlight.length >= PIPELINED_MAX;
@@ -68,8 +80,9 @@
 
   /** Adds the next request. */
   begin(): Exchange {
-    if (!this.#hasRequest) {
-      this.#hasRequest = true;
+    this.#requests++;
+    if (this.#requests === 1) {
+      this.#socket.setTimeout(0);
       this.#options.onFirstRequest(this.#options.now() - this.#acceptedAt);
     }
     const aborter = new AbortController();
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -27,21 +27,17 @@
 import { CallerConnection, type Exchange } from "./caller_connection.ts";
 import type { Dispatcher, DispatchRequest } from "./dispatcher.ts";
 import { Event, type EventLog, logListenerErrors } from "./event_log.ts";
+import { applyTimeouts, enforceTimeouts, HEAD_CHECK_INTERVAL_MS } from "./caller_timeouts.ts";
 import { readHeaders, toFlatHeaders } from "./headers.ts";
 import { BODY_RETRY_AFTER_MS } from "./long_bodies.ts";
 import { RequestStage } from "./request_stage.ts";
 
-/** Idle connections are kept this much longer than callers keep them, in milliseconds. */
-const IDLE_MARGIN_MS = 2_000;
 /** Retry-after time for callers with too many requests in flight on one connection, in milliseconds. */
 const PIPELINE_RETRY_AFTER_MS = 100;
 /** Retry-after time of a daemon that has no manifest yet, in milliseconds. */
 const NO_MANIFEST_RETRY_AFTER_MS = 300;
-/** Status lines for malformed requests, by Node.js error code. */
-const MALFORMED_STATUS: Record<string, string> = {
-  HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
-  ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
-};
+/** Largest head that is read, in bytes; the manifest may allow fewer. */
+const HEAD_BYTES_MAX = 64 * 1024;
 const MS_PER_SECOND = 1_000;
 
 export interface CallerServerOptions {
@@ -102,7 +98,11 @@
   private constructor(options: CallerServerOptions) {
     this.#options = options;
     this.#server = createServer(
-      { maxHeaderSize: 64 * 1024, requestTimeout: 0 },
+      {
+        maxHeaderSize: HEAD_BYTES_MAX,
+        requestTimeout: 0,
+        connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS,
+      },
       (request, response) => {
         const connection = this.#connectionOf(request.socket);
         if (connection.isClosing) {
@@ -129,24 +129,10 @@
       options.eventLoop.recordAccepted();
     });
     limitConnections(this.#server, options.connectionLimit);
-    this.#server.on("clientError", (error, socket) => {
-      this.#closeMalformed(socket as Socket, (error as NodeJS.ErrnoException).code);
-    });
+    enforceTimeouts(this.#server, (socket) => this.#connectionOf(socket));
     this.applyManifest();
   }
 
-  /** Closes a connection after malformed input, once all earlier requests on it have their responses. */
-  #closeMalformed(socket: Socket, code = ""): void {
-    const status = MALFORMED_STATUS[code] ?? "400 Bad Request";
-    this.#connectionOf(socket).closeWhenDone(() => {
-      if (socket.writable) {
-        socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
-      } else {
-        socket.destroy();
-      }
-    });
-  }
-
   /** Starts listening. */
   static async listen(options: CallerServerOptions): Promise<CallerServer> {
     const callers = new CallerServer(options);
@@ -164,8 +150,7 @@
   applyManifest(): void {
     const limits = this.#options.manifest()?.limits;
     if (limits !== undefined) {
-      this.#server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
-      this.#server.headersTimeout = limits.headerTimeoutMs;
+      applyTimeouts(this.#server, limits);
     }
   }
 
--- a/packages/router/src/caller_server_connections_test.ts
+++ b/packages/router/src/caller_server_connections_test.ts
@@ -1,37 +1,17 @@
 import { Buffer } from "node:buffer";
-import { connect, type Socket } from "node:net";
 import { expect } from "chai";
 import { findFreePort } from "@bulrushwood/stand_ins";
 import { sleep } from "@bulrushwood/types";
-import { HOST, listenForCallers } from "./caller_server_fixture.ts";
+import { CallerSocket, listenForCallers } from "./caller_server_fixture.ts";
 import type { Dispatcher } from "./dispatcher.ts";
 
 const CONNECTIONS_MAX = 20;
 const WORK_MS = 300;
 
-/** A caller's connection, with what was received on it. */
-class Caller {
-  readonly socket: Socket;
-  received = "";
-  isClosed = false;
-
-  constructor(port: number) {
-    this.socket = connect(port, HOST).setNoDelay(true);
-    this.socket.on("data", (part) => this.received += part.toString()).on("error", () => {});
-    this.socket.on("close", () => this.isClosed = true);
-  }
-
-  send(): void {
-    this.socket.write("GET /x HTTP/1.1\r\nhost: h\r\nid: r1\r\n\r\n");
-  }
-
-  get responses(): number {
-    return this.received.split("HTTP/1.1 200 OK").length - 1;
-  }
-}
+const REQUEST = "GET /x HTTP/1.1\r\nhost: h\r\nid: r1\r\n\r\n";
 
 /** Starts a server with few connections, which responds after a time. */
-async function withServer(test: (open: () => Caller) => Promise<void>): Promise<void> {
+async function withServer(test: (open: () => CallerSocket) => Promise<void>): Promise<void> {
   const dispatcher = {
     dispatch: async () => {
       await sleep(WORK_MS);
@@ -43,10 +23,10 @@
     port,
     connectionsMax: CONNECTIONS_MAX,
   });
-  const callers: Caller[] = [];
+  const callers: CallerSocket[] = [];
   try {
     await test(() => {
-      callers.push(new Caller(port));
+      callers.push(new CallerSocket(port));
       return callers.at(-1)!;
     });
   } finally {
@@ -60,16 +40,16 @@
   it("closes idle connections, and none with a request that is read or has no response", async () => {
     await withServer(async (open) => {
       const [kept, half] = [open(), open()];
-      kept.send();
+      kept.socket.write(REQUEST);
       await sleep(WORK_MS + 50);
       expect(kept.responses).to.equal(1);
-      kept.send();
+      kept.socket.write(REQUEST);
       half.socket.write("GET /x HTTP/1.1\r\nhost: h\r\n");
       await sleep(50);
       const idle = Array.from({ length: 5 * CONNECTIONS_MAX }, open);
       await sleep(100);
       const last = open();
-      last.send();
+      last.socket.write(REQUEST);
       half.socket.write("id: r2\r\n\r\n");
       await sleep(WORK_MS + 100);
       const remaining = idle.filter(({ isClosed }) => !isClosed).length;
@@ -82,7 +62,7 @@
   it("closes new connections at once where all others have open requests", async () => {
     await withServer(async (open) => {
       const busy = Array.from({ length: CONNECTIONS_MAX }, open);
-      busy.forEach((caller) => caller.send());
+      busy.forEach((caller) => caller.socket.write(REQUEST));
       await sleep(100);
       const refused = Array.from({ length: 10 }, open);
       await sleep(100);
--- a/packages/router/src/caller_server_fixture.ts
+++ b/packages/router/src/caller_server_fixture.ts
@@ -1,6 +1,7 @@
 /**
  * Test fixture: the HTTP server for callers, with a given dispatcher.
  */
+import { connect, type Socket } from "node:net";
 import { BodyMemory, LoadShedder, Shutdown } from "@bulrushwood/admission";
 import { type Manifest, RouteKind } from "@bulrushwood/deployment";
 import { EventLoop } from "@bulrushwood/http_server";
@@ -26,10 +27,36 @@
   limits: { headerBytes: 1e4, bodyBytes: 1e6, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 },
 };
 
+/** A caller's connection, with what was received on it. */
+export class CallerSocket {
+  readonly socket: Socket;
+  received = "";
+  isClosed = false;
+
+  /** With `allowHalfOpen`, the caller keeps its side open when the server closes. */
+  constructor(port: number, { allowHalfOpen = false } = {}) {
+    this.socket = connect({ port, host: HOST, allowHalfOpen }).setNoDelay(true);
+    this.socket.on("data", (part) => this.received += part.toString()).on("error", () => {});
+    this.socket.on("close", () => this.isClosed = true);
+  }
+
+  /** Number of responses with status 200. */
+  get responses(): number {
+    return this.received.split("HTTP/1.1 200 OK").length - 1;
+  }
+}
+
 /** Starts a server that hands all requests to a dispatcher. */
 export function listenForCallers(
   dispatcher: Dispatcher,
-  options: { port: number; shutdown?: Shutdown; bodyMemoryBytes?: number; connectionsMax?: number },
+  options: {
+    port: number;
+    shutdown?: Shutdown;
+    bodyMemoryBytes?: number;
+    connectionsMax?: number;
+    limits?: Partial<Manifest["limits"]>;
+    onUnread?: () => void;
+  },
 ): Promise<CallerServer> {
   const { port, shutdown = new Shutdown({ now, shutdownMs: 6_000 }) } = options;
   const shedder = new LoadShedder({ now, random: Math.random, onOverload: () => {} });
@@ -41,7 +68,7 @@
       systemHeaders: new Set(),
     },
     service: "s",
-    manifest: () => MANIFEST,
+    manifest: () => ({ ...MANIFEST, limits: { ...MANIFEST.limits, ...options.limits } }),
     dispatcher,
     log: () => {},
     shutdown,
@@ -50,7 +77,7 @@
     bodyMemory: new BodyMemory({ bytesMax: options.bodyMemoryBytes ?? 100e6 }),
     connectionLimit: { max: () => options.connectionsMax ?? 1_000, onClosed: () => {} },
     onFirstRequest: () => {},
-    onUnread: () => {},
+    onUnread: options.onUnread ?? (() => {}),
     onResponse: () => {},
   });
 }
