Acknowledge a server's leave only once the store has it

Users saw acknowledged facts lost after kills. A leave (a draining report or a farewell) was acknowledged at once and written to the store afterwards. If the daemon was killed in between, its next process knew nothing of it, took a late report for that of a ready server, and sent it requests again.

Now the daemon stops choosing the server from the report on, as before, and responds once the store has the record: after the append, or when the follower reads the record of an append whose response was lost. It waits 0.8 of a report interval at most, then responds 503 and goes on writing; the server repeats its report, and the acknowledgement follows the record. Any report is rejected until the departures of earlier processes have been read: a draining one began a second drain time. An older append that takes effect late replaces the record; the daemon then writes the newer one again, and a record of an earlier incarnation no longer ends the tries.

Ways weighed: - Acknowledge after the bound although the store is down: the same loss, after a longer outage. - Acknowledge once some peers hold the departure: a restarted daemon would have to ask them before its first report, a kill of many daemons loses it all the same, and it is a second store for one record. - No acknowledgement while the store is down (chosen): the server serves some seconds longer and exits, and nobody sends it requests meanwhile.

--- a/packages/ledger_store/src/system_records.ts
+++ b/packages/ledger_store/src/system_records.ts
@@ -5,7 +5,7 @@
 import type { Buffer } from "node:buffer";
 import { Result } from "true-myth";
 import type { z } from "zod";
-import type { Store } from "@bulrushwood/deployment";
+import type { Item, Store } from "@bulrushwood/deployment";
 import type { Sleep } from "@bulrushwood/types";
 
 /** Topic of all ownership tables, and of the records of all daemons. */
@@ -25,23 +25,24 @@
 
 /**
  * Appends a record to the system topic, and retries until the store accepts it. `nextItem` returns what is to be
- * written at each try; undefined ends the tries.
+ * written at each try; undefined ends the tries. Resolves to the record; to undefined if the tries ended before.
  */
 export async function appendUntilAccepted(
   store: Store,
   nextItem: () => { key: string; value: Buffer } | undefined,
   options: { sleep: Sleep; signal: AbortSignal },
-): Promise<void> {
+): Promise<Item | undefined> {
   const { sleep, signal } = options;
   while (!signal.aborted) {
     const item = nextItem();
     if (item === undefined) {
-      return;
+      return undefined;
     }
     const appended = await store.append(SYSTEM_TOPIC, item, { timeoutMs: APPEND_TIMEOUT_MS });
     if (appended.isOk) {
-      return;
+      return { ...item, offset: appended.value.offset };
     }
     await sleep(RETRY_MS, signal);
   }
+  return undefined;
 }
--- a/packages/router/src/departures.ts
+++ b/packages/router/src/departures.ts
@@ -1,9 +1,10 @@
 /**
  * Stores which backend server left last at each daemon. A restarted daemon may get a late report of a server
- * that had already announced its leaving, and only the store outlives the daemon's process.
+ * that had already announced its leaving, and only the store outlives the daemon's process, so a departure is
+ * acknowledged once the store has it.
  */
 import { Buffer } from "node:buffer";
-import type { Subscription } from "rxjs";
+import { Subject, type Subscription } from "rxjs";
 import { z } from "zod";
 import {
   isSameIncarnation,
@@ -12,7 +13,13 @@
   type Store,
 } from "@bulrushwood/deployment";
 import { appendUntilAccepted, type KeyedFollower, parseRecord } from "@bulrushwood/ledger_store";
-import { type Address, createStop, type Sleep } from "@bulrushwood/types";
+import {
+  type Address,
+  type Clock,
+  createStop,
+  type Sleep,
+  waitForChange,
+} from "@bulrushwood/types";
 import type { ServerWatch } from "./server_watch.ts";
 
 /** Prefix of the records' keys; the daemon's address follows. */
@@ -26,6 +33,7 @@
   /** Follower of the topic that contains departures. */
   follower: KeyedFollower;
   watch: ServerWatch;
+  now: Clock;
   sleep: Sleep;
   /** Called with the reason when a record is corrupt. */
   onCorrupt: (reason: string) => void;
@@ -36,8 +44,10 @@
   readonly #options: DeparturesOptions;
   readonly #subscriptions: Subscription[];
   readonly #stop = createStop();
-  /** The incarnation whose departure is in the store or is being written. */
-  #recorded: ServerIdentity | undefined;
+  readonly #storedChanges = new Subject<void>();
+  /** The incarnation in the newest record that is known to be in the store. */
+  #stored: ServerIdentity | undefined;
+  #isWriting = false;
 
   constructor(options: DeparturesOptions) {
     this.#options = options;
@@ -47,7 +57,7 @@
     }
     this.#subscriptions = [
       options.follower.changes.subscribe((item) => this.#apply(item)),
-      options.watch.changes.subscribe(() => this.#record()),
+      options.watch.changes.subscribe(() => this.#write()),
     ];
   }
 
@@ -55,6 +65,25 @@
     return KEY_PREFIX + this.#options.self;
   }
 
+  /** The current server if it leaves and the store does not have that yet. */
+  get #unstored(): ServerIdentity | undefined {
+    const { report, leavingSince } = this.#options.watch;
+    const isStored = report === undefined || leavingSince === undefined ||
+      isSameIncarnation(report, this.#stored);
+    return isStored ? undefined : { id: report.id, bornMs: report.bornMs };
+  }
+
+  /** Resolves to whether the store has the departure of the current server; waits for that at most `ms`. */
+  async awaitStored({ ms }: { ms: number }): Promise<boolean> {
+    const { now } = this.#options;
+    const { signal } = this.#stop;
+    const until = now() + ms;
+    while (this.#unstored !== undefined && now() < until && !signal.aborted) {
+      await waitForChange(this.#storedChanges, { ms: until - now(), signal });
+    }
+    return this.#unstored === undefined;
+  }
+
   #apply({ key, value }: Item): void {
     if (key !== this.#key) {
       return;
@@ -65,26 +94,32 @@
       onCorrupt(departed.error.message);
       return;
     }
-    this.#recorded = departed.value;
+    this.#stored = departed.value;
     watch.recordDeparture(departed.value);
+    this.#storedChanges.next();
+    // An earlier append without a response may take effect only now, and replace the newest departure.
+    this.#write();
   }
 
-  /** Stores the departure of the current server, once for each incarnation. */
-  async #record(): Promise<void> {
-    const { watch, store, sleep } = this.#options;
-    const { report, leavingSince } = watch;
-    if (
-      report === undefined || leavingSince === undefined ||
-      isSameIncarnation(report, this.#recorded)
-    ) {
+  /** Writes the departure of the current server until the store has it. */
+  async #write(): Promise<void> {
+    const { store, follower, sleep } = this.#options;
+    const { signal } = this.#stop;
+    if (this.#isWriting) {
       return;
     }
-    const { id, bornMs } = report;
-    const incarnation = { id, bornMs };
-    this.#recorded = incarnation;
-    const item = { key: this.#key, value: Buffer.from(JSON.stringify(incarnation)) };
-    const nextItem = () => isSameIncarnation(incarnation, this.#recorded) ? item : undefined;
-    await appendUntilAccepted(store, nextItem, { sleep, signal: this.#stop.signal });
+    this.#isWriting = true;
+    const nextItem = () => {
+      const incarnation = this.#unstored;
+      return incarnation && { key: this.#key, value: Buffer.from(JSON.stringify(incarnation)) };
+    };
+    while (this.#unstored !== undefined && !signal.aborted) {
+      const appended = await appendUntilAccepted(store, nextItem, { sleep, signal });
+      if (appended !== undefined) {
+        follower.applyAppended(appended);
+      }
+    }
+    this.#isWriting = false;
   }
 
   /** Stops following and writing departures. */
--- a/packages/router/src/departures_test.ts
+++ b/packages/router/src/departures_test.ts
@@ -32,6 +32,7 @@
     store,
     follower,
     watch,
+    now,
     sleep,
     onCorrupt: () => {},
   });
--- a/packages/router/src/event_log.ts
+++ b/packages/router/src/event_log.ts
@@ -24,6 +24,7 @@
   ServerBack = "server-back",
   ServerEnded = "server-ended",
   ReportRejected = "report-refused",
+  DepartureUnstored = "departure-unstored",
   NoticeMalformed = "notice-malformed",
   Suspended = "suspended",
   TenureSealed = "tenure-sealed",
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -58,7 +58,7 @@
 import { handleReadiness, handleReports, SideServer } from "./side_servers.ts";
 import { StoreAccess } from "./store_access.ts";
 
-/** Time for which the response to a report is held open for updates, as a share of the report interval. */
+/** Longest time for which the response to a report is held open, as a share of the report interval. */
 const REPORT_HOLD_SHARE = 0.8;
 /** Share of the process's memory that long bodies may take. */
 const BODY_MEMORY_SHARE = 0.4;
@@ -183,6 +183,7 @@
       store,
       follower: system,
       watch: this.#watch,
+      now,
       sleep,
       onCorrupt: (reason) => log(Event.TableCorrupt, { record: "departure", reason }),
     });
@@ -352,9 +353,15 @@
     await this.#listenSide(listen.ready, handleReadiness(isReady));
     const channel = this.#reportChannel;
     const respond = channel && channel.respond.bind(channel);
-    const hasReadDepartures = () => this.#storeAccess.hasReadAll;
-    const reports = { watch: this.#watch, respond, hasReadDepartures, log: this.#log };
-    await this.#listenSide(listen.reports, handleReports(this.#adapter.servers, reports));
+    const waitMs = this.#settings.reportEveryMs * REPORT_HOLD_SHARE;
+    const reports = handleReports(this.#adapter.servers, {
+      watch: this.#watch,
+      respond,
+      hasReadDepartures: () => this.#storeAccess.hasReadAll,
+      awaitDeparture: () => this.#departures.awaitStored({ ms: waitMs }),
+      log: this.#log,
+    });
+    await this.#listenSide(listen.reports, reports);
     // Nobody is served later because the port of the metrics is taken.
     this.#tasks.push(
       this.#listenSide(this.#settings.metrics, async (request, response) => {
--- a/packages/router/src/side_servers.ts
+++ b/packages/router/src/side_servers.ts
@@ -74,6 +74,8 @@
     respond: ReportResponder | undefined;
     /** Whether the departures that earlier processes stored have been read. */
     hasReadDepartures: () => boolean;
+    /** Resolves to whether the store has the departure of the current server, within a bounded time. */
+    awaitDeparture: () => Promise<boolean>;
     log: EventLog;
   },
 ): Handler {
@@ -86,9 +88,7 @@
       return;
     }
     const { watch } = options;
-    const isReady = decoded.value.kind === "report" &&
-      decoded.value.report.state === ServerState.Ready;
-    if (isReady && !options.hasReadDepartures()) {
+    if (decoded.value.kind === "report" && !options.hasReadDepartures()) {
       response.writeHead(503).end("It is not known yet which server had left here\n");
       return;
     }
@@ -98,6 +98,13 @@
     const decision = isAccepted && decoded.value.kind === "report"
       ? await options.respond?.(decoded.value.report, { mayWait })
       : undefined;
+    const isLeave = decoded.value.kind === "farewell" ||
+      decoded.value.report.state !== ServerState.Ready;
+    if (isLeave && !(await options.awaitDeparture())) {
+      options.log(Event.DepartureUnstored, { server: watch.report?.id });
+      response.writeHead(503).end("The departure is not stored yet\n");
+      return;
+    }
     const body = wire.reportResponse(decision?.grants);
     response.writeHead(200, { "content-type": "application/json", "content-length": body.length });
     response.end(body, decision?.recordSent);
