Keep a server as leaving whose farewell came before its first report

A daemon that had just restarted acknowledged the farewell of a server that it had no report of, and forgot it: the next report that arrived late was accepted as that of a ready server, and requests went to it until it ended. The store got no record either, as the farewell names no start, so a further kill lost the leave as well.

Evidence: "keeps a server as leaving whose farewell came before its first report" (server_watch_test) and "does not accept a late report of a server whose farewell came before its first report" (departures_test) failed: the late report made the server ready.

Now such a farewell counts for all lives of the id that started before it, here and in the store's record; a life that starts later is accepted.

--- a/packages/router/src/departures.ts
+++ b/packages/router/src/departures.ts
@@ -6,12 +6,7 @@
 import { Buffer } from "node:buffer";
 import { Subject, type Subscription } from "rxjs";
 import { z } from "zod";
-import {
-  isSameIncarnation,
-  type Item,
-  type ServerIdentity,
-  type Store,
-} from "@bulrushwood/deployment";
+import { isSameIncarnation, type Item, type Store } from "@bulrushwood/deployment";
 import { appendUntilAccepted, type KeyedFollower, parseRecord } from "@bulrushwood/ledger_store";
 import {
   type Address,
@@ -20,12 +15,16 @@
   type Sleep,
   waitForChange,
 } from "@bulrushwood/types";
-import type { ServerWatch } from "./server_watch.ts";
+import type { Departure, ServerWatch } from "./server_watch.ts";
 
 /** Prefix of the records' keys; the daemon's address follows. */
 const KEY_PREFIX = "left/";
 
-const departureSchema = z.object({ id: z.string(), bornMs: z.number() });
+const departureSchema = z.object({
+  id: z.string(),
+  bornMs: z.number(),
+  mayBeEarlier: z.boolean().optional(),
+});
 
 export interface DeparturesOptions {
   self: Address;
@@ -45,8 +44,8 @@
   readonly #subscriptions: Subscription[];
   readonly #stop = createStop();
   readonly #storedChanges = new Subject<void>();
-  /** The incarnation in the newest record that is known to be in the store. */
-  #stored: ServerIdentity | undefined;
+  /** The newest record that is known to be in the store. */
+  #stored: Departure | undefined;
   #isWriting = false;
 
   constructor(options: DeparturesOptions) {
@@ -65,12 +64,11 @@
     return KEY_PREFIX + this.#options.self;
   }
 
-  /** The current server if it leaves and the store does not have that yet. */
-  get #unstored(): ServerIdentity | undefined {
-    const { report, leavingSince } = this.#options.watch;
-    const isStored = report === undefined || leavingSince === undefined ||
-      isSameIncarnation(report, this.#stored);
-    return isStored ? undefined : { id: report.id, bornMs: report.bornMs };
+  /** The departure of this daemon's server if the store does not have it yet. */
+  get #unstored(): Departure | undefined {
+    const { departure } = this.#options.watch;
+    const isStored = departure === undefined || isSameIncarnation(departure, this.#stored);
+    return isStored ? undefined : departure;
   }
 
   /** Resolves to whether the store has the departure of the current server; waits for that at most `ms`. */
@@ -110,8 +108,8 @@
     }
     this.#isWriting = true;
     const nextItem = () => {
-      const incarnation = this.#unstored;
-      return incarnation && { key: this.#key, value: Buffer.from(JSON.stringify(incarnation)) };
+      const departure = this.#unstored;
+      return departure && { key: this.#key, value: Buffer.from(JSON.stringify(departure)) };
     };
     while (this.#unstored !== undefined && !signal.aborted) {
       const appended = await appendUntilAccepted(store, nextItem, { sleep, signal });
--- a/packages/router/src/departures_test.ts
+++ b/packages/router/src/departures_test.ts
@@ -1,3 +1,4 @@
+import { Buffer } from "node:buffer";
 import { expect } from "chai";
 import { type ServerReport, ServerState } from "@bulrushwood/deployment";
 import { KeyedFollower, SYSTEM_TOPIC } from "@bulrushwood/ledger_store";
@@ -41,7 +42,7 @@
     departures.close();
     await follower.close();
   };
-  return { watch, close };
+  return { watch, departures, close };
 }
 
 const IDENTITY = { id: "s1", bornMs: 5 };
@@ -87,4 +88,37 @@
     expect(watch.ready?.bornMs).to.equal(6);
     await close();
   });
+
+  it("does not accept a late report of a server whose farewell came before its first report", async () => {
+    const service = new KeyedStoreService({ sleep });
+    const previous = await startDaemon(service);
+    previous.watch.apply({ kind: "farewell", id: IDENTITY.id });
+    expect(await previous.departures.awaitStored({ ms: 500 })).to.equal(true);
+    await previous.close();
+    const { watch, close } = await startDaemon(service);
+    watch.apply({ kind: "report", report: reportOf(IDENTITY, 1) });
+    expect(watch.ready).to.equal(undefined);
+    watch.apply({ kind: "report", report: reportOf({ ...IDENTITY, bornMs: Date.now() + 100 }, 1) });
+    expect(watch.ready?.sequence, "the next life is ready").to.equal(1);
+    await close();
+  });
+
+  // Guards against an append without a response that takes effect after the next departure was stored.
+  it("writes the newest departure again after the store took an earlier one late", async () => {
+    const service = new KeyedStoreService({ sleep });
+    const previous = await startDaemon(service);
+    const next = { id: "s2", bornMs: 6 };
+    previous.watch.apply({ kind: "report", report: reportOf(next, 1) });
+    previous.watch.apply({ kind: "farewell", id: next.id });
+    await sleep(50);
+    const value = Buffer.from(JSON.stringify(IDENTITY));
+    const late = { key: "left/10.0.0.1:7000", value };
+    await service.connect().append(SYSTEM_TOPIC, late, { timeoutMs: 500 });
+    await sleep(50);
+    await previous.close();
+    const { watch, close } = await startDaemon(service);
+    watch.apply({ kind: "report", report: reportOf(next, 1) });
+    expect(watch.ready).to.equal(undefined);
+    await close();
+  });
 });
--- a/packages/router/src/server_watch.ts
+++ b/packages/router/src/server_watch.ts
@@ -27,9 +27,16 @@
 /** Start assumed for a leave that an earlier process acknowledged, as the time for new requests may be over. */
 const LONG_AGO = Number.NEGATIVE_INFINITY;
 
+/** What is known of a server that left: its incarnation, and whether that may be any earlier one of the same id. */
+export interface Departure extends ServerIdentity {
+  mayBeEarlier?: boolean;
+}
+
 export interface ServerWatchOptions {
   service: string;
   now: Clock;
+  /** Returns Unix time in milliseconds. */
+  wallClock?: () => number;
   reportEveryMs: number;
 }
 
@@ -40,8 +47,10 @@
   #report: ServerReport | undefined;
   /** Ids of servers that sent a farewell, so that a late report is not accepted. */
   readonly #departedIds = new Set<string>();
-  /** The incarnation whose departure an earlier process of this daemon stored. */
-  #storedDeparture: ServerIdentity | undefined;
+  /** The departure that an earlier process of this daemon stored. */
+  #storedDeparture: Departure | undefined;
+  /** The farewell of a server that has not sent a report to this process, and when it was received. */
+  #earlyFarewell: { departure: Departure; receivedAt: number } | undefined;
   /** When the newest report was received. */
   #reportedAt = Number.NEGATIVE_INFINITY;
   /** The newest of the outdated reports since then. */
@@ -82,6 +91,15 @@
     return this.#leavingSince;
   }
 
+  /** The departure of the current server, or of one that sent a farewell before any report; undefined if neither left. */
+  get departure(): Departure | undefined {
+    if (this.#report === undefined) {
+      return this.#earlyFarewell?.departure;
+    }
+    const { id, bornMs } = this.#report;
+    return this.#leavingSince === undefined ? undefined : { id, bornMs };
+  }
+
   /** The request limit of the current incarnation. */
   get limit(): ServerLimit {
     return this.#limit;
@@ -124,9 +142,12 @@
       this.#leavingSince = undefined;
       this.#limit = new ServerLimit(this.#options.now);
     }
-    if (isSameIncarnation(report, this.#storedDeparture)) {
+    if (isCovered(report, this.#storedDeparture)) {
       this.#leavingSince ??= LONG_AGO;
     }
+    if (isCovered(report, this.#earlyFarewell?.departure)) {
+      this.#leavingSince ??= this.#earlyFarewell?.receivedAt;
+    }
     if (isLeaving) {
       this.#leavingSince ??= this.#options.now();
     }
@@ -134,10 +155,10 @@
     return true;
   }
 
-  /** Records the departure of an incarnation that an earlier process of this daemon stored. */
-  recordDeparture(incarnation: ServerIdentity): void {
-    this.#storedDeparture = incarnation;
-    if (isSameIncarnation(incarnation, this.#report) && this.#leavingSince === undefined) {
+  /** Records a departure that the store has. */
+  recordDeparture(departure: Departure): void {
+    this.#storedDeparture = departure;
+    if (isCovered(this.#report, departure) && this.#leavingSince === undefined) {
       this.#leavingSince = LONG_AGO;
       this.#changes.next();
     }
@@ -153,6 +174,12 @@
 
   #applyFarewell(id: string): boolean {
     this.#departedIds.add(id);
+    if (this.#report === undefined) {
+      const { now, wallClock = Date.now } = this.#options;
+      const departure = { id, bornMs: wallClock(), mayBeEarlier: true };
+      this.#earlyFarewell = { departure, receivedAt: now() };
+      this.#changes.next();
+    }
     if (this.#report?.id !== id) {
       return false;
     }
@@ -205,6 +232,16 @@
   }
 }
 
+/** Returns whether a report is of a server that left; false if either is undefined. */
+function isCovered(report: ServerReport | undefined, departure: Departure | undefined): boolean {
+  if (report === undefined || departure === undefined) {
+    return false;
+  }
+  const { id, bornMs, mayBeEarlier = false } = departure;
+  return isSameIncarnation(report, departure) ||
+    (mayBeEarlier && report.id === id && report.bornMs < bornMs);
+}
+
 /** Returns whether a report is newer than another; reports of servers that have left are never newer. */
 function isNewer(
   report: ServerReport,
--- a/packages/router/src/server_watch_test.ts
+++ b/packages/router/src/server_watch_test.ts
@@ -80,4 +80,14 @@
       expect(scenario.watch.ready).to.equal(undefined);
     }
   });
+
+  // Guards against requests to a server that left while its daemon had restarted and knew no report of it.
+  it("keeps a server as leaving whose farewell came before its first report", () => {
+    const scenario = new Scenario();
+    scenario.watch.apply({ kind: "farewell", id: REPORT.id });
+    scenario.report({ sequence: 8 });
+    expect(scenario.watch.ready).to.equal(undefined);
+    scenario.report({ bornMs: Date.now() + REPORT_EVERY_MS, sequence: 1 });
+    expect(scenario.watch.ready?.sequence, "the next life is ready").to.equal(1);
+  });
 });
