Keep to a server's leaving although its report seems outdated

After another writer's report with too large a sequence number, a draining report of the same incarnation counted as outdated: it was acknowledged and had no effect until the server's repeated reports were believed again, 1.5 report intervals later at the earliest. With the drain time counted from then, requests reached it past the drain bound.

Evidence: "keeps to a server's leaving after another writer's report with too large a sequence" (server_watch_test) failed: the server was still ready.

A leaving server does not become ready again in one life, so the order of its reports does not matter for that: the leave now counts, and is stored, from the first such report.

--- a/packages/router/src/server_watch.ts
+++ b/packages/router/src/server_watch.ts
@@ -129,6 +129,7 @@
       (this.#report === undefined || isNewer(report, this.#report, this.#departedIds) ||
         this.#isStillReporting(report));
     if (!mayApply) {
+      this.#applyOutdated(report);
       return false;
     }
     this.#outdated = undefined;
@@ -172,6 +173,15 @@
     }
   }
 
+  /** An outdated report may be newer than it seems, and a server that leaves does not change its mind. */
+  #applyOutdated(report: ServerReport): void {
+    const isLeaving = report.state !== ServerState.Ready;
+    if (isLeaving && isSameIncarnation(report, this.#report) && this.#leavingSince === undefined) {
+      this.#leavingSince = this.#options.now();
+      this.#changes.next();
+    }
+  }
+
   #applyFarewell(id: string): boolean {
     this.#departedIds.add(id);
     if (this.#report === undefined) {
--- a/packages/router/src/server_watch_test.ts
+++ b/packages/router/src/server_watch_test.ts
@@ -90,4 +90,14 @@
     scenario.report({ bornMs: Date.now() + REPORT_EVERY_MS, sequence: 1 });
     expect(scenario.watch.ready?.sequence, "the next life is ready").to.equal(1);
   });
+
+  // Guards against requests past the drain bound: the report is acknowledged although it is outdated.
+  it("keeps to a server's leaving after another writer's report with too large a sequence", () => {
+    const scenario = new Scenario();
+    scenario.report({ sequence: 5 });
+    scenario.report({ sequence: LARGEST }, { afterMs: 100 });
+    scenario.report({ sequence: 6, state: ServerState.Draining });
+    expect(scenario.watch.ready).to.equal(undefined);
+    expect(scenario.watch.departure?.id).to.equal(REPORT.id);
+  });
 });
