--- a/packages/router/src/event_log.ts
+++ b/packages/router/src/event_log.ts
@@ -25,6 +25,7 @@
   ServerBack = "server-back",
   ServerEnded = "server-ended",
   ReportRejected = "report-refused",
+  DepartureUnstored = "departure-unstored",
   NoticeMalformed = "notice-malformed",
   Suspended = "suspended",
   TenureSealed = "tenure-sealed",
