Reject heads with more bytes than the manifest allows

The size limit of Node.js's server is fixed when it is created, at 64 KB, and nothing compared a head with the manifest in force.

Each head is now counted as it stood on the connection, from the request line to the last header, and is rejected with status 431 beyond the limit; the connection goes on. Node.js keeps only the first 2,000 headers by default, which would hide the others from the count, so that bound is lifted; 64 KB bound them.

The test fails without the comparison: all three heads get 200.

--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -28,7 +28,7 @@
 import type { Dispatcher, DispatchRequest } from "./dispatcher.ts";
 import { Event, type EventLog, logListenerErrors } from "./event_log.ts";
 import { applyTimeouts, enforceTimeouts, HEAD_CHECK_INTERVAL_MS } from "./caller_timeouts.ts";
-import { readHeaders, toFlatHeaders } from "./headers.ts";
+import { countHeadBytes, readHeaders, toFlatHeaders } from "./headers.ts";
 import { BODY_RETRY_AFTER_MS } from "./long_bodies.ts";
 import { RequestStage } from "./request_stage.ts";
 
@@ -129,6 +129,8 @@
       options.eventLoop.recordAccepted();
     });
     limitConnections(this.#server, options.connectionLimit);
+    // Node.js would drop the headers after the first 2,000, which are not counted as the head's bytes then.
+    this.#server.maxHeadersCount = 0;
     enforceTimeouts(this.#server, (socket) => this.#connectionOf(socket));
     this.applyManifest();
   }
@@ -206,6 +208,13 @@
       await this.#reject(response, routed, { id, exchange });
       return;
     }
+    const { headerBytes } = manifest.limits;
+    if (countHeadBytes(request) > headerBytes) {
+      request.resume();
+      const detail = `The request line and the headers must have at most ${headerBytes} bytes`;
+      this.#sendError(response, { status: 431, detail }, { exchange });
+      return;
+    }
     const route = this.#routesFor(manifest).match(request.headers.host ?? "", request.url ?? "/");
     const invalid = validate(route, id, wire);
     if (route === undefined || id === undefined || invalid !== undefined) {
--- a/packages/router/src/caller_server_limits_test.ts
+++ b/packages/router/src/caller_server_limits_test.ts
@@ -6,6 +6,7 @@
 import type { Dispatcher } from "./dispatcher.ts";
 
 const HEADER_TIMEOUT_MS = 600;
+const HEADER_BYTES = 2_000;
 /** Time between the server's checks, and that of a busy machine, in milliseconds. */
 const MARGIN_MS = 1_200;
 const HALF = "GET /x HTTP/1.1\r\nhost: h\r\n";
@@ -25,7 +26,7 @@
     },
   };
   const port = await findFreePort();
-  const limits = { headerTimeoutMs: HEADER_TIMEOUT_MS };
+  const limits = { headerTimeoutMs: HEADER_TIMEOUT_MS, headerBytes: HEADER_BYTES };
   let unread = 0;
   const onUnread = () => unread++;
   const options = { port, limits, onUnread };
@@ -51,6 +52,13 @@
   return now() - startedAt;
 }
 
+/** Returns a request whose line and headers have a number of bytes. */
+function requestOf(bytes: number): string {
+  const head = `${HALF}x: \r\n${REST}`;
+  const length = bytes - (head.length - "\r\n".length);
+  return head.replace("x: ", `x: ${"x".repeat(length)}`);
+}
+
 describe("caller server: limits of heads", () => {
   // Guards against connections that are held by a few bytes.
   it("ends a head that takes longer than the manifest allows", async () => {
@@ -110,6 +118,24 @@
     });
   });
 
+  it("rejects a head with more bytes than the manifest allows", async () => {
+    await withServer(async (open) => {
+      const caller = open();
+      const statuses = () =>
+        [...caller.received.matchAll(/HTTP\/1.1 (\d+)/g)].map(([, code]) => code);
+      caller.socket.write(requestOf(HEADER_BYTES));
+      await sleep(100);
+      expect(statuses()).to.deep.equal(["200"]);
+      caller.socket.write(requestOf(HEADER_BYTES + 1) + requestOf(HEADER_BYTES));
+      await sleep(100);
+      expect(statuses()).to.deep.equal(["200", "431", "200"]);
+      // Node.js keeps no more than 2,000 headers by default.
+      caller.socket.write(HALF + "a:\r\n".repeat(10_000) + REST);
+      await sleep(200);
+      expect(statuses().slice(3)).to.deep.equal(["431"]);
+    });
+  });
+
   it("closes a connection with malformed input also if the caller keeps it open", async () => {
     await withServer(async (open, unread) => {
       const caller = open({ allowHalfOpen: true });
--- a/packages/router/src/headers.ts
+++ b/packages/router/src/headers.ts
@@ -1,6 +1,7 @@
 /**
  * Conversion of HTTP headers that are forwarded.
  */
+import type { IncomingMessage } from "node:http";
 import type { Header } from "@bulrushwood/protocol";
 
 /** Hop-by-hop headers, which are not forwarded. */
@@ -18,6 +19,21 @@
   "upgrade",
 ]);
 
+/** Bytes of a request line beside its method and target: two spaces, the version and the line end. */
+const REQUEST_LINE_BYTES = " ".length + " HTTP/1.1\r\n".length;
+/** Bytes of a header beside its name and value: a colon, a space and the line end. */
+const HEADER_BYTES = ": \r\n".length;
+
+/** Counts the bytes of a request's line and headers. */
+export function countHeadBytes(
+  { method = "", url = "", rawHeaders }: Pick<IncomingMessage, "method" | "url" | "rawHeaders">,
+): number {
+  const separators = REQUEST_LINE_BYTES + rawHeaders.length / 2 * HEADER_BYTES;
+  // Node.js decodes each byte to one character.
+  const texts = rawHeaders.reduce((bytes, text) => bytes + text.length, 0);
+  return method.length + url.length + texts + separators;
+}
+
 /** Reads the headers to forward from Node.js's alternating list of names and values. */
 export function readHeaders(flat: string[], options: { dropped: ReadonlySet<string> }): Header[] {
   const headers: Header[] = [];
