--- a/packages/soak/src/machine.ts
+++ b/packages/soak/src/machine.ts
@@ -26,6 +26,8 @@
 /** Interval between the status reports of a server, in milliseconds. */
 export const REPORT_EVERY_MS = 870;
 const MEMORY_BYTES = 350_000_000;
+/** Number of sockets that a daemon may have. */
+const SOCKETS_MAX = 3_900;
 const RECORD_BYTES = 262_144;
 const DATA_CENTRES = ["carapungo", "calderon", "pomasqui"];
 const FIRST_HOST = 10;
@@ -60,6 +62,7 @@
     metrics,
     store: { endpoint: options.store, recordBytes: RECORD_BYTES },
     memoryBytes: MEMORY_BYTES,
+    socketsMax: SOCKETS_MAX,
     grantDelivery: GrantDelivery.Orders,
     reportEveryMs: REPORT_EVERY_MS,
     bounds: {
