End responses of which their callers read nothing

The bodies that a daemon holds are bounded by 40 % of its memory, but a caller that sent a request and never read the response held its body for as long as it kept the connection: requests with long bodies were rejected from then on.

A connection on which a response waits to be read now ends when its caller takes nothing for the idle time; a slow caller that goes on reading keeps it.

The test has two open responses after the idle time without the change.

--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -27,7 +27,12 @@
 import { CallerConnection, type Exchange } from "./caller_connection.ts";
 import type { Dispatcher, DispatchRequest } from "./dispatcher.ts";
 import { Event, type EventLog, logListenerErrors } from "./event_log.ts";
-import { applyTimeouts, enforceTimeouts, HEAD_CHECK_INTERVAL_MS } from "./caller_timeouts.ts";
+import {
+  applyTimeouts,
+  endUnlessTaken,
+  enforceTimeouts,
+  HEAD_CHECK_INTERVAL_MS,
+} from "./caller_timeouts.ts";
 import { countHeadBytes, readHeaders, toFlatHeaders } from "./headers.ts";
 import { BODY_RETRY_AFTER_MS } from "./long_bodies.ts";
 import { RequestStage } from "./request_stage.ts";
@@ -452,6 +457,7 @@
     response.writeHead(head.status, headers);
     await new Promise<void>((resolve) => {
       response.once("close", resolve).once("finish", resolve);
+      endUnlessTaken(this.#server, response, exchange);
       endWithBody(response, body);
       exchange.signal.addEventListener("abort", () => resolve(), { once: true });
     });
--- a/packages/router/src/caller_server_limits_test.ts
+++ b/packages/router/src/caller_server_limits_test.ts
@@ -146,3 +146,39 @@
     });
   });
 });
+
+describe("caller server: callers that read slowly", () => {
+  const body = Buffer.alloc(40_000_000);
+
+  // Guards against callers that take up the memory for bodies for good.
+  it("ends a response of which nothing is read for the idle time, and no other", async () => {
+    const dispatcher = {
+      dispatch: () => Promise.resolve({ head: { status: 200, headers: [] }, body }),
+    };
+    const port = await findFreePort();
+    const server = await listenForCallers(dispatcher as unknown as Dispatcher, {
+      port,
+      limits: { idleTimeoutMs: 100 },
+    });
+    const [stalled, slow] = [new CallerSocket(port), new CallerSocket(port)];
+    let received = 0;
+    slow.socket.on("data", (part) => {
+      received += part.length;
+      slow.socket.pause();
+      setTimeout(() => slow.socket.resume(), received < 16_000_000 ? 20 : 0);
+    });
+    [stalled, slow].forEach(({ socket }) => socket.write(HALF + REST));
+    stalled.socket.pause();
+    try {
+      await sleep(5_000);
+      expect(server.open).to.equal(1);
+      while (received < body.length && !slow.isClosed) {
+        await sleep(20);
+      }
+      expect(received).to.be.at.least(body.length);
+    } finally {
+      [stalled, slow].forEach(({ socket }) => socket.destroy());
+      await server.close({ timeoutMs: 0 });
+    }
+  });
+});
--- a/packages/router/src/caller_timeouts.ts
+++ b/packages/router/src/caller_timeouts.ts
@@ -1,10 +1,10 @@
 /**
  * Ends connections whose callers take too long over a head or stay idle, and those with malformed input.
  */
-import type { Server } from "node:http";
+import type { Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { Manifest } from "@bulrushwood/deployment";
-import type { CallerConnection } from "./caller_connection.ts";
+import type { CallerConnection, Exchange } from "./caller_connection.ts";
 
 /** Idle connections are kept this much longer than callers keep them, in milliseconds. */
 const IDLE_MARGIN_MS = 2_000;
@@ -56,6 +56,25 @@
   });
 }
 
+/** Ends the connection of a response of which the caller takes nothing for as long as it may stay idle. */
+export function endUnlessTaken(server: Server, response: ServerResponse, exchange: Exchange): void {
+  const start = (socket: Socket) => {
+    socket.setTimeout(server.keepAliveTimeout);
+    response.once("finish", () => {
+      // Otherwise Node.js has set the idle timeout.
+      if (!exchange.isLast) {
+        socket.setTimeout(0);
+      }
+    });
+  };
+  // A response gets its socket once all responses before it were sent.
+  if (response.socket === null) {
+    response.once("socket", start);
+  } else {
+    start(response.socket);
+  }
+}
+
 /** Closes a connection after malformed input, once all earlier requests on it have their responses. */
 function closeMalformed(socket: Socket, connection: CallerConnection, code: string): void {
   const status = MALFORMED_STATUS[code] ?? "400 Bad Request";
