Bound the sum of short bodies that a daemon holds

The first 256 KB of the bodies of each request did not count towards the memory for bodies, and nothing bounded their sum: callers that do not read their responses could make a daemon take more than its memory, which ends it.

Short bodies get a fifth of the memory, beside the share of long ones, which still cannot keep them out.

--- a/packages/admission/src/body_memory.ts
+++ b/packages/admission/src/body_memory.ts
@@ -1,7 +1,7 @@
 /**
  * Memory for the bodies of requests and responses that a daemon holds. One body may be as large as the operator allows,
  * and a faulty sender may send without end, so the sum of all bodies is bounded as well. Short bodies are always
- * accepted, so that a few long ones cannot keep out all other requests.
+ * accepted beside long ones, so that a few long ones cannot keep out all other requests; their sum has a bound of its own.
  */
 
 /** Bytes of the bodies of one request that do not count. */
@@ -11,15 +11,18 @@
 export interface BodyMemoryOptions {
   /** Bytes that the counted parts of all bodies may take together. */
   bytesMax: number;
+  /** Bytes that the parts that do not count may take together; unlimited by default. */
+  shortBytesMax?: number;
 }
 
 /** The bytes of all bodies that one daemon holds. */
 export class BodyMemory {
-  readonly #bytesMax: number;
+  readonly #options: BodyMemoryOptions;
   #bytes = 0;
+  #shortBytes = 0;
 
   constructor(options: BodyMemoryOptions) {
-    this.#bytesMax = options.bytesMax;
+    this.#options = options;
   }
 
   /** Bytes that are counted now. */
@@ -29,43 +32,51 @@
 
   /** Starts to count the bodies of one request. */
   open(): RequestMemory {
-    return new RequestMemory((bytes) => this.#change(bytes));
+    return new RequestMemory((bytes, shortBytes) => this.#change(bytes, shortBytes));
   }
 
-  #change(bytes: number): boolean {
-    if (bytes > 0 && this.#bytes + bytes > this.#bytesMax) {
+  #change(bytes: number, shortBytes: number): boolean {
+    const { bytesMax, shortBytesMax = Infinity } = this.#options;
+    const isLacking = bytes > 0 && this.#bytes + bytes > bytesMax ||
+      shortBytes > 0 && this.#shortBytes + shortBytes > shortBytesMax;
+    if (isLacking) {
       return false;
     }
     this.#bytes += bytes;
+    this.#shortBytes += shortBytes;
     return true;
   }
 }
 
 /** The bytes of the bodies of one request and its response. */
 export class RequestMemory {
-  readonly #change: (bytes: number) => boolean;
+  readonly #change: (bytes: number, shortBytes: number) => boolean;
   #bytes = 0;
-  #counted = 0;
 
-  constructor(change: (bytes: number) => boolean) {
+  constructor(change: (bytes: number, shortBytes: number) => boolean) {
     this.#change = change;
   }
 
   /** Adds bytes; returns false, and adds none, if all bodies together would take too many. */
   readonly take = (bytes: number): boolean => {
-    const more = Math.max(0, this.#bytes + bytes - SHORT_BYTES_MAX) - this.#counted;
-    if (!this.#change(more)) {
+    const before = countLong(this.#bytes);
+    const after = countLong(this.#bytes + bytes);
+    if (!this.#change(after - before, bytes - (after - before))) {
       return false;
     }
     this.#bytes += bytes;
-    this.#counted += more;
     return true;
   };
 
   /** Ends the count, once nothing holds the bodies any more. */
   release(): void {
-    this.#change(-this.#counted);
+    const long = countLong(this.#bytes);
+    this.#change(-long, long - this.#bytes);
     this.#bytes = 0;
-    this.#counted = 0;
   }
 }
+
+/** Returns how many of the bytes of one request's bodies count. */
+function countLong(bytes: number): number {
+  return Math.max(0, bytes - SHORT_BYTES_MAX);
+}
--- a/packages/admission/src/body_memory_test.ts
+++ b/packages/admission/src/body_memory_test.ts
@@ -25,6 +25,18 @@
     expect(requests[0].take(MB)).to.equal(false);
   });
 
+  // Guards against many slow callers that end a daemon by its memory.
+  it("bounds the sum of short bodies, and of the short parts of long ones, apart from the others", () => {
+    const memory = new BodyMemory({ bytesMax: 10 * MB, shortBytesMax: 10 * SHORT });
+    const requests = Array.from({ length: 12 }, () => memory.open());
+    const taken = requests.map((request) => request.take(SHORT));
+    expect(taken.filter((isTaken) => isTaken)).to.have.length(10);
+    expect(memory.open().take(MB)).to.equal(false);
+    requests.forEach((request) => request.release());
+    expect(memory.open().take(4 * MB)).to.equal(true);
+    expect(memory.bytes).to.be.below(4 * MB);
+  });
+
   it("counts a body that arrives in parts as one that arrives at once", () => {
     const memory = new BodyMemory({ bytesMax: 10 * MB });
     const [parts, whole] = [memory.open(), memory.open()];
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -67,6 +67,8 @@
 const REPORT_HOLD_SHARE = 0.8;
 /** Share of the process's memory that long bodies may take. */
 const BODY_MEMORY_SHARE = 0.4;
+/** Share of the process's memory that short bodies may take. */
+const SHORT_BODY_MEMORY_SHARE = 0.2;
 /** Limit of the connections of callers, as a share of all sockets. */
 const CALLER_SOCKETS: SocketShare = { share: 0.6, min: 16 };
 /** Limit of the connections of each other listener, as a share of all sockets. */
@@ -166,7 +168,10 @@
     this.#settings = settings;
     this.#adapter = adapter;
     this.#log = log;
-    this.#bodyMemory = new BodyMemory({ bytesMax: settings.memoryBytes * BODY_MEMORY_SHARE });
+    this.#bodyMemory = new BodyMemory({
+      bytesMax: settings.memoryBytes * BODY_MEMORY_SHARE,
+      shortBytesMax: settings.memoryBytes * SHORT_BODY_MEMORY_SHARE,
+    });
     this.#socketLimit = new SocketLimit({
       socketsMax: settings.socketsMax,
       now,
