Read the requests that arrived during a stall before a server closes

The close ran right in the timer that ended the linger. After a stall of the event loop that timer comes before the poll for input, so idle connections were destroyed with an unread request. Now two rounds of the event loop accept and read first. The test blocks the event loop with a request on its way: one response of two before, both now.

--- /dev/null
+++ b/packages/http_server/src/close_test.ts
@@ -0,0 +1,44 @@
+import { createServer, type Server } from "node:http";
+import { connect, type Socket } from "node:net";
+import { expect } from "chai";
+import { blockEventLoop } from "@bulrushwood/stand_ins";
+import { closeGracefully } from "./mod.ts";
+
+const HOST = "127.0.0.1";
+const REQUEST = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+const STALL_MS = 50;
+const CLOSE_MS = 1_000;
+
+describe("the graceful close of a server", () => {
+  async function listen(): Promise<Server> {
+    const server = createServer((_request, response) => response.end("ok"));
+    await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
+    return server;
+  }
+
+  async function connectTo(server: Server): Promise<Socket> {
+    const { port } = server.address() as { port: number };
+    const socket = connect(port, HOST);
+    await new Promise<void>((resolve) => socket.once("connect", resolve));
+    return socket;
+  }
+
+  // Guards against resets of requests that arrived while the event loop was blocked.
+  it("responds to a request that arrived on an idle connection during a stall before the close", async () => {
+    const server = await listen();
+    const socket = await connectTo(server);
+    let received = "";
+    const firstResponse = new Promise((resolve) => socket.once("data", resolve));
+    socket.on("data", (data) => received += data.toString());
+    const closed = new Promise((resolve) => socket.once("close", resolve));
+    socket.on("error", () => {});
+    socket.write(REQUEST);
+    await firstResponse;
+    socket.write(REQUEST);
+    blockEventLoop(STALL_MS);
+    const options = { timeoutMs: CLOSE_MS, respondAfterMs: CLOSE_MS, respondToOpen: () => {} };
+    await closeGracefully(server, options);
+    await closed;
+    expect(received.match(/HTTP\/1.1 200/g)).to.have.length(2);
+  });
+});
--- a/packages/http_server/src/mod.ts
+++ b/packages/http_server/src/mod.ts
@@ -11,6 +11,8 @@
 
 /** Longest wait for the rest of a request that has its response already, in milliseconds. */
 const UNREAD_BODY_TIMEOUT_MS = 2_000;
+/** Rounds of the event loop that accept the connections which wait and read the requests on them. */
+const READ_ROUNDS = 2;
 
 /** Sends the body of a response at once, and ends the response once the whole request has arrived. */
 export function endWithBody(response: ServerResponse, body: Buffer | undefined): void {
@@ -51,9 +53,17 @@
   respondToOpen: () => void;
 }
 
+/** Resolves when connections and requests that arrived while the event loop was blocked have been read. */
+async function readArrived(): Promise<void> {
+  for (let round = 0; round < READ_ROUNDS; round++) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
 /** Stops accepting connections; resolves when all requests have their responses or the timeout has passed. */
 export async function closeGracefully(server: Server, options: CloseOptions): Promise<void> {
   const { timeoutMs, respondAfterMs, respondToOpen } = options;
+  await readArrived();
   const closed = new Promise<void>((resolve) => server.close(() => resolve()));
   server.closeIdleConnections();
   const timers = [
