Accept the connections that wait before a server closes

Rounds now go on while they accept connections, for 200 ms at most, within the timeout of the close.

--- a/packages/http_server/src/close_test.ts
+++ b/packages/http_server/src/close_test.ts
@@ -8,6 +8,8 @@
 const REQUEST = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
 const STALL_MS = 50;
 const CLOSE_MS = 1_000;
+/** Connections that wait to be accepted. */
+const WAITING = 30;
 
 describe("the graceful close of a server", () => {
   async function listen(): Promise<Server> {
@@ -41,4 +43,25 @@
     await closed;
     expect(received.match(/HTTP\/1.1 200/g)).to.have.length(2);
   });
+
+  // Guards against resets of connections that wait to be accepted after a stall.
+  it("responds to requests on connections that wait to be accepted at the close", async () => {
+    const server = await listen();
+    const { port } = server.address() as { port: number };
+    const sockets = Array.from({ length: WAITING }, () => connect(port, HOST));
+    const responded = sockets.map((socket) =>
+      new Promise<boolean>((resolve) => {
+        socket.once("data", () => resolve(true));
+        socket.once("close", () => resolve(false));
+        socket.on("error", () => {});
+        socket.write(REQUEST);
+      })
+    );
+    await Promise.all(
+      sockets.map((socket) => new Promise<void>((resolve) => socket.once("connect", resolve))),
+    );
+    const options = { timeoutMs: CLOSE_MS, respondAfterMs: CLOSE_MS, respondToOpen: () => {} };
+    await closeGracefully(server, options);
+    expect((await Promise.all(responded)).filter(Boolean)).to.have.length(WAITING);
+  });
 });
--- a/packages/http_server/src/mod.ts
+++ b/packages/http_server/src/mod.ts
@@ -5,13 +5,16 @@
  */
 import type { Buffer } from "node:buffer";
 import type { Server, ServerResponse } from "node:http";
+import { now } from "@bulrushwood/types";
 
 export { listen, type ListenAddress, type ListenOptions } from "./listen.ts";
 export { EventLoop, type EventLoopOptions } from "./event_loop.ts";
 
 /** Longest wait for the rest of a request that has its response already, in milliseconds. */
 const UNREAD_BODY_TIMEOUT_MS = 2_000;
-/** Rounds of the event loop that accept the connections which wait and read the requests on them. */
+/** Longest time for which a server that closes accepts the connections that wait, in milliseconds. */
+const ACCEPT_TIMEOUT_MS = 200;
+/** Rounds of the event loop that read the requests on the connections accepted last. */
 const READ_ROUNDS = 2;
 
 /** Sends the body of a response at once, and ends the response once the whole request has arrived. */
@@ -53,17 +56,30 @@
   respondToOpen: () => void;
 }
 
-/** Resolves when connections and requests that arrived while the event loop was blocked have been read. */
-async function readArrived(): Promise<void> {
-  for (let round = 0; round < READ_ROUNDS; round++) {
-    await new Promise((resolve) => setImmediate(resolve));
-  }
+/** Resolves when the connections and requests that arrived while the event loop was blocked have been read. */
+async function readArrived(server: Server, timeoutMs: number): Promise<void> {
+  let accepted = 0;
+  const count = () => accepted++;
+  server.on("connection", count);
+  const until = now() + timeoutMs;
+  do {
+    accepted = 0;
+    // A round accepts one connection at most.
+    for (let round = 0; round < READ_ROUNDS; round++) {
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+  } while (accepted > 0 && now() < until);
+  server.off("connection", count);
 }
 
 /** Stops accepting connections; resolves when all requests have their responses or the timeout has passed. */
 export async function closeGracefully(server: Server, options: CloseOptions): Promise<void> {
-  const { timeoutMs, respondAfterMs, respondToOpen } = options;
-  await readArrived();
+  const { respondToOpen } = options;
+  const startedAt = now();
+  await readArrived(server, Math.min(ACCEPT_TIMEOUT_MS, options.timeoutMs));
+  const elapsedMs = now() - startedAt;
+  const timeoutMs = options.timeoutMs - elapsedMs;
+  const respondAfterMs = options.respondAfterMs - elapsedMs;
   const closed = new Promise<void>((resolve) => server.close(() => resolve()));
   server.closeIdleConnections();
   const timers = [
