--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -182,7 +182,7 @@
         "error",
         (error: NodeJS.ErrnoException) =>
           end(error.code === "ECONNREFUSED" ? Ending.Refused : Ending.Closed, {
-            detail: error.message,
+            detail: `${error.message} on a ${call.reusedSocket ? "kept" : "new"} connection`,
           }),
       );
       call.on("finish", () => request.wholeAt = now());
