Send few requests to a server that lets deadlines pass, and reject the rest at once

Cause: the gate counts free slots only. A server that begins requests late, since connections wait to be accepted, ends each with the deadline, which frees the slot for the next one, so that as many callers as there are slots wait in vain all the time, and the server begins what nobody waits for any more.

Evidence: the new test in runner_test failed before: 48 of about 172 requests in 2 s had no response at their deadline, where 12 slots of 0.5 s each let 48 pass. With the change at most 5 in 100 do, and 95 in 100 are served in the second second after the server responds again.

While most requests end late, the server gets fewer at once, down to one that probes it.

--- a/packages/admission/src/mod.ts
+++ b/packages/admission/src/mod.ts
@@ -16,4 +16,5 @@
 export { LoadShedder, type LoadShedderOptions } from "./load_shedder.ts";
 export { Quarantine, type ServerEnd, type SuspectRun } from "./quarantine.ts";
 export { StartRate, type StartRateOptions } from "./start_rate.ts";
+export { TimelyLimit } from "./timely_limit.ts";
 export { Shutdown, type ShutdownOptions } from "./shutdown.ts";
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -3,7 +3,7 @@
  * and reports whether the request ran, did not run or may have run.
  */
 import type { Buffer } from "node:buffer";
-import { type AdmissionError, AdmissionErrorKind, Gate } from "@bulrushwood/admission";
+import { type AdmissionError, AdmissionErrorKind, Gate, TimelyLimit } from "@bulrushwood/admission";
 import { incarnationName, type ServerWire } from "@bulrushwood/deployment";
 import { type GrantManager, KeyState } from "@bulrushwood/lease_ranges";
 import { LoadMeter } from "@bulrushwood/planner_ranges";
@@ -62,6 +62,9 @@
   readonly #options: RunnerOptions;
   readonly #gate: Gate;
   readonly #meter = new LoadMeter(now);
+  #timelyLimit = new TimelyLimit();
+  /** Incarnation of the server that the limit is for. */
+  #limitedServer: string | undefined;
   #isClosed = false;
   #arrivals = 0;
   #rate = 0;
@@ -197,7 +200,8 @@
   #concurrencyMax(): number {
     const { report, limit } = this.#options.watch;
     const slots = report?.slots ?? UNKNOWN_SLOTS;
-    return limit.isKnown ? slots : Math.min(slots, FIRST_REQUESTS);
+    const used = this.#timelyLimit.limit(slots);
+    return limit.isKnown ? used : Math.min(used, FIRST_REQUESTS);
   }
 
   /** Whether the server may get a request. */
@@ -247,6 +251,7 @@
     }));
     const result = await client.send({ head, headers, body, deadline, signal, memory });
     onResult(head, result, now() - startedAt);
+    this.#recordTimeliness(result, { server: incarnationName(report), startedAt, deadline });
     if (result.isConnectionLost && !signal.aborted) {
       ends.recordLost(report, { head, body, startedAt });
     } else if (result.outcome === ServerOutcome.Responded) {
@@ -268,6 +273,23 @@
     return response;
   }
 
+  /** Records whether the server responded to a request before its deadline. */
+  #recordTimeliness(
+    { outcome }: ServerResult,
+    options: { server: string; startedAt: number; deadline: number },
+  ): void {
+    const { server, startedAt, deadline } = options;
+    if (server !== this.#limitedServer) {
+      this.#timelyLimit = new TimelyLimit();
+      this.#limitedServer = server;
+    }
+    if (outcome === ServerOutcome.Responded) {
+      this.#timelyLimit.recordTimely(now() - startedAt);
+    } else if (outcome === ServerOutcome.Unknown && now() >= deadline) {
+      this.#timelyLimit.recordLate(deadline - startedAt);
+    }
+  }
+
   #toResponse(
     head: RequestHead,
     result: ServerResult,
--- a/packages/router/src/runner_test.ts
+++ b/packages/router/src/runner_test.ts
@@ -7,7 +7,7 @@
   type StatusReport,
 } from "@bulrushwood/deployment";
 import { type GrantManager, KeyState } from "@bulrushwood/lease_ranges";
-import { Reason } from "@bulrushwood/protocol";
+import { Reason, type RequestHead } from "@bulrushwood/protocol";
 import { now, Outcome, sleep, type WaitOptions } from "@bulrushwood/types";
 import { REQUEST_HEAD } from "./head_fixture.ts";
 import { RequestStage } from "./request_stage.ts";
@@ -56,7 +56,7 @@
 /** Creates a runner whose server records when each request arrives and responds after `workMs`. */
 function createRunner(
   options: {
-    workMs?: number;
+    workMs?: number | (() => number);
     state?: () => KeyState;
     changeMs?: number;
     reachedAt?: number[];
@@ -71,7 +71,7 @@
     send: async () => {
       reachedAt.push(now());
       const result = respond(reachedAt.length);
-      await sleep(workMs);
+      await sleep(typeof workMs === "number" ? workMs : workMs());
       return result;
     },
   } as unknown as ServerClient;
@@ -94,11 +94,15 @@
 }
 
 /** Sends a runner `perSecond` requests a second for some time. */
-async function load(runner: Runner, options: { perSecond: number; forMs: number }) {
+async function load(
+  runner: Runner,
+  options: { perSecond: number; forMs: number; head?: RequestHead },
+) {
+  const { head = HEAD } = options;
   const responses = [];
   const until = now() + options.forMs;
   while (now() < until) {
-    responses.push(runner.serve(HEAD, undefined, { signal: NEVER }));
+    responses.push(runner.serve(head, undefined, { signal: NEVER }));
     await sleep(1_000 / options.perSecond);
   }
   return await Promise.all(responses);
@@ -266,6 +270,37 @@
     expect(busy.stages.at(-1)).to.equal(RequestStage.Arrival);
   });
 
+  // Guards against callers that wait until their deadlines, one after the other, for a server that responds to nobody.
+  it("rejects most requests at once while the server lets all deadlines pass, until it responds again", async () => {
+    const timesOut = { ...RESPONDED, outcome: ServerOutcome.Unknown, status: 0 };
+    const notice = { requestsPerSecond: undefined, isLeaving: false };
+    let isSilent = false;
+    const { runner, watch } = createRunner({
+      workMs: () => isSilent ? head.remainingMs + 40 : 20,
+      respond: () => isSilent ? timesOut : { ...RESPONDED, notice },
+    });
+    const head = { ...HEAD, remainingMs: 500 };
+    const send = async (forMs: number) => {
+      const responses = await load(runner, { perSecond: 100, forMs, head });
+      return {
+        all: responses.length,
+        served: responses.filter(({ head: { status } }) => status === 200).length,
+        late: responses.filter(({ head: { reason } }) => reason === Reason.DeadlinePassed).length,
+      };
+    };
+    watch.apply(report({ slots: 12 }));
+    const before = await send(500);
+    expect(before.served).to.equal(before.all);
+    isSilent = true;
+    await send(1_500);
+    const silent = await send(2_000);
+    expect(silent.late).to.be.at.most(0.05 * silent.all);
+    isSilent = false;
+    await send(1_000);
+    const after = await send(1_000);
+    expect(after.served).to.be.at.least(0.95 * after.all);
+  });
+
   // Guards against requests that run at the service that took over the address of a lost machine.
   it("does not run a request for another service, which knew this address before", async () => {
     for (const shard of [-1, REQUEST_HEAD.shard]) {
