Harm the daemons' paths to the store and to their servers in the fault soak

Proxies on these connections delay, reset, cut in one direction, or go silent without a reset while new connections work. They excuse no lost request; a path to the store excuses a late manifest at its daemon. Without faults of the network there are no proxies, so other soaks play as before.

There are none between daemons: a daemon listens at the very address that its peers dial, so a proxy cannot have it.

--- a/packages/protocol/src/protocol_test.ts
+++ b/packages/protocol/src/protocol_test.ts
@@ -4,7 +4,7 @@
 import { expect } from "chai";
 import { Packr } from "msgpackr";
 import { WebSocketServer } from "ws";
-import { findFreePort, SilencingProxy } from "@bulrushwood/stand_ins";
+import { findFreePort, TcpProxy } from "@bulrushwood/stand_ins";
 import { sleep } from "@bulrushwood/types";
 import {
   BodyReceiver,
@@ -198,7 +198,10 @@
   // Guards against first requests that are lost on links that went silent while they were idle.
   it("are replaced when they went silent while idle, before a request is sent on them", async () => {
     const [from, to] = [await findFreePort(), await findFreePort()];
-    const proxy = await SilencingProxy.listen("127.0.0.1", { from, to });
+    const proxy = await TcpProxy.listen(
+      { host: "127.0.0.1", port: from },
+      { host: "127.0.0.1", port: to },
+    );
     const address = `127.0.0.1:${from}`;
     const respond = (exchange: IncomingExchange) => {
       exchange.respond({ status: 200, headers: [] }, Buffer.from("done"), true);
--- a/packages/router/src/grant_connections_test.ts
+++ b/packages/router/src/grant_connections_test.ts
@@ -2,7 +2,7 @@
 import { createServer, type Server } from "node:http";
 import { expect } from "chai";
 import type { ServerIdentity, ServerWire } from "@bulrushwood/deployment";
-import { findFreePort, SilencingProxy } from "@bulrushwood/stand_ins";
+import { findFreePort, TcpProxy } from "@bulrushwood/stand_ins";
 import { now, sleep } from "@bulrushwood/types";
 import { GrantConnections } from "./grant_connections.ts";
 
@@ -150,7 +150,7 @@
   it("carry no grant to a server that started again after its connections went silent, until it reports", async () => {
     const { connections, port, state, grant } = await createConnections();
     const target = await findFreePort(HOST);
-    const proxy = await SilencingProxy.listen(HOST, { from: port, to: target });
+    const proxy = await TcpProxy.listen({ host: HOST, port }, { host: HOST, port: target });
     const first = await startServer("s1", target);
     expect(await grant(FIRST)).to.equal(true);
     proxy.silence();
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -147,7 +147,7 @@
   const from = request.sentAt - BOUNDS.stableWindowMs;
   if (
     version === undefined || !isHandled ||
-    history.isDisrupted([request.machine], from, request.endedAt)
+    history.isOutOfTouch(request.machine, from, request.endedAt)
   ) {
     return undefined;
   }
@@ -185,7 +185,7 @@
       probedVersion(other.path)! > probedVersion(probe.path)!
     );
     const from = probe.sentAt - BOUNDS.stableWindowMs;
-    if (newer !== undefined && !history.isDisrupted([probe.machine], from, probe.endedAt)) {
+    if (newer !== undefined && !history.isOutOfTouch(probe.machine, from, probe.endedAt)) {
       const detail = `${probe.path} was served after ${newer.path}, of ${versions.length} versions`;
       findings.push(createFinding(Rule.Config, probe, detail));
     }
--- a/packages/soak/src/deployment.ts
+++ b/packages/soak/src/deployment.ts
@@ -34,6 +34,8 @@
   /** Folder for settings and output of the daemons. */
   folder: string;
   outside: Outside;
+  /** Whether proxies are on the daemons' connections to the store and to their backend servers. */
+  hasProxies: boolean;
 }
 
 /** A machine with its processes. */
@@ -79,9 +81,10 @@
     const store = { host: STORE_HOST, port };
     const network = 1 + options.seed % NETWORKS;
     const random = createRandom(options.seed);
+    const { hasProxies } = options;
     const indices = Array.from({ length: options.daemons }, (_, index) => index);
     deployment.nodes = await Promise.all(indices.map(async (index) => {
-      const machine = await createMachine(index, { network, store });
+      const machine = await createMachine(index, { network, store, hasProxies });
       return await deployment.#startNode(machine, index, random);
     }));
     const isReady = await Promise.all(
@@ -167,6 +170,11 @@
       daemon.close();
     });
     await Promise.all(this.nodes.map(({ server }) => server.close()));
+    await Promise.all(
+      this.nodes.flatMap(({ machine: { paths } }) =>
+        paths === undefined ? [] : [paths.store.close(), paths.server.close()]
+      ),
+    );
     await closeServer(this.#storeServer);
   }
 }
--- a/packages/soak/src/faults/fault.ts
+++ b/packages/soak/src/faults/fault.ts
@@ -9,6 +9,8 @@
   name: string;
   /** Relative frequency. */
   weight: number;
+  /** Whether it acts on the proxies of the daemons' connections. */
+  needsProxies?: boolean;
   /** Plays the fault once, and resolves when it is over. Takes all random numbers from `random`. */
   play: (deployment: Deployment, random: Random) => Promise<void> | void;
 }
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -40,6 +40,8 @@
   from: number;
   /** Infinite until the disruption ends. */
   until: number;
+  /** Whether only the path to the store is disrupted. */
+  isOfStore: boolean;
 }
 
 /** Record of one soak. Times are in milliseconds of the process's clock. */
@@ -60,9 +62,9 @@
   }
 
   /** Starts an unplanned disruption at a machine, or at all; returns a function that ends it. */
-  disrupt(what: string, machine?: string): () => void {
+  disrupt(what: string, machine?: string, options = { isOfStore: false }): () => void {
     this.add(what, machine);
-    const disruption = { machine, from: now(), until: Infinity };
+    const disruption = { machine, from: now(), until: Infinity, ...options };
     this.#disruptions.push(disruption);
     return () => {
       this.add(`end of ${what}`, machine);
@@ -70,17 +72,36 @@
     };
   }
 
-  /** Returns whether a disruption at one of the machines overlaps a span. */
+  /** Returns whether a disruption at one of the machines, other than of its path to the store, overlaps a span. */
   isDisrupted(machines: string[], from: number, until: number): boolean {
-    return this.#disruptions.some((disruption) =>
+    return this.#hasDisruption(
+      this.#disruptions.filter(({ isOfStore }) => !isOfStore),
+      machines,
+      { from, until },
+    );
+  }
+
+  /** Returns whether any disruption at a machine overlaps a span, also of its path to the store. */
+  isOutOfTouch(machine: string, from: number, until: number): boolean {
+    return this.#hasDisruption(this.#disruptions, [machine], { from, until });
+  }
+
+  #hasDisruption(
+    disruptions: Disruption[],
+    machines: string[],
+    { from, until }: { from: number; until: number },
+  ): boolean {
+    return disruptions.some((disruption) =>
       (disruption.machine === undefined || machines.includes(disruption.machine)) &&
       disruption.from <= until && disruption.until >= from
     );
   }
 
-  /** Returns whether a disruption at any machine overlaps a span. */
+  /** Returns whether a disruption at any machine, other than of its path to the store, overlaps a span. */
   isAnyDisrupted(from: number, until: number): boolean {
-    return this.#disruptions.some((each) => each.from <= until && each.until >= from);
+    return this.#disruptions.some((each) =>
+      !each.isOfStore && each.from <= until && each.until >= from
+    );
   }
 
   /** Returns the last events before a time at the machines, oldest first. */
--- a/packages/soak/src/machine.ts
+++ b/packages/soak/src/machine.ts
@@ -2,7 +2,7 @@
  * Machines of a soak: their names, addresses and settings.
  */
 import { type DeploymentSettings, type Endpoint, GrantDelivery } from "@bulrushwood/deployment";
-import { findFreePort } from "@bulrushwood/stand_ins";
+import { findFreePort, TcpProxy } from "@bulrushwood/stand_ins";
 import { ServiceName } from "./manifests.ts";
 
 /** Time bounds of the deployment, in milliseconds. */
@@ -38,27 +38,42 @@
   settings: DeploymentSettings;
   /** Address of the backend server. */
   server: Endpoint;
+  /** The daemon's paths to the store and to the backend server; undefined if there are no proxies on them. */
+  paths: Paths | undefined;
+}
+
+/** Proxies on the connections that a daemon opens. */
+export interface Paths {
+  store: TcpProxy;
+  server: TcpProxy;
 }
 
 /** Reserves addresses for a machine; `network` is the second number of its loopback address. */
 export async function createMachine(
   index: number,
-  options: { network: number; store: Endpoint },
+  options: { network: number; store: Endpoint; hasProxies: boolean },
 ): Promise<Machine> {
   const subnet = Math.floor(index / HOSTS_PER_NETWORK);
   const host = `127.${options.network}.${subnet}.${FIRST_HOST + index % HOSTS_PER_NETWORK}`;
-  const ports = await Promise.all(Array.from({ length: 6 }, () => findFreePort(host)));
-  const [callers, ready, reports, peers, metrics, server] = ports.map((port) => ({ host, port }));
+  const ports = await Promise.all(Array.from({ length: 8 }, () => findFreePort(host)));
+  const endpoints = ports.map((port) => ({ host, port }));
+  const [callers, ready, reports, peers, metrics, server, storePath, serverPath] = endpoints;
+  const paths = options.hasProxies
+    ? {
+      store: await TcpProxy.listen(storePath, options.store),
+      server: await TcpProxy.listen(serverPath, server),
+    }
+    : undefined;
   const services = Object.values(ServiceName);
   const row = Math.floor(index / services.length);
   const settings: DeploymentSettings = {
     instance: `side-${index}`,
     dataCentre: DATA_CENTRES[(index + row) % DATA_CENTRES.length],
     service: services[index % services.length],
-    serverAddress: `${host}:${server.port}`,
+    serverAddress: `${host}:${paths === undefined ? server.port : serverPath.port}`,
     listen: { callers, ready, reports, peers },
     metrics,
-    store: { endpoint: options.store, recordBytes: RECORD_BYTES },
+    store: { endpoint: paths === undefined ? options.store : storePath, recordBytes: RECORD_BYTES },
     memoryBytes: MEMORY_BYTES,
     grantDelivery: GrantDelivery.Orders,
     reportEveryMs: REPORT_EVERY_MS,
@@ -71,5 +86,5 @@
       retryWindowMs: 10_000,
     },
   };
-  return { name: settings.instance, host, settings, server };
+  return { name: settings.instance, host, settings, server, paths };
 }
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -117,7 +117,11 @@
   const { seed } = options;
   const folder = mkdtempSync(join(tmpdir(), `bulrushwood-soak-${seed}-`));
   const schedule = createSchedule(options);
-  const deployment = await Deployment.start({ ...options, folder });
+  const deployment = await Deployment.start({
+    ...options,
+    folder,
+    hasProxies: options.faults.some((fault) => fault.needsProxies),
+  });
   const { nodes, history, requests, operator } = deployment;
   try {
     await sleep(SETTLE_MS);
--- a/packages/stand_ins/src/mod.ts
+++ b/packages/stand_ins/src/mod.ts
@@ -17,4 +17,4 @@
 export { findFreePort } from "./ports.ts";
 export { blockEventLoop } from "./stall.ts";
 export { AppendFault, type KeyedStoreOptions, KeyedStoreService } from "./keyed_store.ts";
-export { SilencingProxy } from "./silencing_proxy.ts";
+export { Direction, TcpProxy } from "./tcp_proxy.ts";
