--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -537,13 +537,16 @@
   /** Logs each new incarnation, state or request limit of the backend server. */
   #logServerState(): void {
     const { report, leavingSince, limit } = this.#watch;
+    if (report === undefined) {
+      return;
+    }
     const { requestsPerSecond } = limit;
     const state = leavingSince === undefined ? ServerState.Ready : ServerState.Draining;
-    const name = `${report?.id}@${report?.bornMs} ${state} ${requestsPerSecond}`;
+    const name = `${report.id}@${report.bornMs} ${state} ${requestsPerSecond}`;
     if (name !== this.#loggedServerState) {
       this.#loggedServerState = name;
       const fields = { state, requestsPerSecond };
-      this.#log(Event.ServerReported, { server: report?.id, bornMs: report?.bornMs, ...fields });
+      this.#log(Event.ServerReported, { server: report.id, bornMs: report.bornMs, ...fields });
     }
   }
 
