Add faults against acknowledgements to the soak

A daemon is killed within 4 ms after it acknowledged a leave (by a farewell or draining, also with the store down) or a report, after its server answered a grant or a release, or, with others or all, after the store took a manifest; a report of the leaving server arrives up to 2.5 s late. The rule DRAIN finds requests that reach a server past the drain time after its acknowledged leave.

--- a/packages/soak/src/backend_server.ts
+++ b/packages/soak/src/backend_server.ts
@@ -9,10 +9,12 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { Socket } from "node:net";
 import { ServerState } from "@bulrushwood/deployment";
 import { closeServer, listenOn, readBody } from "@bulrushwood/stand_ins";
 import { now, sleep } from "@bulrushwood/types";
 import { HeldKeys, type Ownership } from "./held_keys.ts";
+import type { History } from "./history.ts";
 import { type Machine, REPORT_EVERY_MS } from "./machine.ts";
 import { ServiceName } from "./manifests.ts";
 import type { Outside, ReportCall } from "./outside.ts";
@@ -38,12 +40,14 @@
   outside: Outside;
   requests: Requests;
   ownership: Ownership;
+  history: History;
 }
 
 /** One run of a backend server. */
 export class BackendServer {
   readonly #options: BackendServerOptions;
   readonly #server: Server;
+  readonly #sockets = new Set<Socket>();
   readonly #bornMs = Date.now();
   readonly #keys: HeldKeys;
   readonly #isKeyed: boolean;
@@ -52,6 +56,10 @@
   #sequence = 0;
   #running = 0;
   #isOver = false;
+  #hasSaidFarewell = false;
+  /** Called once after the next response to an order. */
+  #orderCallback: (() => void) | undefined;
+  #reportCallback: (() => void) | undefined;
 
   private constructor(options: BackendServerOptions) {
     this.#options = options;
@@ -61,6 +69,10 @@
     this.#server = createServer((request, response) => {
       this.#handle(request, response).catch(() => response.destroy());
     });
+    this.#server.on("connection", (socket) => {
+      this.#sockets.add(socket);
+      socket.once("close", () => this.#sockets.delete(socket));
+    });
   }
 
   /** Starts to listen and to report. */
@@ -145,6 +157,7 @@
       await this.#keys.release(received.order);
       const headers = outside.responseHeaders({ handover: `handover-${this.id}` });
       response.writeHead(200, { ...headers, "content-length": 0 }).end();
+      this.#finishOrder();
       return;
     }
     const isTaken = this.#keys.grant(received.order);
@@ -152,10 +165,27 @@
       ownership.recordGrant(this.#keys, received.order);
     }
     response.writeHead(isTaken ? 200 : CONFLICT, { "content-length": 0 }).end();
+    this.#finishOrder();
+  }
+
+  #finishOrder(): void {
+    const callback = this.#orderCallback;
+    this.#orderCallback = undefined;
+    callback?.();
+  }
+
+  /** Calls back right after the next order to grant or release keys is answered. */
+  onNextOrder(callback: () => void): void {
+    this.#orderCallback = callback;
+  }
+
+  /** Calls back right after the next acknowledgement of a report. */
+  onNextAck(callback: () => void): void {
+    this.#reportCallback = callback;
   }
 
   async #reportUntilOver(): Promise<void> {
-    while (!this.#isOver) {
+    while (!this.#isOver && !this.#hasSaidFarewell) {
       const sentAt = now();
       const isAcked = await this.#report();
       await sleep(isAcked ? Math.max(0, REPORT_EVERY_MS - (now() - sentAt)) : RETRY_MS);
@@ -163,10 +193,23 @@
   }
 
   /** Sends a status report; resolves to whether it was acknowledged. */
-  #report(): Promise<boolean> {
+  async #report(): Promise<boolean> {
+    const state = this.#state;
+    const isAcked = await this.#call(this.#createReport());
+    if (isAcked && state !== ServerState.Ready) {
+      this.#recordLeaveAck();
+    }
+    if (isAcked) {
+      this.#reportCallback?.();
+      this.#reportCallback = undefined;
+    }
+    return isAcked;
+  }
+
+  #createReport(): ReportCall {
     const { machine, outside } = this.#options;
     const { service, dataCentre, serverAddress } = machine.settings;
-    return this.#call(outside.report({
+    return outside.report({
       id: this.id,
       bornMs: this.#bornMs,
       address: serverAddress,
@@ -178,7 +221,42 @@
       coldMs: 0,
       held: [],
       released: [],
-    }));
+    });
+  }
+
+  #recordLeaveAck(): void {
+    const { history } = this.#options;
+    if (!history.leaveAcks.has(this.id)) {
+      history.leaveAcks.set(this.id, now());
+      history.add(`leave of ${this.id} is acknowledged`, this.#options.machine.name);
+    }
+  }
+
+  /** Creates a report now that arrives `lateMs` later, whatever has been sent since. */
+  async reportLate(lateMs: number): Promise<void> {
+    const call = this.#createReport();
+    await sleep(lateMs);
+    await this.#call(call);
+  }
+
+  /** Says farewell until it is acknowledged, without having drained, and serves on. */
+  async sayFarewell(): Promise<void> {
+    this.#hasSaidFarewell = true;
+    while (!this.#isOver) {
+      if (await this.#call(this.#options.outside.farewell(this.id))) {
+        this.#recordLeaveAck();
+        return;
+      }
+      await sleep(RETRY_MS);
+    }
+  }
+
+  /** Reports that it drains, until that is acknowledged, and serves on. */
+  async drain(): Promise<void> {
+    this.#state = ServerState.Draining;
+    while (!this.#isOver && !await this.#report()) {
+      await sleep(RETRY_MS);
+    }
   }
 
   #call({ body, ...call }: ReportCall): Promise<boolean> {
@@ -211,9 +289,10 @@
     await this.close();
   }
 
-  /** Ends at once, with all connections. */
+  /** Ends at once, and resets all connections: a response that ends with its connection must not look whole. */
   async close(): Promise<void> {
     this.#isOver = true;
+    this.#sockets.forEach((socket) => socket.resetAndDestroy());
     this.#options.ownership.remove(this.#keys);
     await closeServer(this.#server);
   }
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -163,6 +163,25 @@
   { rule: Rule.Config, check: checkVersion },
 ];
 
+/** Finds runs that began past the drain time after the leave of their server was acknowledged. */
+function findLateRuns({ history, requests }: Observed): Finding[] {
+  return requests.sent.flatMap((request) =>
+    requests.runsOf(request.id).flatMap((run) => {
+      const ackAt = history.leaveAcks.get(run.server);
+      // After its caller's end, a request was on its way for long: to a stand-in that lacked processor time.
+      const isLate = ackAt !== undefined && run.startedAt <= request.endedAt &&
+        run.startedAt > ackAt + BOUNDS.drainMs + history.stalledMs(ackAt, run.startedAt);
+      const machines = [request.machine, run.machine];
+      if (!isLate || history.isDisrupted(machines, run.startedAt, run.startedAt)) {
+        return [];
+      }
+      const ms = Math.round(run.startedAt - ackAt);
+      const detail = `reached a server ${ms} ms after the acknowledgement of its leave`;
+      return [createFinding(Rule.Drain, request, detail, [run])];
+    })
+  );
+}
+
 /** Finds probes that a daemon answered by an older version than one whose effect was seen there before. */
 function findRegressions({ history, requests, versions }: Observed): Finding[] {
   const findings: Finding[] = [];
@@ -218,5 +237,5 @@
       return detail === undefined ? [] : [createFinding(rule, request, detail, runs)];
     })
   );
-  return [...found, ...findRegressions(observed)];
+  return [...found, ...findRegressions(observed), ...findLateRuns(observed)];
 }
--- a/packages/soak/src/deployment.ts
+++ b/packages/soak/src/deployment.ts
@@ -5,7 +5,7 @@
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { closeServer, KeyedStoreService, listenOn } from "@bulrushwood/stand_ins";
-import { createRandom, type Random, sleep } from "@bulrushwood/types";
+import { createRandom, now, type Random, sleep } from "@bulrushwood/types";
 import { BackendServer } from "./backend_server.ts";
 import { Callers } from "./callers.ts";
 import { DaemonProcess } from "./daemon_process.ts";
@@ -119,7 +119,7 @@
     const generation = this.#serverCounts.get(machine.name) ?? 0;
     this.#serverCounts.set(machine.name, generation + 1);
     const { outside } = this.#options;
-    const { requests } = this;
+    const { requests, history } = this;
     return BackendServer.start({
       machine,
       index,
@@ -127,6 +127,7 @@
       outside,
       requests,
       ownership: this.#ownership,
+      history,
     });
   }
 
@@ -148,7 +149,9 @@
         }
       });
       this.#ownership.sample();
+      const sleptAt = now();
       await sleep(SAMPLE_MS);
+      this.history.recordStall(sleptAt + SAMPLE_MS, now());
     }
   }
 
--- a/packages/soak/src/faults/mod.ts
+++ b/packages/soak/src/faults/mod.ts
@@ -1,6 +1,7 @@
 /**
  * All kinds of faults by area.
  */
+import { DURABILITY } from "./durability.ts";
 import type { Fault } from "./fault.ts";
 import { MANIFESTS } from "./manifests.ts";
 import { SERVERS } from "./servers.ts";
@@ -11,6 +12,7 @@
   signals: SIGNALS,
   manifests: MANIFESTS,
   servers: SERVERS,
+  durability: DURABILITY,
 };
 
 /** Returns the faults that have one of the names, or are of one of the areas. */
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -15,8 +15,13 @@
   Route = "ROUTE",
   /** A request was handled as only an older manifest allows. */
   Config = "CONFIG",
+  /** A request reached a server long after a daemon had acknowledged that it leaves. */
+  Drain = "DRAIN",
 }
 
+/** Shortest stall of the stand-ins that is recorded, in milliseconds. */
+const STALL_MS_MIN = 50;
+
 /** Event at a machine, or at all machines if it names none. */
 export interface Event {
   at: number;
@@ -47,7 +52,23 @@
   readonly startedAt = now();
   readonly events: Event[] = [];
   readonly findings: Finding[] = [];
+  /** When the leave of each server was first acknowledged, by its id. */
+  readonly leaveAcks = new Map<string, number>();
   readonly #disruptions: Disruption[] = [];
+  readonly #stalls: { from: number; until: number }[] = [];
+
+  /** Records that the process of the stand-ins was due to run and did not; what it saw then may have come earlier. */
+  recordStall(from: number, until: number): void {
+    if (until - from > STALL_MS_MIN) {
+      this.#stalls.push({ from, until });
+    }
+  }
+
+  /** Returns for how long the stand-ins have been stalled at a time or shortly before, in milliseconds. */
+  stalledMs(from: number, until: number): number {
+    return this.#stalls.filter((stall) => stall.from <= until && stall.until >= from)
+      .reduce((sum, stall) => sum + stall.until - stall.from, 0);
+  }
 
   /** Adds an event. */
   add(what: string, machine?: string): void {
