--- a/packages/soak/src/faults/mod.ts
+++ b/packages/soak/src/faults/mod.ts
@@ -1,6 +1,7 @@
 /**
  * All kinds of faults by area.
  */
+import { DURABILITY } from "./durability.ts";
 import type { Fault } from "./fault.ts";
 import { MANIFESTS } from "./manifests.ts";
 import { NETWORK } from "./network.ts";
@@ -13,6 +14,7 @@
   manifests: MANIFESTS,
   servers: SERVERS,
   network: NETWORK,
+  durability: DURABILITY,
 };
 
 /** Returns the faults that have one of the names, or are of one of the areas. */
