Play a lack of descriptors and hostile callers in the soak

Area resources: few descriptors with many idle callers, half heads, garbage on all listeners, callers that read nothing, bodies without end.

A daemon's descriptors are limited only where it uses at most half of them: a limit below what is in use is nothing that the platform does.

--- a/packages/soak/src/faults/mod.ts
+++ b/packages/soak/src/faults/mod.ts
@@ -3,6 +3,7 @@
  */
 import type { Fault } from "./fault.ts";
 import { MANIFESTS } from "./manifests.ts";
+import { RESOURCES } from "./resources.ts";
 import { SERVERS } from "./servers.ts";
 import { SIGNALS } from "./signals.ts";
 
@@ -11,6 +12,7 @@
   signals: SIGNALS,
   manifests: MANIFESTS,
   servers: SERVERS,
+  resources: RESOURCES,
 };
 
 /** Returns the faults that have one of the names, or are of one of the areas. */
