--- a/packages/soak/src/faults/mod.ts
+++ b/packages/soak/src/faults/mod.ts
@@ -5,6 +5,7 @@
 import type { Fault } from "./fault.ts";
 import { MANIFESTS } from "./manifests.ts";
 import { NETWORK } from "./network.ts";
+import { RESOURCES } from "./resources.ts";
 import { SERVERS } from "./servers.ts";
 import { SIGNALS } from "./signals.ts";
 
@@ -15,6 +16,7 @@
   servers: SERVERS,
   network: NETWORK,
   durability: DURABILITY,
+  resources: RESOURCES,
 };
 
 /** Returns the faults that have one of the names, or are of one of the areas. */
