--- a/packages/http_server/src/close_test.ts
+++ b/packages/http_server/src/close_test.ts
@@ -1,5 +1,6 @@
 import { createServer, type Server } from "node:http";
 import { connect, type Socket } from "node:net";
+import process from "node:process";
 import { expect } from "chai";
 import { blockEventLoop } from "@bulrushwood/stand_ins";
 import { closeGracefully } from "./mod.ts";
@@ -11,6 +12,18 @@
 /** Connections that wait to be accepted. */
 const WAITING = 30;
 
+/** Sends a request on a new connection; resolves to its response, or to the code of the error that ended it. */
+function send(port: number): Promise<string> {
+  return new Promise((resolve) => {
+    let received = "";
+    const socket = connect(port, HOST);
+    socket.write("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    socket.on("data", (part) => received += part.toString());
+    socket.on("error", (error: NodeJS.ErrnoException) => resolve(error.code ?? error.message));
+    socket.on("close", () => resolve(received.split("\r\n")[0]));
+  });
+}
+
 describe("the graceful close of a server", () => {
   async function listen(): Promise<Server> {
     const server = createServer((_request, response) => response.end("ok"));
@@ -64,4 +77,15 @@
     await closeGracefully(server, options);
     expect((await Promise.all(responded)).filter(Boolean)).to.have.length(WAITING);
   });
+
+  it("responds on connections that are opened just before the close", async () => {
+    const server = await listen();
+    const { port } = server.address() as { port: number };
+    const sent = Array.from({ length: WAITING }, () => send(port));
+    // The connections are opened in the next tick, and none is accepted before the next poll.
+    await new Promise((resolve) => process.nextTick(resolve));
+    const options = { timeoutMs: CLOSE_MS, respondAfterMs: CLOSE_MS, respondToOpen: () => {} };
+    await closeGracefully(server, options);
+    expect(await Promise.all(sent)).to.deep.equal(Array(WAITING).fill("HTTP/1.1 200 OK"));
+  });
 });
