Judge no times while the soak's own process lacks processor time

The soak now records the stalls of its own process of over 0.5 s and reports them; checks of times ignore requests that overlap one. A request that ran and was cut counts as before.

--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -70,7 +70,8 @@
   }
   const runs = observed.requests.runsOf(request.id);
   const wasRead = request.ending === Ending.Closed && request.wholeAt !== undefined &&
-    request.endedAt > request.wholeAt + BOUNDS.lossSlackMs;
+    request.endedAt > request.wholeAt + BOUNDS.lossSlackMs &&
+    observed.history.isTimed(request.sentAt, request.endedAt);
   const isAllowed = hasUsedItsTime(request) ||
     runs.some(({ ending }) => ending === RunEnding.Crashed) ||
     runs.some((run) => outlastsStop(run, observed)) || isExcused(request, observed);
@@ -82,7 +83,8 @@
 
 /** A request got no response long after its time was used up. */
 function checkGivenUp(request: SentRequest, observed: Observed): string | undefined {
-  return request.ending === Ending.GivenUp && !isExcused(request, observed)
+  const isTimed = observed.history.isTimed(request.sentAt, request.endedAt);
+  return request.ending === Ending.GivenUp && isTimed && !isExcused(request, observed)
     ? "got no response"
     : undefined;
 }
@@ -146,7 +148,7 @@
   const isHandled = isSuccess(request) || request.status === 404;
   const from = request.sentAt - BOUNDS.stableWindowMs;
   if (
-    version === undefined || !isHandled ||
+    version === undefined || !isHandled || !history.isTimed(from, request.endedAt) ||
     history.isDisrupted([request.machine], from, request.endedAt)
   ) {
     return undefined;
--- a/packages/soak/src/checks_test.ts
+++ b/packages/soak/src/checks_test.ts
@@ -80,6 +80,15 @@
     expect(scenario.rules).to.deep.equal([]);
   });
 
+  it("judge no time while the soak's own process stalls, but cut runs", () => {
+    scenario.history.stalls.push({ from: 9_000, until: 10_400 });
+    scenario.add(Ending.Closed, { endedAt: 10_500 });
+    scenario.add(Ending.GivenUp, { endedAt: 15_500 });
+    expect(scenario.rules).to.deep.equal([]);
+    scenario.addRun(scenario.add(Ending.Closed));
+    expect(scenario.rules).to.deep.equal([Rule.Lost]);
+  });
+
   it("excuse a cut by a crashed server, and none by a daemon", () => {
     scenario.addRun(scenario.add(Ending.Closed), { ending: RunEnding.Crashed });
     expect(scenario.rules).to.deep.equal([]);
--- a/packages/soak/src/deployment.ts
+++ b/packages/soak/src/deployment.ts
@@ -5,7 +5,7 @@
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { closeServer, KeyedStoreService, listenOn } from "@bulrushwood/stand_ins";
-import { createRandom, type Random, sleep } from "@bulrushwood/types";
+import { createRandom, now, type Random, sleep } from "@bulrushwood/types";
 import { BackendServer } from "./backend_server.ts";
 import { Callers } from "./callers.ts";
 import { DaemonProcess } from "./daemon_process.ts";
@@ -19,6 +19,8 @@
 const STORE_HOST = "127.0.0.1";
 const STORE_CALL_MS = 4;
 const SAMPLE_MS = 200;
+/** Delay of a sample from which the soak's own process counts as stalled, in milliseconds. */
+const STALL_MS = 500;
 /** Number of daemons above which each caller sends less, so that all together send the same. */
 const FULL_RATE_DAEMONS = 8;
 const NETWORKS = 200;
@@ -148,7 +150,11 @@
         }
       });
       this.#ownership.sample();
+      const from = now();
       await sleep(SAMPLE_MS);
+      if (now() - from > SAMPLE_MS + STALL_MS) {
+        this.history.stalls.push({ from, until: now() });
+      }
     }
   }
 
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -42,12 +42,19 @@
   until: number;
 }
 
+/** Span in which the soak's own process did not run, so that its times are wrong. */
+interface Stall {
+  from: number;
+  until: number;
+}
+
 /** Record of one soak. Times are in milliseconds of the process's clock. */
 export class History {
   readonly startedAt = now();
   readonly events: Event[] = [];
   readonly findings: Finding[] = [];
   readonly #disruptions: Disruption[] = [];
+  readonly stalls: Stall[] = [];
 
   /** Adds an event. */
   add(what: string, machine?: string): void {
@@ -83,6 +90,11 @@
     return this.#disruptions.some((each) => each.from <= until && each.until >= from);
   }
 
+  /** Returns whether the soak's own process ran throughout a span. */
+  isTimed(from: number, until: number): boolean {
+    return !this.stalls.some((stall) => stall.from <= until && stall.until >= from);
+  }
+
   /** Returns the last events before a time at the machines, oldest first. */
   eventsBefore(at: number, machines: string[], count: number): Event[] {
     const earlier = this.events.filter((event) =>
--- a/packages/soak/src/report.ts
+++ b/packages/soak/src/report.ts
@@ -39,6 +39,11 @@
     `ends of processes: ${formatCounts(ends) || "none"}`,
     `peaks of a daemon: ${memory.toFixed(0)} MB, ${descriptors} descriptors`,
   ];
+  const stalledMs = history.stalls.map(({ from, until }) => Math.round(until - from));
+  if (stalledMs.length > 0) {
+    const longest = Math.max(...stalledMs);
+    lines.push(`the soak's own process stalled ${stalledMs.length} times, up to ${longest} ms`);
+  }
   if (options.withSchedule) {
     lines.push(
       ...schedule.map(({ atMs, fault, seed }) =>
