--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -21,6 +21,8 @@
 
 /** Shortest stall of the stand-ins that is recorded, in milliseconds. */
 const STALL_MS_MIN = 50;
+/** Stall of the stand-ins from which times that were measured beside it are not judged, in milliseconds. */
+const LONG_STALL_MS = 500;
 
 /** Event at a machine, or at all machines if it names none. */
 export interface Event {
@@ -49,6 +51,11 @@
   isOfStore: boolean;
 }
 
+interface Stall {
+  from: number;
+  until: number;
+}
+
 /** Record of one soak. Times are in milliseconds of the process's clock. */
 export class History {
   readonly startedAt = now();
@@ -57,18 +64,19 @@
   /** When the leave of each server was first acknowledged, by its id. */
   readonly leaveAcks = new Map<string, number>();
   readonly #disruptions: Disruption[] = [];
-  readonly #stalls: { from: number; until: number }[] = [];
+  /** Spans in which the soak's own process did not run, so that its times are wrong. */
+  readonly stalls: Stall[] = [];
 
   /** Records that the process of the stand-ins was due to run and did not; what it saw then may have come earlier. */
   recordStall(from: number, until: number): void {
     if (until - from > STALL_MS_MIN) {
-      this.#stalls.push({ from, until });
+      this.stalls.push({ from, until });
     }
   }
 
   /** Returns for how long the stand-ins have been stalled at a time or shortly before, in milliseconds. */
   stalledMs(from: number, until: number): number {
-    return this.#stalls.filter((stall) => stall.from <= until && stall.until >= from)
+    return this.stalls.filter((stall) => stall.from <= until && stall.until >= from)
       .reduce((sum, stall) => sum + stall.until - stall.from, 0);
   }
 
@@ -125,6 +133,13 @@
     );
   }
 
+  /** Returns whether the soak's own process ran throughout a span, without a long stall. */
+  isTimed(from: number, until: number): boolean {
+    return !this.stalls.some((stall) =>
+      stall.from <= until && stall.until >= from && stall.until - stall.from >= LONG_STALL_MS
+    );
+  }
+
   /** Returns the last events before a time at the machines, oldest first. */
   eventsBefore(at: number, machines: string[], count: number): Event[] {
     const earlier = this.events.filter((event) =>
