Record in the soak when its own process was held up

It holds the callers, the backend servers and the store, so a delay of its own looks like one of all of them.

--- a/packages/soak/src/deployment.ts
+++ b/packages/soak/src/deployment.ts
@@ -5,7 +5,7 @@
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { closeServer, KeyedStoreService, listenOn } from "@bulrushwood/stand_ins";
-import { createRandom, type Random, sleep } from "@bulrushwood/types";
+import { createRandom, now, type Random, sleep } from "@bulrushwood/types";
 import { BackendServer } from "./backend_server.ts";
 import { Callers } from "./callers.ts";
 import { DaemonProcess } from "./daemon_process.ts";
@@ -19,6 +19,8 @@
 const STORE_HOST = "127.0.0.1";
 const STORE_CALL_MS = 4;
 const SAMPLE_MS = 200;
+/** Shortest delay of this process that is recorded, in milliseconds; it delays callers, servers and the store alike. */
+const OWN_DELAY_MS = 250;
 /** Number of daemons above which each caller sends less, so that all together send the same. */
 const FULL_RATE_DAEMONS = 8;
 const NETWORKS = 200;
@@ -151,7 +153,12 @@
         }
       });
       this.#ownership.sample();
+      const sampledAt = now();
       await sleep(SAMPLE_MS);
+      const delayMs = Math.round(now() - sampledAt - SAMPLE_MS);
+      if (delayMs >= OWN_DELAY_MS) {
+        this.history.add(`this process was held up for ${delayMs} ms`);
+      }
     }
   }
 
