--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -71,6 +71,7 @@
   recordStall(from: number, until: number): void {
     if (until - from > STALL_MS_MIN) {
       this.stalls.push({ from, until });
+      this.add(`the soak's own process stalled for ${Math.round(until - from)} ms`);
     }
   }
 
