--- a/packages/router/src/departures_test.ts
+++ b/packages/router/src/departures_test.ts
@@ -1,11 +1,11 @@
 import { Buffer } from "node:buffer";
 import { expect } from "chai";
 import { type ServerReport, ServerState } from "@bulrushwood/deployment";
-import { KeyedFollower, SYSTEM_TOPIC } from "@bulrushwood/ledger_store";
+import { SYSTEM_TOPIC } from "@bulrushwood/ledger_store";
 import { KeyedStoreService } from "@bulrushwood/stand_ins";
-import { now, sleep } from "@bulrushwood/types";
-import { Departures } from "./departures.ts";
-import { ServerWatch } from "./server_watch.ts";
+import { sleep } from "@bulrushwood/types";
+import { startDepartures } from "./departures_fixture.ts";
+import type { ServerWatch } from "./server_watch.ts";
 
 function reportOf(identity: { id: string; bornMs: number }, sequence: number): ServerReport {
   return {
@@ -22,27 +22,8 @@
   };
 }
 
-/** Starts the part of a daemon that tracks its server and stores departures. */
-async function startDaemon(service: KeyedStoreService) {
-  const store = service.connect();
-  const options = { store, topic: SYSTEM_TOPIC, now, sleep, waitMs: 300 };
-  const follower = new KeyedFollower({ ...options, onReachable: () => {} });
-  const watch = new ServerWatch({ service: "s", now, reportEveryMs: 60_000 });
-  const departures = new Departures({
-    self: "10.0.0.1:7000",
-    store,
-    follower,
-    watch,
-    now,
-    sleep,
-    onCorrupt: () => {},
-  });
-  await follower.start();
-  const close = async () => {
-    departures.close();
-    await follower.close();
-  };
-  return { watch, departures, close };
+function startDaemon(service: KeyedStoreService) {
+  return startDepartures(service, { reportEveryMs: 60_000 });
 }
 
 const IDENTITY = { id: "s1", bornMs: 5 };
--- a/packages/router/src/side_servers_test.ts
+++ b/packages/router/src/side_servers_test.ts
@@ -8,11 +8,10 @@
   type ServerWire,
   type StatusReport,
 } from "@bulrushwood/deployment";
-import { KeyedFollower, SYSTEM_TOPIC } from "@bulrushwood/ledger_store";
+import { SYSTEM_TOPIC } from "@bulrushwood/ledger_store";
 import { AppendFault, findFreePort, KeyedStoreService } from "@bulrushwood/stand_ins";
 import { now, sleep } from "@bulrushwood/types";
-import { Departures } from "./departures.ts";
-import { ServerWatch } from "./server_watch.ts";
+import { startDepartures } from "./departures_fixture.ts";
 import { handleReports, SideServer } from "./side_servers.ts";
 
 const HOST = "127.0.0.1";
@@ -47,19 +46,8 @@
 
 /** Starts the part of a daemon that takes the reports of its server. */
 async function startDaemon(service: KeyedStoreService) {
-  const store = service.connect();
-  const options = { store, topic: SYSTEM_TOPIC, now, sleep, waitMs: 300 };
-  const follower = new KeyedFollower({ ...options, onReachable: () => {} });
-  const watch = new ServerWatch({ service: REPORT.service, now, reportEveryMs: REPORT_EVERY_MS });
-  const departures = new Departures({
-    self: "10.0.0.1:7000",
-    store,
-    follower,
-    watch,
-    now,
-    sleep,
-    onCorrupt: () => {},
-  });
+  const daemon = await startDepartures(service, { reportEveryMs: REPORT_EVERY_MS });
+  const { watch, departures } = daemon;
   const port = await findFreePort(HOST);
   const handler = handleReports(WIRE, {
     watch,
@@ -69,11 +57,9 @@
     log: () => {},
   });
   const side = await SideServer.listen({ host: HOST, port }, handler, { log: () => {} });
-  await follower.start();
   const close = async () => {
     side.close();
-    departures.close();
-    await follower.close();
+    await daemon.close();
   };
   /** Sends a status report; resolves to the status of the response. */
   const send = (status: StatusReport) =>
