Send responses whole when a server closes

Cause: the close of a Node.js HTTP server destroys every connection whose last response was ended, also where its bytes were not handed to the operating system yet.

The table of connections, which knows when a response was sent, now closes the idle ones, and the others after their responses; the listener alone is closed by Node.js. Connections that have carried no request stay open, as before. Both daemons use it.

--- a/packages/daemon/src/caller_server.ts
+++ b/packages/daemon/src/caller_server.ts
@@ -5,9 +5,17 @@
  */
 import { Buffer } from "node:buffer";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { Result } from "true-myth";
 import type { Shutdown } from "@bulrushwood/admission";
-import { closeGracefully, endAfterRequest, endWithBody, EventLoop } from "@bulrushwood/http_server";
+import {
+  closeGracefully,
+  type ConnectionTable,
+  endAfterRequest,
+  endWithBody,
+  EventLoop,
+  limitConnections,
+} from "@bulrushwood/http_server";
 import type { Ledger } from "@bulrushwood/ledger";
 import { Reason, type RequestHead } from "@bulrushwood/protocol";
 import {
@@ -95,6 +103,7 @@
 export class CallerServer {
   readonly #options: CallerServerOptions;
   readonly #server: Server;
+  readonly #connections: ConnectionTable<Socket>;
   readonly #eventLoop: EventLoop;
   #routes: RouteTable | undefined;
   #routesOf: Configuration | undefined;
@@ -112,6 +121,7 @@
         this.#handle(request, response).catch(() => response.destroy());
       },
     );
+    this.#connections = limitConnections(this.#server, { max: () => Infinity, onClosed: () => {} });
     this.#server.on("connection", () => this.#eventLoop.recordAccepted());
     this.#server.on("clientError", (error, socket) => {
       options.metrics.countMalformed("caller");
@@ -434,7 +444,7 @@
    * shortly before the end of the timeout get a response that says so.
    */
   async close(options: { timeoutMs: number }): Promise<void> {
-    await closeGracefully(this.#server, {
+    await closeGracefully(this.#server, this.#connections, {
       ...options,
       respondAfterMs: this.#options.shutdown.lastResponsesAt - now(),
       respondToOpen: () => this.#respondToOpen(),
--- a/packages/http_server/src/connection_table.ts
+++ b/packages/http_server/src/connection_table.ts
@@ -33,6 +33,7 @@
   readonly #unused = new Set<Socket>();
   /** Connections without an open request that have carried one, the one that is idle longest first. */
   readonly #idle = new Set<Socket>();
+  #isClosing = false;
 
   constructor(options: { now: Clock }) {
     this.#now = options.now;
@@ -90,6 +91,24 @@
       connection.idleSince = this.#now();
       connection.bytesRead = socket.bytesRead;
       this.#idle.add(socket);
+      this.#closeIdle();
+    }
+  }
+
+  /** Closes idle connections that have carried a request, and the others once they are idle after one. */
+  close(): void {
+    this.#isClosing = true;
+    this.#closeIdle();
+  }
+
+  #closeIdle(): void {
+    while (this.#isClosing) {
+      const socket = this.#firstSilent(this.#idle);
+      if (socket === undefined) {
+        break;
+      }
+      this.remove(socket);
+      socket.destroy();
     }
   }
 
--- a/packages/http_server/src/connection_table_test.ts
+++ b/packages/http_server/src/connection_table_test.ts
@@ -110,6 +110,16 @@
     expect(accepted.isDestroyed).to.equal(false);
   });
 
+  it("closes idle connections when it closes, and others after their response", () => {
+    const { table, sockets, respond, destroyed } = createTable(4);
+    [0, 1].forEach((index) => respond(sockets[index]));
+    [1, 2].forEach((index) => table.begin(sockets[index]));
+    table.close();
+    expect(destroyed()).to.deep.equal([0]);
+    table.end(sockets[2]);
+    expect(destroyed()).to.deep.equal([0, 2]);
+  });
+
   it("forgets connections that have closed", () => {
     const { table, sockets, respond } = createTable(2);
     sockets.forEach(respond);
--- a/packages/http_server/src/mod.ts
+++ b/packages/http_server/src/mod.ts
@@ -5,7 +5,9 @@
  */
 import type { Buffer } from "node:buffer";
 import type { Server, ServerResponse } from "node:http";
+import { Server as NetServer, type Socket } from "node:net";
 import { now } from "@bulrushwood/types";
+import type { ConnectionTable } from "./connection_table.ts";
 
 export { listen, type ListenAddress, type ListenOptions } from "./listen.ts";
 export { EventLoop, type EventLoopOptions } from "./event_loop.ts";
@@ -14,6 +16,7 @@
   type ConnectionLimitOptions,
   limitConnections,
 } from "./connection_limit.ts";
+export type { ConnectionTable } from "./connection_table.ts";
 export { openDescriptorsMax, SocketLimit, type SocketLimitOptions } from "./socket_limit.ts";
 
 /** Longest wait for the rest of a request that has its response already, in milliseconds. */
@@ -79,19 +82,28 @@
 }
 
 /** Stops accepting connections; resolves when all requests have their responses or the timeout has passed. */
-export async function closeGracefully(server: Server, options: CloseOptions): Promise<void> {
+export async function closeGracefully(
+  server: Server,
+  connections: ConnectionTable<Socket>,
+  options: CloseOptions,
+): Promise<void> {
   const { respondToOpen } = options;
   const startedAt = now();
   await readArrived(server, Math.min(ACCEPT_TIMEOUT_MS, options.timeoutMs));
   const elapsedMs = now() - startedAt;
   const timeoutMs = options.timeoutMs - elapsedMs;
   const respondAfterMs = options.respondAfterMs - elapsedMs;
-  const closed = new Promise<void>((resolve) => server.close(() => resolve()));
-  server.closeIdleConnections();
+  // The close of a Node.js HTTP server destroys connections whose responses are written but not sent yet.
+  const closed = new Promise<void>((resolve) =>
+    NetServer.prototype.close.call(server, () => resolve())
+  );
+  connections.close();
   const timers = [
     setTimeout(respondToOpen, Math.min(timeoutMs, respondAfterMs)),
     setTimeout(() => server.closeAllConnections(), timeoutMs),
   ];
   await closed;
   timers.forEach((timer) => clearTimeout(timer));
+  // Ends the server's checks for late heads.
+  server.close();
 }
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -10,6 +10,7 @@
 import {
   closeGracefully,
   type ConnectionLimitOptions,
+  type ConnectionTable,
   endWithBody,
   type EventLoop,
   limitConnections,
@@ -96,6 +97,7 @@
   /** Longest deadline that callers of each route have sent, in milliseconds. */
   #longestDeadlines = new Map<string, number>();
   readonly #connections = new WeakMap<Socket, CallerConnection>();
+  readonly #limitedConnections: ConnectionTable<Socket>;
   #openRequests = 0;
   /** Dispatched requests without a response yet. */
   readonly #dispatched = new OpenRequests();
@@ -133,7 +135,7 @@
       this.#connectionOf(socket);
       options.eventLoop.recordAccepted();
     });
-    limitConnections(this.#server, options.connectionLimit);
+    this.#limitedConnections = limitConnections(this.#server, options.connectionLimit);
     // Node.js would drop the headers after the first 2,000, which are not counted as the head's bytes then.
     this.#server.maxHeadersCount = 0;
     enforceTimeouts(this.#server, (socket) => this.#connectionOf(socket));
@@ -482,7 +484,7 @@
 
   /** Stops accepting connections; resolves when all requests have their responses or the timeout has passed. */
   async close(options: { timeoutMs: number }): Promise<void> {
-    await closeGracefully(this.#server, {
+    await closeGracefully(this.#server, this.#limitedConnections, {
       ...options,
       respondAfterMs: this.#options.shutdown.lastResponsesAt - now(),
       respondToOpen: () => this.#respondToOpen(),
