Exit only when the responses to forwarded requests were sent

Cause: a request counted as open until the server had responded. A response of over 256 KB is sent on credit after that, and what was queued on a link did not count either, so the process exited in between.

Evidence: "sends the long response to a request that another instance forwarded as a whole" failed before with an error response of 63 bytes instead of 4,000,000.

A forwarded request now counts until its whole response was handed to the link, and a stopping daemon waits for the links' queues as well, within its time to stop.

--- a/packages/protocol/src/link.ts
+++ b/packages/protocol/src/link.ts
@@ -139,6 +139,11 @@
     return this.#error === undefined;
   }
 
+  /** Whether frames have not been handed to the operating system yet. */
+  get hasUnsent(): boolean {
+    return this.isOpen && (this.#queue.length > 0 || this.#socket.bufferedAmount > 0);
+  }
+
   /** Queues a frame, which is sent at the end of this turn of the event loop. */
   send(frame: Frame): void {
     if (this.#error !== undefined) {
--- a/packages/protocol/src/links.ts
+++ b/packages/protocol/src/links.ts
@@ -211,6 +211,11 @@
     });
   }
 
+  /** Whether a link has frames that were not handed to the operating system yet. */
+  get hasUnsent(): boolean {
+    return [...this.#all].some((link) => link.hasUnsent);
+  }
+
   /** Closes all links and stops listening. */
   async close(): Promise<void> {
     this.#isClosed = true;
--- a/packages/router/src/forwarded_requests.ts
+++ b/packages/router/src/forwarded_requests.ts
@@ -29,6 +29,7 @@
 export class ForwardedRequests {
   readonly #options: ForwardedRequestsOptions;
   readonly #longBodies = new LongBodies();
+  #open = 0;
 
   constructor(options: ForwardedRequestsOptions) {
     this.#options = options;
@@ -39,6 +40,11 @@
     return this.#longBodies.open;
   }
 
+  /** Number of requests whose responses have not been handed to their links as a whole. */
+  get open(): number {
+    return this.#open;
+  }
+
   /** Handles one request. */
   handle(exchange: IncomingExchange): void {
     const { metrics, log } = this.#options;
@@ -48,6 +54,7 @@
       const ms = Math.round(transitMs);
       log(Event.RequestDelayed, { id: head.id, route: head.workClass, ms });
     }
+    this.#open++;
     this.#serve(exchange).catch((error: Error) => {
       if (signal.aborted) {
         this.recordCancelled(head, RequestStage.Arrival, 0);
@@ -55,7 +62,7 @@
         log(Event.TaskFailed, { task: "peer request", id: head.id, reason: error.message });
       }
       exchange.abort();
-    });
+    }).finally(() => this.#open--);
   }
 
   /** Records a request whose caller left before its response, and where it waited. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -689,12 +689,18 @@
     ]);
     this.#forwarded.close();
     this.#runner.rejectNew();
-    while (this.#runner.open + this.#callers.open > 0 && now() < endAt) {
+    while (this.#hasOpenRequests && now() < endAt) {
       await sleep(END_CHECK_MS);
     }
     this.#log(Event.Stopped, { afterMs: Math.round(now() - startedAt) });
   }
 
+  /** Whether a request, of a caller or a peer, has no response yet, or its response was not sent as a whole. */
+  get #hasOpenRequests(): boolean {
+    return this.#runner.open + this.#callers.open + this.#forwarded.open > 0 ||
+      this.#links.hasUnsent;
+  }
+
   /** Stops at once and aborts all requests in flight. */
   async close(): Promise<void> {
     this.#shutdown.begin();
--- a/packages/router/src/router_test.ts
+++ b/packages/router/src/router_test.ts
@@ -48,6 +48,10 @@
 /** Time that a server takes to start again, in milliseconds. */
 const RESTART_MS = 400;
 
+/** Time of a request that ends after a stopping daemon has closed its listener. */
+const LINGER_MS_MIN = 2_800;
+const LONG_RESPONSE_BYTES = 4_000_000;
+
 interface Holding {
   first: number;
   last: number;
@@ -74,6 +78,8 @@
   crashes = 0;
   /** Time that each request takes, in milliseconds. */
   serviceMs = SERVICE_MS;
+  /** Bytes that are added to each response. */
+  paddingBytes = 0;
   /** Number of reports that this incarnation has sent. */
   reports = 0;
   /** Epochs of the grants that this incarnation got. */
@@ -243,7 +249,9 @@
     this.#runningKeys.push(key);
     await sleep(this.serviceMs);
     this.#runningKeys.splice(this.#runningKeys.indexOf(key), 1);
-    response.writeHead(200, { id, mark: this.id }).end(`${key} by ${this.id}`);
+    response.writeHead(200, { id, mark: this.id }).end(
+      `${key} by ${this.id}`.padEnd(this.paddingBytes),
+    );
   }
 
   close(): void {
@@ -264,6 +272,16 @@
     priority: 0,
     attemptsMax: 2,
     shares: [{ service: SERVICE, weight: 1 }],
+  }, {
+    name: "download",
+    host: "h",
+    pathPrefix: "/download/",
+    kind: RouteKind.Once,
+    timeoutMs: 4_000,
+    targetMs: 1_000,
+    priority: 0,
+    attemptsMax: 2,
+    shares: [{ service: SERVICE, weight: 1 }],
   }],
   services: new Map([[SERVICE, {
     name: SERVICE,
@@ -311,7 +329,7 @@
     callers: {
       readRequest: (headers) => ({
         id: headers.id as string,
-        deadlineMs: 2_000,
+        deadlineMs: Number(headers.deadline ?? 2_000),
         key: Number(headers.key),
       }),
       idHeader: "id",
@@ -564,6 +582,30 @@
       .to.deep.equal({ status: 200, hasRun: true });
   });
 
+  // Guards against an exit while the response to a forwarded request is being sent.
+  it("sends the long response to a request that another instance forwarded as a whole", async () => {
+    const instances = await startThree(GrantDelivery.Orders);
+    const key = SOME_KEYS[0];
+    const owner = instances.find(({ server }) => server.holds(key))!;
+    const ingress = instances.find((instance) => instance !== owner)!;
+    owner.server.serviceMs = LINGER_MS_MIN;
+    owner.server.paddingBytes = LONG_RESPONSE_BYTES;
+    const headers = { host: "h", id: "long", key: String(key), deadline: "4000" };
+    const endpoint = { host: HOST, port: ingress.callers, path: "/download/" };
+    const responded = new Promise<number>((resolve) => {
+      const call = request({ ...endpoint, headers }, (response) => {
+        let bytes = 0;
+        response.on("data", (part: Buffer) => bytes += part.length);
+        response.on("error", () => {}).on("close", () => resolve(bytes));
+      });
+      call.on("error", () => resolve(0)).end();
+    });
+    await sleep(100);
+    await owner.router.leave().then(() => owner.router.close());
+    expect(await responded).to.equal(LONG_RESPONSE_BYTES);
+    await closeAll(instances);
+  });
+
   it("rejects at once a request whose deadline is after the end", async () => {
     expect(await requestDuringStop({ afterMs: 3_600, serviceMs: 1_900 }))
       .to.deep.equal({ status: 503, hasRun: false });
