Keep a request open until its error response was sent

Cause: the request ended before its response, which still waited behind an earlier one. The earlier response was then the last, closed the connection, and Node.js dropped the one behind it.

Error responses are awaited like all others.

--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -219,14 +219,14 @@
     if (countHeadBytes(request) > headerBytes) {
       request.resume();
       const detail = `The request line and the headers must have at most ${headerBytes} bytes`;
-      this.#sendError(response, { status: 431, detail }, { exchange });
+      await this.#sendError(response, { status: 431, detail }, { exchange });
       return;
     }
     const route = this.#routesFor(manifest).match(request.headers.host ?? "", request.url ?? "/");
     const invalid = validate(route, id, wire);
     if (route === undefined || id === undefined || invalid !== undefined) {
       request.resume();
-      this.#sendError(response, invalid ?? { status: 404, detail: "No route matches" }, {
+      await this.#sendError(response, invalid ?? { status: 404, detail: "No route matches" }, {
         exchange,
       });
       return;
@@ -311,7 +311,7 @@
         return;
       case BodyFailure.TooLarge: {
         const detail = `The body must have at most ${manifest.limits.bodyBytes} bytes`;
-        this.#sendError(response, { status: 413, detail }, { exchange });
+        await this.#sendError(response, { status: 413, detail }, { exchange });
         return;
       }
       default: {
@@ -406,18 +406,28 @@
     }
   }
 
-  #sendError(
+  async #sendError(
     response: ServerResponse,
     errorResponse: ErrorResponse,
-    options: { exchange: Exchange },
-  ): void {
+    { exchange }: { exchange: Exchange },
+  ): Promise<void> {
     const body = Buffer.from(`${errorResponse.detail}\n`);
     response.writeHead(errorResponse.status, {
       "content-type": "text/plain",
       "content-length": body.length,
-      ...(this.#mustClose(options.exchange) ? { connection: "close" } : {}),
+      ...(this.#mustClose(exchange) ? { connection: "close" } : {}),
+    });
+    await this.#end(response, body, exchange);
+  }
+
+  /** Ends a response; resolves when it was sent or cannot be delivered any more. */
+  #end(response: ServerResponse, body: Buffer, exchange: Exchange): Promise<void> {
+    return new Promise((resolve) => {
+      response.once("close", resolve).once("finish", resolve);
+      endUnlessTaken(this.#server, response, exchange);
+      endWithBody(response, body);
+      exchange.signal.addEventListener("abort", () => resolve(), { once: true });
     });
-    endWithBody(response, body);
   }
 
   /** Whether the response closes the connection: a stopping daemon closes it after the last request read from it. */
@@ -457,12 +467,7 @@
       headers.push("connection", "close");
     }
     response.writeHead(head.status, headers);
-    await new Promise<void>((resolve) => {
-      response.once("close", resolve).once("finish", resolve);
-      endUnlessTaken(this.#server, response, exchange);
-      endWithBody(response, body);
-      exchange.signal.addEventListener("abort", () => resolve(), { once: true });
-    });
+    await this.#end(response, body, exchange);
   }
 
   #errorHeaders(retryAfterMs: number | undefined, id: string | undefined): string[] {
--- a/packages/router/src/caller_server_test.ts
+++ b/packages/router/src/caller_server_test.ts
@@ -149,6 +149,19 @@
     });
   });
 
+  // Guards against an error response that is lost behind the one before it.
+  it("responds with an error to the last of several requests before it closes the connection", async () => {
+    await runScenario(async ({ dispatcher, socket, received, isClosed, end }) => {
+      end();
+      socket.write(`${get("r1")}GET /x HTTP/1.1\r\nhost: h\r\n\r\n`);
+      await waitUntil(() => dispatcher.open.size === 1);
+      await sleep(50);
+      dispatcher.respond("r1");
+      await waitUntil(isClosed);
+      expect(received().match(/HTTP\/1.1 (\d+)/g)).to.deep.equal(["HTTP/1.1 200", "HTTP/1.1 400"]);
+    });
+  });
+
   it("responds to the requests before malformed input", async () => {
     await runScenario(async ({ dispatcher, socket, received }) => {
       socket.write(`${get("r1")}no request at all\r\n\r\n`);
