Wait for a report, not for a time, in the tests of acknowledgements

It now waits until the daemon has the report, and checks that the store did not have the leave by then.

--- a/packages/router/src/side_servers_test.ts
+++ b/packages/router/src/side_servers_test.ts
@@ -83,8 +83,10 @@
       const { watch, send, close } = await startDaemon(service);
       expect(await send({ kind: "report", report: REPORT })).to.equal(200);
       const acknowledged = send(leave);
-      await sleep(20);
-      expect(watch.ready, "takes no new requests meanwhile").to.equal(undefined);
+      while (watch.ready !== undefined) {
+        await sleep(1);
+      }
+      expect(service.endOf(SYSTEM_TOPIC), "takes no new requests before it is stored").to.equal(0);
       expect(await acknowledged).to.equal(200);
       expect(service.endOf(SYSTEM_TOPIC)).to.equal(1);
       await close();
