Count reset requests that never ran apart, and watch the soak's own store

A reset shows that data on the connection was not read, so a reset request that no server ran was not read whole; it is counted as "reset". One that ran is lost as before.

Each sample now also calls the store on a new connection, and counts as a stall when that takes over 0.7 s.

--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -50,6 +50,19 @@
   sendBody?: (call: ClientRequest) => Promise<void>;
 }
 
+/** Endings of requests by the code of their error; of others the connection closed. */
+const ENDINGS: Record<string, Ending> = {
+  ECONNREFUSED: Ending.Refused,
+  ECONNRESET: Ending.Reset,
+  EPIPE: Ending.Reset,
+};
+
+function endingOf(error: NodeJS.ErrnoException): Ending {
+  // Node.js gives the code of a reset to connections that were closed without one, too.
+  const isClosed = error.message === "socket hang up";
+  return isClosed ? Ending.Closed : ENDINGS[error.code ?? ""] ?? Ending.Closed;
+}
+
 /** Callers on one machine. */
 export class Callers {
   readonly #options: CallersOptions;
@@ -181,7 +194,7 @@
       call.on(
         "error",
         (error: NodeJS.ErrnoException) =>
-          end(error.code === "ECONNREFUSED" ? Ending.Refused : Ending.Closed, {
+          end(endingOf(error), {
             detail: `${error.message} on a ${call.reusedSocket ? "kept" : "new"} connection`,
           }),
       );
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -21,6 +21,9 @@
 /** Part of the time to stop after which work that still runs may be cut. */
 const STOP_USED_SHARE = 5 / 6;
 
+/** Endings in which the connection closed without a response. */
+const CLOSED_ENDINGS = [Ending.Closed, Ending.Reset, Ending.Unread];
+
 /** What the checks compare. */
 export interface Observed {
   history: History;
@@ -65,7 +68,7 @@
 
 /** A request that was read ended with a closed connection. */
 function checkLost(request: SentRequest, observed: Observed): string | undefined {
-  if (request.ending !== Ending.Closed && request.ending !== Ending.Unread) {
+  if (!CLOSED_ENDINGS.includes(request.ending)) {
     return undefined;
   }
   const runs = observed.requests.runsOf(request.id);
--- a/packages/soak/src/checks_test.ts
+++ b/packages/soak/src/checks_test.ts
@@ -77,7 +77,11 @@
   it("excuse a request that crosses the close of its connection", () => {
     scenario.add(Ending.Closed);
     scenario.add(Ending.Unread, { endedAt: 10_500 });
+    scenario.add(Ending.Reset, { endedAt: 10_500 });
     expect(scenario.rules).to.deep.equal([]);
+    scenario.addRun(scenario.add(Ending.Unread));
+    scenario.addRun(scenario.add(Ending.Reset));
+    expect(scenario.rules).to.deep.equal([Rule.Lost, Rule.Lost]);
   });
 
   it("judge no time while the soak's own process stalls, but cut runs", () => {
--- a/packages/soak/src/deployment.ts
+++ b/packages/soak/src/deployment.ts
@@ -2,7 +2,7 @@
  * The deployment of a soak: daemons as processes, and stand-ins for the store, the operator, the backend servers and
  * the callers in this process.
  */
-import { createServer, type Server } from "node:http";
+import { createServer, request, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { closeServer, KeyedStoreService, listenOn } from "@bulrushwood/stand_ins";
 import { createRandom, now, type Random, sleep } from "@bulrushwood/types";
@@ -19,7 +19,7 @@
 const STORE_HOST = "127.0.0.1";
 const STORE_CALL_MS = 4;
 const SAMPLE_MS = 200;
-/** Delay of a sample from which the soak's own process counts as stalled, in milliseconds. */
+/** Delay of a sample, or of the store's response, from which the soak's own process counts as stalled, in milliseconds. */
 const STALL_MS = 500;
 /** Number of daemons above which each caller sends less, so that all together send the same. */
 const FULL_RATE_DAEMONS = 8;
@@ -151,13 +151,25 @@
       });
       this.#ownership.sample();
       const from = now();
-      await sleep(SAMPLE_MS);
+      await Promise.all([sleep(SAMPLE_MS), this.#probeStore()]);
       if (now() - from > SAMPLE_MS + STALL_MS) {
         this.history.stalls.push({ from, until: now() });
       }
     }
   }
 
+  /** Resolves when the store has responded on a new connection, as daemons open them. */
+  #probeStore(): Promise<void> {
+    const { port } = this.#storeServer.address() as AddressInfo;
+    return new Promise((resolve) => {
+      const call = request({ host: STORE_HOST, port, agent: false });
+      call.on("response", (response) => response.resume());
+      call.on("error", () => {});
+      call.on("close", resolve);
+      call.end();
+    });
+  }
+
   /** Returns a node whose daemon is up and has its server, at a random place; undefined if the one there is not. */
   pickNode(random: Random): Node | undefined {
     const node = this.nodes[Math.floor(random() * this.nodes.length)];
--- a/packages/soak/src/requests.ts
+++ b/packages/soak/src/requests.ts
@@ -12,6 +12,8 @@
   Refused = "refused",
   /** The connection closed without a response, or within one. */
   Closed = "closed",
+  /** The connection was reset, which shows that data on it was not read. */
+  Reset = "reset",
   /** The caller gave up long after its deadline. */
   GivenUp = "given up",
   /** The connection closed after an earlier response on it had announced that no more requests are read. */
