--- a/packages/soak/src/deployment.ts
+++ b/packages/soak/src/deployment.ts
@@ -2,7 +2,7 @@
  * The deployment of a soak: daemons as processes, and stand-ins for the store, the operator, the backend servers and
  * the callers in this process.
  */
-import { createServer, type Server } from "node:http";
+import { createServer, request, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { closeServer, KeyedStoreService, listenOn } from "@bulrushwood/stand_ins";
 import { createRandom, now, type Random, sleep } from "@bulrushwood/types";
@@ -152,12 +152,24 @@
         }
       });
       this.#ownership.sample();
-      const sleptAt = now();
-      await sleep(SAMPLE_MS);
-      this.history.recordStall(sleptAt + SAMPLE_MS, now());
+      const from = now();
+      await Promise.all([sleep(SAMPLE_MS), this.#probeStore()]);
+      this.history.recordStall(from + SAMPLE_MS, now());
     }
   }
 
+  /** Resolves when the store has responded on a new connection, as daemons open them. */
+  #probeStore(): Promise<void> {
+    const { port } = this.#storeServer.address() as AddressInfo;
+    return new Promise((resolve) => {
+      const call = request({ host: STORE_HOST, port, agent: false });
+      call.on("response", (response) => response.resume());
+      call.on("error", () => {});
+      call.on("close", resolve);
+      call.end();
+    });
+  }
+
   /** Returns a node whose daemon is up and has its server, at a random place; undefined if the one there is not. */
   pickNode(random: Random): Node | undefined {
     const node = this.nodes[Math.floor(random() * this.nodes.length)];
