Close idle connections before a new one at the limit

Cause: room was made two rounds of the event loop after a connection had been accepted, while the limit was checked at once.

Evidence: "closes idle connections rather than new ones that come at once" failed before.

Room for the new connection is made before the limit is checked, from the same candidates as before.

--- a/packages/http_server/src/connection_limit.ts
+++ b/packages/http_server/src/connection_limit.ts
@@ -36,15 +36,19 @@
 ): ConnectionTable<Socket> {
   const { max, onClosed } = options;
   const table = new ConnectionTable<Socket>({ now });
-  const settle = (socket: Socket) => {
-    table.settle(socket);
-    const closed = table.makeRoom(Math.floor(max() * IDLE_SHARE));
+  const makeRoom = (sizeMax: number) => {
+    const closed = table.makeRoom(sizeMax);
     if (closed > 0) {
       onClosed(ClosedConnection.Idle, closed);
     }
   };
+  const settle = (socket: Socket) => {
+    table.settle(socket);
+    makeRoom(Math.floor(max() * IDLE_SHARE));
+  };
   server.on("connection", (socket: Socket) => {
     const connectionsMax = max();
+    makeRoom(connectionsMax - 1);
     if (table.size >= connectionsMax) {
       socket.destroy();
       onClosed(ClosedConnection.New, 1);
