--- a/packages/cli/src/signals.ts
+++ b/packages/cli/src/signals.ts
@@ -19,7 +19,9 @@
   hasReloadSignal: boolean;
 }
 
-const STOP_SIGNALS: NodeJS.Signals[] = ["SIGTERM", "SIGINT"];
+const STOP_SIGNALS: NodeJS.Signals[] = ["SIGTERM", "SIGINT", "SIGQUIT"];
+/** Signals that mean nothing to a daemon; their default action would end it. */
+const IGNORED_SIGNALS: NodeJS.Signals[] = ["SIGUSR2", "SIGALRM"];
 /** Where the executable's entry point and its program, which are bundled apart, share what was received. */
 const RECEIVED = Symbol.for("bulrushwood.signals");
 const shared = globalThis as { [RECEIVED]?: Received };
@@ -39,6 +41,9 @@
       }
     });
   }
+  for (const signal of IGNORED_SIGNALS) {
+    process.on(signal, () => {});
+  }
   for (const output of [process.stdout, process.stderr]) {
     output.on("error", () => {});
   }
