--- a/packages/http_server/src/connection_table.ts
+++ b/packages/http_server/src/connection_table.ts
@@ -107,8 +107,7 @@
       if (socket === undefined) {
         break;
       }
-      this.remove(socket);
-      socket.destroy();
+      this.#destroy(socket);
     }
   }
 
@@ -120,13 +119,17 @@
       if (socket === undefined) {
         break;
       }
-      this.remove(socket);
-      socket.destroy();
+      this.#destroy(socket);
       closed++;
     }
     return closed;
   }
 
+  #destroy(socket: Socket): void {
+    this.remove(socket);
+    socket.destroy();
+  }
+
   /** Chooses the connection to close next. */
   #choose(): Socket | undefined {
     const unused = this.#firstSilent(this.#unused);
