Share choices, kills, manifests and spans between the soak's faults

Random choices were written in four places, the kill of a daemon and the publication of a manifest in two, the start and the end of a span in three, and two checks of disruptions differed in the machines only. The path of status reports, a name of the platform, was spelled in the garbage; it comes from the formats that the platform implements.

--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -8,6 +8,7 @@
 import { HOST_NAME, probePath, RoutePrefix } from "./manifests.ts";
 import type { Outside } from "./outside.ts";
 import { Pipeline } from "./pipeline.ts";
+import { pick } from "./random.ts";
 import { Ending, type Requests, type RequestStart, type SentRequest } from "./requests.ts";
 import { ResponseShape } from "./response_shape.ts";
 
@@ -115,7 +116,7 @@
   #sendIdempotent(): void {
     const { random } = this.#options;
     const shapes = Object.values(ResponseShape);
-    const shape = shapes[Math.floor(random() * shapes.length)];
+    const shape = pick(shapes, random);
     const prefix = random() < 1 / 3 ? RoutePrefix.Tariffs : RoutePrefix.Quotes;
     const request = this.#start({ kind: shape, path: `${prefix}${shape}` }, false);
     this.#send(request, { agent: this.#chooseAgent() });
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -46,9 +46,8 @@
 function isExcused(request: SentRequest, { history, requests }: Observed): boolean {
   const runs = requests.runsOf(request.id);
   const from = request.sentAt - BOUNDS.stableWindowMs;
-  return runs.length === 0
-    ? history.isAnyDisrupted(from, request.endedAt)
-    : history.isDisrupted(machinesOf(request, runs), from, request.endedAt);
+  const machines = runs.length === 0 ? undefined : machinesOf(request, runs);
+  return history.isDisrupted(machines, from, request.endedAt);
 }
 
 function hasUsedItsTime(request: SentRequest): boolean {
--- a/packages/soak/src/deployment.ts
+++ b/packages/soak/src/deployment.ts
@@ -14,6 +14,7 @@
 import { BOUNDS, createMachine, type Machine } from "./machine.ts";
 import { Operator } from "./manifests.ts";
 import type { Outside } from "./outside.ts";
+import { pick } from "./random.ts";
 import { Requests } from "./requests.ts";
 
 const STORE_HOST = "127.0.0.1";
@@ -97,6 +98,11 @@
     return deployment;
   }
 
+  /** Formats of the systems around the daemons. */
+  get outside(): Outside {
+    return this.#options.outside;
+  }
+
   get names(): string[] {
     return this.nodes.map(({ machine }) => machine.name);
   }
@@ -172,7 +178,7 @@
 
   /** Returns a node whose daemon is up and has its server, at a random place; undefined if the one there is not. */
   pickNode(random: Random): Node | undefined {
-    const node = this.nodes[Math.floor(random() * this.nodes.length)];
+    const node = pick(this.nodes, random);
     const isMost = this.nodes.filter(({ daemon, isServerAway }) => daemon.isUp && !isServerAway)
       .length > this.nodes.length / 2;
     return isMost && node.daemon.isUp && !node.isServerAway ? node : undefined;
--- a/packages/soak/src/faults/durability.ts
+++ b/packages/soak/src/faults/durability.ts
@@ -4,7 +4,10 @@
  */
 import { type Random, sleep } from "@bulrushwood/types";
 import type { Deployment, Node } from "../deployment.ts";
-import { type Fault, pickNumber } from "./fault.ts";
+import { pickNumber } from "../random.ts";
+import type { Fault } from "./fault.ts";
+import { publish } from "./manifests.ts";
+import { killDaemon } from "./signals.ts";
 
 /** Longest delay of a late report, in milliseconds. */
 const LATE_MS = 2_500;
@@ -17,13 +20,6 @@
 /** Longest wait for an acknowledgement that a kill is to follow, in milliseconds. */
 const ACK_WITHIN_MS = 3_000;
 
-async function killDaemon(deployment: Deployment, { daemon }: Node): Promise<void> {
-  const end = deployment.history.disrupt("kill", daemon.name);
-  daemon.kill();
-  await daemon.waitUntilReady();
-  end();
-}
-
 /** Takes the store down for a time, with all machines. */
 async function stopStore(deployment: Deployment, ms: number): Promise<void> {
   const end = deployment.history.disrupt("store is down");
@@ -107,8 +103,7 @@
 /** Several daemons are killed right after the store accepted a manifest. */
 async function killAtManifest(deployment: Deployment, random: Random): Promise<void> {
   const killMs = random() * KILL_WITHIN_MS;
-  const version = await deployment.operator.publish();
-  deployment.history.add(`manifest ${version}`);
+  await publish(deployment);
   await sleep(killMs);
   await killSeveral(deployment, random);
 }
--- a/packages/soak/src/faults/fault.ts
+++ b/packages/soak/src/faults/fault.ts
@@ -14,13 +14,3 @@
   /** Plays the fault once, and resolves when it is over. Takes all random numbers from `random`. */
   play: (deployment: Deployment, random: Random) => Promise<void> | void;
 }
-
-/** Returns a random element. */
-export function pick<Item>(items: readonly Item[], random: Random): Item {
-  return items[Math.floor(random() * items.length)];
-}
-
-/** Returns a random whole number from `least` to `most`. */
-export function pickNumber(least: number, most: number, random: Random): number {
-  return least + Math.floor(random() * (most - least + 1));
-}
--- a/packages/soak/src/faults/manifests.ts
+++ b/packages/soak/src/faults/manifests.ts
@@ -3,11 +3,13 @@
  */
 import { type Random, sleep } from "@bulrushwood/types";
 import type { Deployment } from "../deployment.ts";
-import { type Fault, pickNumber } from "./fault.ts";
+import { pickNumber } from "../random.ts";
+import type { Fault } from "./fault.ts";
 
 const GAP_MS = 300;
 
-async function publish(deployment: Deployment): Promise<void> {
+/** Publishes the next version of the manifest. */
+export async function publish(deployment: Deployment): Promise<void> {
   const version = await deployment.operator.publish();
   deployment.history.add(`manifest ${version}`);
 }
--- a/packages/soak/src/faults/network.ts
+++ b/packages/soak/src/faults/network.ts
@@ -7,7 +7,8 @@
 import { Direction, type TcpProxy } from "@bulrushwood/stand_ins";
 import type { Deployment } from "../deployment.ts";
 import type { Paths } from "../machine.ts";
-import { type Fault, pick } from "./fault.ts";
+import { pick } from "../random.ts";
+import type { Fault } from "./fault.ts";
 
 /** Longest delay of what passes, in milliseconds. */
 const DELAY_MS = 400;
@@ -26,7 +27,7 @@
   options: { what: string; harm: (proxy: TcpProxy) => Promise<void> | void },
 ): Promise<void> {
   const path = pick(PATHS, random);
-  const node = deployment.nodes[Math.floor(random() * deployment.nodes.length)];
+  const node = pick(deployment.nodes, random);
   const proxy = node.machine.paths?.[path];
   if (proxy === undefined) {
     return;
@@ -35,10 +36,7 @@
   const what = `${options.what}: path to the ${path}`;
   const end = path === "store"
     ? history.disrupt(what, node.machine.name, { isOfStore: true })
-    : () => history.add(`end of ${what}`, node.machine.name);
-  if (path === "server") {
-    history.add(what, node.machine.name);
-  }
+    : history.begin(what, node.machine.name);
   await options.harm(proxy);
   end();
 }
--- a/packages/soak/src/faults/resources.ts
+++ b/packages/soak/src/faults/resources.ts
@@ -8,7 +8,8 @@
 import type { Endpoint } from "@bulrushwood/deployment";
 import { type Random, sleep } from "@bulrushwood/types";
 import type { Deployment, Node } from "../deployment.ts";
-import { type Fault, pick, pickNumber } from "./fault.ts";
+import { pick, pickNumber } from "../random.ts";
+import type { Fault } from "./fault.ts";
 
 const run = promisify(execFile);
 
@@ -26,7 +27,7 @@
 const GARBAGE_SAMPLE_BYTES = 64;
 const GARBAGE_GAP_MS = 10;
 /** Longest time for which connections are held, in milliseconds. */
-const HOLD_MS = 8_000;
+const KEEP_OPEN_MS = 8_000;
 /** Time between the parts that a slow sender sends, in milliseconds. */
 const PART_GAP_MS = 100;
 const PART = Buffer.alloc(16 * 1024, 97);
@@ -48,18 +49,25 @@
   sockets.forEach((socket) => socket.destroy());
 }
 
+interface PlayOptions {
+  ms: number;
+  random: Random;
+  /** Path of the status reports of a server. */
+  reportPath: string;
+}
+
 /** Plays a fault at a random node. */
 function atNode(
   what: string,
-  play: (node: Node, options: { ms: number; random: Random }) => Promise<void>,
+  play: (node: Node, options: PlayOptions) => Promise<void>,
 ): Fault["play"] {
   return async (deployment: Deployment, random: Random) => {
-    const ms = random() * HOLD_MS;
+    const ms = random() * KEEP_OPEN_MS;
     const node = deployment.pickNode(random);
     if (node !== undefined) {
-      deployment.history.add(what, node.machine.name);
-      await play(node, { ms, random });
-      deployment.history.add(`end of ${what}`, node.machine.name);
+      const end = deployment.history.begin(what, node.machine.name);
+      await play(node, { ms, random, reportPath: deployment.outside.farewell("x").path });
+      end();
     }
   };
 }
@@ -126,7 +134,7 @@
     }),
 );
 
-function createGarbage(random: Random): Buffer {
+function createGarbage({ random, reportPath }: PlayOptions): Buffer {
   const length = pickNumber(1, GARBAGE_BYTES_MAX, random);
   const sample = Array.from({ length: GARBAGE_SAMPLE_BYTES }, () => Math.floor(random() * 256));
   const bytes = Buffer.alloc(length, Buffer.from(sample));
@@ -134,7 +142,7 @@
     "",
     "GET / HTTP/1.1\r\nhost: h\r\nconnection: upgrade\r\nupgrade: websocket\r\n" +
     "sec-websocket-version: 13\r\nsec-websocket-key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n",
-    `PUT /instances/x HTTP/1.1\r\nhost: h\r\ncontent-length: ${length}\r\n\r\n`,
+    `PUT ${reportPath} HTTP/1.1\r\nhost: h\r\ncontent-length: ${length}\r\n\r\n`,
     "POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\ncontent-length: 4\r\n\r\nffffff\r\n",
     "CONNECT h:1 HTTP/1.1\r\nhost: h\r\n\r\n",
   ];
@@ -142,13 +150,14 @@
 }
 
 /** Sends garbage to all listeners of a daemon. */
-const sendGarbage = atNode("garbage", async ({ machine }, { random }) => {
+const sendGarbage = atNode("garbage", async ({ machine }, options) => {
+  const { random } = options;
   const { listen, metrics } = machine.settings;
   const endpoints = [...Object.values(listen), metrics];
   for (let count = 0; count < GARBAGE_CONNECTIONS; count++) {
     const socket = open(pick(endpoints, random)).on("data", () => {});
-    socket.write(createGarbage(random));
-    setTimeout(() => socket.destroy(), random() * HOLD_MS / 4);
+    socket.write(createGarbage(options));
+    setTimeout(() => socket.destroy(), random() * KEEP_OPEN_MS / 4);
     await sleep(GARBAGE_GAP_MS);
   }
 });
--- a/packages/soak/src/faults/signals.ts
+++ b/packages/soak/src/faults/signals.ts
@@ -2,9 +2,10 @@
  * Faults by signals to daemons: to stop, to reload and to kill, in series and at any stage of a process.
  */
 import { type Random, sleep } from "@bulrushwood/types";
-import type { Deployment } from "../deployment.ts";
+import type { Deployment, Node } from "../deployment.ts";
 import { BOUNDS } from "../machine.ts";
-import { type Fault, pick, pickNumber } from "./fault.ts";
+import { pick, pickNumber } from "../random.ts";
+import type { Fault } from "./fault.ts";
 
 const STOP_SIGNALS: NodeJS.Signals[] = ["SIGTERM", "SIGINT"];
 const REPEATED_SIGNALS: NodeJS.Signals[] = ["SIGTERM", "SIGINT", "SIGHUP"];
@@ -67,13 +68,18 @@
   daemon?.stop();
 }
 
+/** Kills a daemon, and resolves when it is ready again. */
+export async function killDaemon({ history }: Deployment, { daemon }: Node): Promise<void> {
+  const end = history.disrupt("kill", daemon.name);
+  daemon.kill();
+  await daemon.waitUntilReady();
+  end();
+}
+
 async function kill(deployment: Deployment, random: Random): Promise<void> {
-  const daemon = deployment.pickNode(random)?.daemon;
-  if (daemon !== undefined) {
-    const end = deployment.history.disrupt("kill", daemon.name);
-    daemon.kill();
-    await daemon.waitUntilReady();
-    end();
+  const node = deployment.pickNode(random);
+  if (node !== undefined) {
+    await killDaemon(deployment, node);
   }
 }
 
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -91,47 +91,35 @@
     this.findings.push({ rule, at: now(), machines, detail });
   }
 
+  /** Adds the start of something that lasts; returns a function that adds its end. */
+  begin(what: string, machine?: string): () => void {
+    this.add(what, machine);
+    return () => this.add(`end of ${what}`, machine);
+  }
+
   /** Starts an unplanned disruption at a machine, or at all; returns a function that ends it. */
   disrupt(what: string, machine?: string, options = { isOfStore: false }): () => void {
-    this.add(what, machine);
+    const end = this.begin(what, machine);
     const disruption = { machine, from: now(), until: Infinity, ...options };
     this.#disruptions.push(disruption);
     return () => {
-      this.add(`end of ${what}`, machine);
+      end();
       disruption.until = now();
     };
   }
 
-  /** Returns whether a disruption at one of the machines, other than of its path to the store, overlaps a span. */
-  isDisrupted(machines: string[], from: number, until: number): boolean {
-    return this.#hasDisruption(
-      this.#disruptions.filter(({ isOfStore }) => !isOfStore),
-      machines,
-      { from, until },
-    );
+  /**
+   * Returns whether a disruption at one of the machines, or at any if they are undefined, overlaps a span; one of the path
+   * to the store does not count.
+   */
+  isDisrupted(machines: string[] | undefined, from: number, until: number): boolean {
+    const disruptions = this.#disruptions.filter(({ isOfStore }) => !isOfStore);
+    return hasDisruption(disruptions, machines, { from, until });
   }
 
   /** Returns whether any disruption at a machine overlaps a span, also of its path to the store. */
   isOutOfTouch(machine: string, from: number, until: number): boolean {
-    return this.#hasDisruption(this.#disruptions, [machine], { from, until });
-  }
-
-  #hasDisruption(
-    disruptions: Disruption[],
-    machines: string[],
-    { from, until }: { from: number; until: number },
-  ): boolean {
-    return disruptions.some((disruption) =>
-      (disruption.machine === undefined || machines.includes(disruption.machine)) &&
-      disruption.from <= until && disruption.until >= from
-    );
-  }
-
-  /** Returns whether a disruption at any machine, other than of its path to the store, overlaps a span. */
-  isAnyDisrupted(from: number, until: number): boolean {
-    return this.#disruptions.some((each) =>
-      !each.isOfStore && each.from <= until && each.until >= from
-    );
+    return hasDisruption(this.#disruptions, [machine], { from, until });
   }
 
   /** Returns whether the soak's own process ran throughout a span, without a long stall. */
@@ -149,3 +137,14 @@
     return earlier.slice(-count);
   }
 }
+
+function hasDisruption(
+  disruptions: Disruption[],
+  machines: string[] | undefined,
+  { from, until }: { from: number; until: number },
+): boolean {
+  return disruptions.some(({ machine, ...span }) =>
+    (machine === undefined || machines === undefined || machines.includes(machine)) &&
+    span.from <= until && span.until >= from
+  );
+}
