--- a/packages/admission/src/load_shedder.ts
+++ b/packages/admission/src/load_shedder.ts
@@ -61,6 +61,11 @@
     }
   }
 
+  /** Share of requests that are accepted, over all priorities; 1 without overload. */
+  get acceptedShare(): number {
+    return this.#accepted;
+  }
+
   /** Whether a request of a priority may be accepted; a lower number is more urgent. */
   mayAccept(priority: number): boolean {
     if (!this.#priorities.includes(priority)) {
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -155,6 +155,11 @@
     return this.#openRequests;
   }
 
+  /** Number of open connections. */
+  get connections(): number {
+    return this.#limitedConnections.size;
+  }
+
   /** Applies the timeouts of the manifest in force. */
   applyManifest(): void {
     const limits = this.#options.manifest()?.limits;
--- a/packages/router/src/metrics.ts
+++ b/packages/router/src/metrics.ts
@@ -22,6 +22,12 @@
   /** Infinite while the server names no limit, since a server may name 0. */
   requestLimit: () => number;
   ownKeys: () => number;
+  /** Ranges that the own keys are cut into; each one needs a grant of its own. */
+  ownRanges: () => number;
+  /** Share of callers' requests that are accepted for lack of processor time; 1 while there is enough. */
+  acceptedShare: () => number;
+  callerConnections: () => number;
+  callerConnectionsMax: () => number;
   supportedMs: () => number;
   isStoreReachable: () => boolean;
   manifestVersion: () => number;
@@ -173,6 +179,22 @@
       ["waiting_requests", "Requests that wait for the backend server", sources.waiting],
       ["request_limit", "Requests a second that the backend server accepts", sources.requestLimit],
       ["own_keys", "Keys that the backend server beside this daemon owns", sources.ownKeys],
+      [
+        "own_ranges",
+        "Ranges that these keys are cut into; each has a grant of its own",
+        sources.ownRanges,
+      ],
+      [
+        "accepted_share",
+        "Share of requests that are not rejected for lack of processor time",
+        sources.acceptedShare,
+      ],
+      ["caller_connections", "Open connections of callers", sources.callerConnections],
+      [
+        "caller_connections_max",
+        "Connections of callers that may be open",
+        sources.callerConnectionsMax,
+      ],
       ["lease_milliseconds", "Time for which grants may still be extended", sources.supportedMs],
       ["store_reachable", "1 while the store answers", () => Number(sources.isStoreReachable())],
       ["manifest_version", "Version of the manifest in force", sources.manifestVersion],
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -486,8 +486,12 @@
     this.#sideServers.push(await SideServer.listen(endpoint, handler, options));
   }
 
-  #limitConnections(listener: string, { share, min }: SocketShare): ConnectionLimitOptions {
-    const max = () => Math.max(min, Math.floor(this.#socketLimit.value * share));
+  #connectionsMax({ share, min }: SocketShare): number {
+    return Math.max(min, Math.floor(this.#socketLimit.value * share));
+  }
+
+  #limitConnections(listener: string, share: SocketShare): ConnectionLimitOptions {
+    const max = () => this.#connectionsMax(share);
     return {
       max,
       onClosed: (closed, count) => {
@@ -658,6 +662,10 @@
       waiting: () => this.#view.measuredLoad.waiting,
       requestLimit: () => this.#watch.limit.requestsPerSecond ?? Infinity,
       ownKeys: () => countKeys(this.#grantManager.ownRanges),
+      ownRanges: () => this.#grantManager.ownRanges.length,
+      acceptedShare: () => this.#shedder.acceptedShare,
+      callerConnections: () => this.#callers.connections,
+      callerConnectionsMax: () => this.#connectionsMax(CALLER_SOCKETS),
       supportedMs: () => Math.max(0, this.#tenure.supportedUntil - now()),
       isStoreReachable: () => this.#storeAccess.isReachable,
       manifestVersion: () => this.#currentManifest.version,
