Count sockets apart from descriptors where the system does

What callers saw: kept connections closed although the settings allow thousands.

Cause: the limit was the smaller of the settings and the operating system's limit, whether or not sockets take descriptors.

Why it works: where sockets are descriptors, there are never more of them than descriptors, so a process that finds more sockets than descriptors in two reads 50 ms apart has shown that they are counted apart. Until then, and on systems where they are descriptors, the old limit holds.

--- a/packages/http_server/src/mod.ts
+++ b/packages/http_server/src/mod.ts
@@ -17,7 +17,12 @@
   limitConnections,
 } from "./connection_limit.ts";
 export type { ConnectionTable } from "./connection_table.ts";
-export { openDescriptorsMax, SocketLimit, type SocketLimitOptions } from "./socket_limit.ts";
+export {
+  countDescriptors,
+  openDescriptorsMax,
+  SocketLimit,
+  type SocketLimitOptions,
+} from "./socket_limit.ts";
 
 /** Longest wait for the rest of a request that has its response already, in milliseconds. */
 const UNREAD_BODY_TIMEOUT_MS = 2_000;
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -16,6 +16,7 @@
 } from "@bulrushwood/deployment";
 import {
   type ConnectionLimitOptions,
+  countDescriptors,
   EventLoop,
   openDescriptorsMax,
   SocketLimit,
@@ -176,6 +177,8 @@
       socketsMax: settings.socketsMax,
       now,
       readDescriptorsMax: openDescriptorsMax(),
+      countDescriptors,
+      openSockets: () => this.#callers?.connections ?? 0,
     });
     this.#shutdown = new Shutdown({
       now,
