Keep the keys of a server together, and merge its ranges

What callers saw: goodput fell with each series of restarts.

Cause: a daemon that stops cut its keys into 24 pieces or more and dealt each to the server with the lowest load. Each piece has a handover token of its own, so ranges of one owner never became one again, and the planner's moves cut them further. Each range needs a grant of its own, three times a second, over at most 16 connections; beyond that, grants failed and were tried again every 60 ms.

Now a stop fills the other servers with neighbouring keys, next to their own where they have some, and so do moves by load. An owner merges its neighbouring ranges once its server was granted them: the handover tokens are used then, and the merged range takes the newest epoch, which no other server had. Keys stay granted meanwhile.

--- a/packages/lease_ranges/src/grant_manager.ts
+++ b/packages/lease_ranges/src/grant_manager.ts
@@ -12,6 +12,7 @@
   ChangeOutcome,
   encloses,
   type KeySpan,
+  mergeRanges,
   overlaps,
   type OwnershipTable,
   type Range,
@@ -43,6 +44,9 @@
 /** Time between renewals, in milliseconds; a fraction of a grant's duration. */
 const RENEW_INTERVAL_MS = 350;
 
+/** Fewest ranges by which a merge must shorten the table; each write costs all daemons a read of the table. */
+const MERGED_MIN = 4;
+
 /** Whether this daemon's backend server may serve a key. */
 export enum KeyState {
   /** The server has confirmed a grant for the key. */
@@ -92,6 +96,8 @@
   readonly #subscription;
   /** Spans that are being transferred; they are not granted. */
   #transferring: KeySpan[] = [];
+  /** Pending merge of own ranges; undefined while there is none. */
+  #merge: Promise<unknown> | undefined;
   #task: Promise<void> | undefined;
 
   constructor(options: GrantManagerOptions) {
@@ -153,6 +159,7 @@
   async #run(): Promise<void> {
     while (!this.#stop.signal.aborted) {
       this.#channel.renew();
+      this.#mergeOwnRanges();
       await this.#options.sleep(RENEW_INTERVAL_MS, this.#stop.signal);
     }
   }
@@ -166,11 +173,12 @@
     const previous = this.#grants;
     this.#grants = this.ownRanges.flatMap((range) => {
       const { epoch } = range;
+      const sources = sourcesOf(range, previous);
       return without(range, this.#transferring).map((span) => {
         const covering = previous.find((grant) => grant.epoch === epoch && encloses(grant, span));
         return covering !== undefined && encloses(span, covering)
           ? covering
-          : deriveGrant(covering, { ...span, epoch });
+          : deriveGrant(covering === undefined ? sources : [covering], { ...span, epoch });
       });
     });
     this.#channel.renew();
@@ -216,6 +224,8 @@
     this.#updateGrants();
     const released = new Map<KeySpan, Transfer[]>();
     const outcomes = await Promise.all(assignments.map(async (assignment) => {
+      // A merge that is being written changes the epoch of the keys.
+      await this.#merge;
       const { epoch } = rangeOf(this.#options.table.table.value, assignment.first);
       const handovers = await this.#channel.release({ ...assignment, epoch }, options);
       released.set(assignment, handovers.map((part) => ({ ...part, to: assignment.to, epoch })));
@@ -227,6 +237,30 @@
     return outcomes.includes(ChangeOutcome.Done) ? ChangeOutcome.Done : outcomes[0];
   }
 
+  /**
+   * Merges neighbouring own ranges once the server was granted them. Each range needs a grant of its own, and each transfer
+   * cuts ranges, so that grants would otherwise take ever more of the daemon's time.
+   */
+  #mergeOwnRanges(): void {
+    const { self, table } = this.#options;
+    const merge = (current: OwnershipTable) => {
+      const merged = mergeRanges(current, (range) => range.owner === self && this.#mayMerge(range));
+      return current.ranges.length - merged.ranges.length < MERGED_MIN ? undefined : merged;
+    };
+    if (this.#merge === undefined && merge(table.table.value) !== undefined) {
+      this.#merge = table.change(merge, { signal: this.#stop.signal })
+        .finally(() => this.#merge = undefined);
+    }
+  }
+
+  /** Whether the server was granted an own range that is not being transferred, so that its handover token is used. */
+  #mayMerge(range: Range): boolean {
+    return !this.#isTransferring(range) &&
+      this.#grants.some((grant) =>
+        grant.isConfirmed && grant.epoch === range.epoch && encloses(grant, range)
+      );
+  }
+
   /** Writes the new owners of all spans released so far; none of them is granted again until that is done. */
   async #transferReleased(
     released: Map<KeySpan, Transfer[]>,
@@ -304,18 +338,21 @@
     }));
 }
 
-/** Creates a grant for part of the keys of `source`, with its confirmation, or an unconfirmed one. */
-function deriveGrant(
-  source: Grant | undefined,
-  shape: KeySpan & { epoch: number },
-): Grant {
-  return {
-    until: source?.until ?? 0,
-    isConfirmed: source?.isConfirmed ?? false,
-    first: shape.first,
-    last: shape.last,
-    epoch: shape.epoch,
-  };
+/**
+ * Returns the grants of which a range was merged. A merge takes the newest of their epochs, while keys that come or come
+ * back have an epoch that is newer than all.
+ */
+function sourcesOf(range: Range, grants: Grant[]): Grant[] {
+  const sources = grants.filter((grant) => overlaps(grant, range));
+  return Math.max(...sources.map(({ epoch }) => epoch)) === range.epoch ? sources : [];
+}
+
+/** Creates a grant for keys of `sources`, confirmed until the first of these ends if they all are and contain the keys. */
+function deriveGrant(sources: Grant[], { first, last, epoch }: KeySpan & { epoch: number }): Grant {
+  const parts = sources.filter((source) => source.isConfirmed && overlaps(source, { first, last }));
+  const isConfirmed = parts.length > 0 && without({ first, last }, parts).length === 0;
+  const until = isConfirmed ? Math.min(...parts.map((part) => part.until)) : 0;
+  return { until, isConfirmed, first, last, epoch };
 }
 
 /** Assigns the keys to this daemon again with a new highest epoch, since the server has a newer epoch for them. */
--- a/packages/lease_ranges/src/grant_manager_test.ts
+++ b/packages/lease_ranges/src/grant_manager_test.ts
@@ -147,6 +147,56 @@
     await close();
   });
 
+  // Guards against ever more grants where transfers cut keys into ever more ranges.
+  it("merges neighbouring ranges once they are granted, and serves their keys all the while", async () => {
+    const { manager, table, sent, close } = await startDaemon();
+    for (let first = 0; first < 1_000; first += 100) {
+      await table.change((current) =>
+        assign(current, [{ first, last: first + 99, to: SELF, handover: `token${first}` }])
+      );
+    }
+    const isGranted = () => manager.stateOf(150) === KeyState.Granted;
+    while (!isGranted() || manager.stateOf(950) !== KeyState.Granted) {
+      await sleep(5);
+    }
+    const until = now() + 1_500;
+    const mergedBy = now() + 700;
+    while (now() < until) {
+      expect(isGranted()).to.equal(true);
+      await sleep(5);
+      if (now() > mergedBy) {
+        expect(manager.ownRanges).to.have.length(1);
+      }
+    }
+    const { epoch } = rangeOf(table.table.value, 150);
+    const last = sent.filter(({ sent: { kind } }) => kind === "grant").slice(-2)
+      .map(({ sent: { order } }) => order as GrantOrder);
+    for (const order of last) {
+      expect(order).to.include({ first: 0, last: KEYS - 1, epoch });
+      expect(order.handover).to.equal(undefined);
+    }
+    await close();
+  });
+
+  it("transfers keys whose range is merged meanwhile", async () => {
+    const { manager, table, close } = await startDaemon();
+    for (let round = 0; round < 6; round++) {
+      for (let first = 0; first < 1_000; first += 100) {
+        await table.change((current) =>
+          assign(current, [{ first, last: first + 99, to: SELF, handover: null }])
+        );
+      }
+      // The time until the next merge differs between the rounds.
+      await sleep(60 * round);
+      await manager.transfer(
+        () => [{ first: 505, last: 505 + round, to: OTHER, handover: null }],
+        { leave: false, isServerLost: false },
+      );
+      expect(rangeOf(table.table.value, 505).owner).to.equal(OTHER);
+    }
+    await close();
+  });
+
   it("releases all keys before the daemon leaves, including keys without a new owner", async () => {
     const { manager, table, sent, close } = await startDaemon();
     await manager.transfer(
--- a/packages/ledger_store/src/mod.ts
+++ b/packages/ledger_store/src/mod.ts
@@ -13,6 +13,7 @@
   hostSchema,
   KEYS,
   type KeySpan,
+  mergeRanges,
   overlaps,
   type OwnershipTable,
   type Range,
--- a/packages/ledger_store/src/ownership_table.ts
+++ b/packages/ledger_store/src/ownership_table.ts
@@ -161,6 +161,31 @@
   return merged;
 }
 
+/**
+ * Merges neighbouring ranges of one owner that `mayMerge` accepts, whatever their epochs. The merged range has the newest
+ * of the epochs and no handover token, so its server must have been granted all of the ranges before. Returns the table
+ * itself where there is nothing to merge.
+ */
+export function mergeRanges(
+  table: OwnershipTable,
+  mayMerge: (range: Range) => boolean,
+): OwnershipTable {
+  const merged: Range[] = [];
+  let mayMergePrevious = false;
+  for (const range of table.ranges) {
+    const previous = merged.at(-1);
+    const mayMergeRange = mayMerge(range);
+    if (previous?.owner === range.owner && mayMergePrevious && mayMergeRange) {
+      const epoch = Math.max(previous.epoch, range.epoch);
+      merged[merged.length - 1] = { ...previous, last: range.last, epoch, handover: null };
+    } else {
+      merged.push(range);
+    }
+    mayMergePrevious = mayMergeRange;
+  }
+  return merged.length === table.ranges.length ? table : { ...table, ranges: merged };
+}
+
 /** Enters a daemon or its new tenure. A new incarnation of its server gets a new epoch for its keys. */
 export function enterHost(table: OwnershipTable, address: Address, host: Host): OwnershipTable {
   const previousHost = table.hosts[address];
--- a/packages/ledger_store/src/ownership_table_test.ts
+++ b/packages/ledger_store/src/ownership_table_test.ts
@@ -8,6 +8,7 @@
   formatTable,
   type Host,
   KEYS,
+  mergeRanges,
   parseTable,
   rangeOf,
   rangesOf,
@@ -65,6 +66,21 @@
     expect(table.ranges[0]).to.deep.include({ first: 0, last: 19, owner: "b", epoch: 2 });
   });
 
+  it("merges neighbouring ranges of one owner that may be merged, with their newest epoch", () => {
+    const cut = assign(
+      assign(tableWithTwoOwners(), [{ first: 10, last: 19, to: "a", handover: "h" }]),
+      [{ first: 30, last: 39, to: "a", handover: "g" }],
+    );
+    const merged = mergeRanges(cut, ({ owner, first }) => owner === "a" && first < 30);
+    expect(
+      rangesOf(merged, "a").map((
+        { first, last, epoch, handover },
+      ) => [first, last, epoch, handover]),
+    ).to.deep.equal([[0, 29, 2, null], [30, 39, 3, "g"], [40, 999, 1, null]]);
+    expect(rangesOf(merged, "b")).to.deep.equal(rangesOf(cut, "b"));
+    expect(mergeRanges(merged, ({ first }) => first >= 40)).to.equal(merged);
+  });
+
   it("keeps keys and epochs of a server whose daemon enters a new tenure", () => {
     const table = enterHost(tableWithTwoOwners(), "a", { ...HOST, tenure: "t3" });
     expect(rangesOf(table, "a")).to.deep.equal(rangesOf(tableWithTwoOwners(), "a"));
--- a/packages/planner_ranges/src/planner_ranges_test.ts
+++ b/packages/planner_ranges/src/planner_ranges_test.ts
@@ -1,6 +1,14 @@
 import { expect } from "chai";
 import { KEYS, sizeOf } from "@bulrushwood/ledger_store";
-import { type Candidate, LoadMeter, rebalance, spread, spreadEvenly } from "./mod.ts";
+import {
+  type Candidate,
+  joinNeighbours,
+  LoadMeter,
+  type Piece,
+  rebalance,
+  spread,
+  spreadEvenly,
+} from "./mod.ts";
 
 function candidate(address: string, fields: Partial<Candidate> = {}): Candidate {
   return {
@@ -39,6 +47,57 @@
     expect(Math.max(...shares.values()) / Math.min(...shares.values())).to.be.below(1.1);
   });
 
+  // Guards against ranges that become ever smaller with each restart: each one costs its owner a grant.
+  it("gives each server neighbouring keys, also after many servers have left in turn", () => {
+    const servers = ["a", "b", "c", "d", "e", "f", "g"];
+    const owners = new Array<string>(KEYS);
+    const apply = (assignments: { first: number; last: number; to: string | null }[]) =>
+      assignments.forEach(({ first, last, to }) => owners.fill(to!, first, last + 1));
+    const runsOf = (server?: string) => {
+      const runs: { first: number; last: number; owner: string }[] = [];
+      owners.forEach((owner, key) => {
+        const previous = runs.at(-1);
+        if (previous?.owner === owner) {
+          previous.last = key;
+        } else {
+          runs.push({ first: key, last: key, owner });
+        }
+      });
+      return server === undefined ? runs : runs.filter(({ owner }) => owner === server);
+    };
+    const rateOf = (server: string) => owners.filter((owner) => owner === server).length / 600;
+    const piecesOf = (server: string): Piece[] => {
+      const size = Math.ceil(owners.filter((owner) => owner === server).length / 24);
+      return runsOf(server).flatMap(({ first, last }) =>
+        Array.from({ length: Math.ceil((last - first + 1) / size) }, (_, index) => {
+          const start = first + index * size;
+          const end = Math.min(last, start + size - 1);
+          return { first: start, last: end, rate: (end - start + 1) / 600 };
+        })
+      );
+    };
+    apply(spreadEvenly([{ first: 0, last: KEYS - 1 }], servers.map((name) => candidate(name))));
+    for (let stop = 0; stop < 28; stop++) {
+      const leaving = servers[stop % servers.length];
+      const others = servers.filter((server) => server !== leaving)
+        .map((server) => candidate(server, { rate: rateOf(server) }));
+      const ownerOf = (key: number) => owners[key] ?? null;
+      apply(joinNeighbours(spread(piecesOf(leaving), others, { ownerOf })));
+      const rates = others.map(({ address }) => rateOf(address));
+      expect(Math.max(...rates) / Math.min(...rates)).to.be.below(1.5);
+      // The server comes back and gets keys of the others.
+      const back = servers.map((server) =>
+        candidate(server, {
+          rate: rateOf(server),
+          pieces: piecesOf(server),
+          keys: owners.filter((owner) => owner === server).length,
+        })
+      );
+      apply(rebalance(back));
+    }
+    expect(runsOf().length / servers.length).to.be.below(10);
+  });
+
   it("leaves keys without an owner when there is no server", () => {
     expect(spreadEvenly([{ first: 3, last: 3 }], [])).to.deep.equal([
       { first: 3, last: 3, to: null, handover: null },
--- a/packages/planner_ranges/src/rebalance.ts
+++ b/packages/planner_ranges/src/rebalance.ts
@@ -49,6 +49,8 @@
   capacity: number;
   /** Rate that it can take until its utilisation reaches the mean, in requests a second. */
   room: number;
+  /** Its keys and those that it gets. */
+  spans: KeySpan[];
 }
 
 /** Returns the moves that balance the load; none where it is balanced well enough. */
@@ -66,6 +68,7 @@
     address: candidate.address,
     capacity: capacityOf(candidate.address),
     room: (mean - utilisation(candidate)) * capacityOf(candidate.address),
+    spans: [...candidate.pieces],
   })).filter(({ room, capacity: total }) => room > GAIN_MIN * total);
   const hasRoom = candidates.some((candidate) => utilisation(candidate) < ROOM_MAX);
   const excessMin = mean > 1 && !hasRoom ? OVERLOAD_EXCESS_MIN * mean : EXCESS_MIN;
@@ -89,38 +92,57 @@
   });
 }
 
-/** Moves hot pieces first, then pieces from the end of a donor's keys; fills one receiver after the other. */
+/**
+ * Moves hot pieces first, then pieces next to the keys of a server with room, since keys need a grant for each run of them,
+ * then pieces from the end of a donor's keys. Fills one receiver after the other.
+ */
 function moveSurplus(donor: Candidate, surplus: number, receivers: Receiver[]): Move[] {
   const moves: Move[] = [];
   let remaining = surplus;
   const available = receivers.filter(({ address }) => address !== donor.address)
     .sort((one, other) => other.room - one.room);
-  for (const piece of hotFirst([...donor.pieces].reverse())) {
-    const receiver = available.find(({ room }) => room > piece.rate / 2);
+  const { hot, others } = splitHot([...donor.pieces].reverse());
+  const findReceiver = (piece: Piece) => available.find(({ room }) => room > piece.rate / 2);
+  const findNeighbour = (piece: Piece) =>
+    available.find(({ room, spans }) => room > piece.rate / 2 && touches(piece, spans));
+  const move = (piece: Piece, receiver: Receiver | undefined) => {
     if (receiver === undefined || remaining < piece.rate / 2) {
-      continue;
+      return;
     }
     addMove(moves, piece, { from: donor.address, to: receiver.address });
     receiver.room -= piece.rate;
+    receiver.spans.push(piece);
     remaining -= piece.rate;
+  };
+  hot.forEach((piece) => move(piece, findReceiver(piece)));
+  while (others.length > 0) {
+    const index = others.findIndex((piece) => findNeighbour(piece) !== undefined);
+    const [piece] = others.splice(Math.max(0, index), 1);
+    move(piece, findNeighbour(piece) ?? findReceiver(piece));
   }
   return moves;
 }
 
-/** Returns the hot pieces before the others, in their order otherwise. */
-function hotFirst(pieces: Piece[]): Piece[] {
+/** Whether a span ends where one of the others begins, or begins where one ends. */
+function touches(span: KeySpan, others: KeySpan[]): boolean {
+  return others.some(({ first, last }) => last + 1 === span.first || span.last + 1 === first);
+}
+
+/** Splits pieces into the hot ones and the others. */
+function splitHot(pieces: Piece[]): { hot: Piece[]; others: Piece[] } {
   const rate = pieces.reduce((sum, piece) => sum + piece.rate, 0);
   const isHot = (piece: Piece) =>
     piece.rate / sizeOf(piece) > HOT_FACTOR * rate / countKeys(pieces);
-  return [...pieces.filter(isHot), ...pieces.filter((piece) => !isHot(piece))];
+  return { hot: pieces.filter(isHot), others: pieces.filter((piece) => !isHot(piece)) };
 }
 
-/** Adds a piece to the moves; extends the last move where the piece is adjacent to it. */
+/** Adds a piece to the moves; extends a move to the same receiver that it touches. */
 function addMove(moves: Move[], piece: Piece, direction: { from: Address; to: Address }): void {
-  const previous = moves.at(-1);
-  if (previous?.to === direction.to && piece.last + 1 === previous.first) {
-    previous.first = piece.first;
-  } else {
+  const neighbour = moves.find((move) => move.to === direction.to && touches(piece, [move]));
+  if (neighbour === undefined) {
     moves.push({ first: piece.first, last: piece.last, ...direction });
+  } else {
+    neighbour.first = Math.min(neighbour.first, piece.first);
+    neighbour.last = Math.max(neighbour.last, piece.last);
   }
 }
--- a/packages/planner_ranges/src/spread.ts
+++ b/packages/planner_ranges/src/spread.ts
@@ -1,8 +1,8 @@
 /**
  * Chooses owners for keys that have none or lose theirs: at the first start, and when a server leaves or is
- * lost. Each piece goes to the server that has the lowest utilisation with it.
+ * lost.
  */
-import { type Assignment, countKeys, type KeySpan } from "@bulrushwood/ledger_store";
+import { type Assignment, countKeys, type KeySpan, sizeOf } from "@bulrushwood/ledger_store";
 import type { Address } from "@bulrushwood/types";
 import { type Candidate, capacities, type Piece } from "./capacity.ts";
 
@@ -25,24 +25,91 @@
   return pieces;
 }
 
-/** Chooses an owner for each piece; null where there is no candidate. */
-export function spread(pieces: Piece[], candidates: Candidate[]): Assignment[] {
+/** Server that gets keys, with its capacity and its load in requests a second. */
+interface Receiver {
+  address: Address;
+  capacity: number;
+  load: number;
+}
+
+/** Options of `spread`. */
+export interface SpreadOptions {
+  /** Returns the owner of a key before, next to which its keys need no grant of their own; null for none. */
+  ownerOf?: (key: number) => Address | null;
+}
+
+/**
+ * Chooses an owner for each piece; null where there is no candidate. Fills all candidates up to the same utilisation.
+ * Each one gets neighbouring pieces, next to keys of its own where it has some: keys need a grant for each run of them.
+ */
+export function spread(
+  pieces: Piece[],
+  candidates: Candidate[],
+  options: SpreadOptions = {},
+): Assignment[] {
+  const { ownerOf = () => null } = options;
+  const weighted = withAssumedLoad(pieces);
   const capacity = capacities(candidates);
-  const load = new Map(candidates.map(({ address, rate }) => [address, rate]));
-  const utilisationWith = (address: Address, rate: number) =>
-    ((load.get(address) ?? 0) + rate) / (capacity.get(address) ?? 1);
-  return pieces.map(({ first, last, rate }) => {
-    let to: Address | null = null;
-    for (const { address } of candidates) {
-      to = to === null || utilisationWith(address, rate) < utilisationWith(to, rate) ? address : to;
+  const receivers = candidates.map(({ address, rate }) => ({
+    address,
+    capacity: capacity.get(address) ?? 1,
+    load: rate,
+  }));
+  const level = commonUtilisation(receivers, weighted.reduce((sum, { rate }) => sum + rate, 0));
+  const roomOf = ({ capacity: total, load }: Receiver) => level * total - load;
+  let previous: Piece | undefined;
+  let current: Receiver | undefined;
+  return weighted.map((piece) => {
+    const isNext = previous !== undefined && previous.last + 1 === piece.first;
+    const isNeighbour = (receiver: Receiver) =>
+      (isNext ? receiver === current : receiver.address === ownerOf(piece.first - 1)) ||
+      receiver.address === ownerOf(piece.last + 1);
+    const neighbours = receivers.filter((receiver) =>
+      roomOf(receiver) > 0 && isNeighbour(receiver)
+    );
+    current = neighbours.find((receiver) => receiver === current) ?? neighbours[0] ??
+      receivers.toSorted((one, other) => roomOf(other) - roomOf(one))[0];
+    previous = piece;
+    if (current !== undefined) {
+      current.load += piece.rate;
     }
-    if (to !== null) {
-      load.set(to, (load.get(to) ?? 0) + rate);
-    }
-    return { first, last, to, handover: null };
+    return {
+      first: piece.first,
+      last: piece.last,
+      to: current?.address ?? null,
+      handover: null,
+    };
   });
 }
 
+/** Adds to the load of each piece its share of the assumed load, so that keys without requests are spread as well. */
+function withAssumedLoad(pieces: Piece[]): Piece[] {
+  const total = countKeys(pieces);
+  return pieces.map((piece) => ({
+    ...piece,
+    rate: piece.rate + ASSUMED_RATE * sizeOf(piece) / total,
+  }));
+}
+
+/** Returns the utilisation that receivers reach once they share a load; one that is busier already gets none of it. */
+function commonUtilisation(receivers: Receiver[], rate: number): number {
+  let [load, capacity] = [rate, 0];
+  for (
+    const receiver of receivers.toSorted((one, other) => utilisation(one) - utilisation(other))
+  ) {
+    if (capacity > 0 && utilisation(receiver) >= load / capacity) {
+      break;
+    }
+    load += receiver.load;
+    capacity += receiver.capacity;
+  }
+  return capacity > 0 ? load / capacity : 0;
+}
+
+function utilisation({ load, capacity }: Receiver): number {
+  return load / capacity;
+}
+
 /** Chooses owners for spans whose load is unknown. */
 export function spreadEvenly(spans: KeySpan[], candidates: Candidate[]): Assignment[] {
   const count = Math.max(1, candidates.length * PIECES_PER_CANDIDATE);
--- a/packages/router/src/key_transfers.ts
+++ b/packages/router/src/key_transfers.ts
@@ -3,9 +3,14 @@
  * overloaded, or when the daemon stops. One transfer runs at a time.
  */
 import { z } from "zod";
-import type { OwnershipTable } from "@bulrushwood/ledger_store";
+import { type OwnershipTable, rangeOf } from "@bulrushwood/ledger_store";
 import type { GrantManager } from "@bulrushwood/lease_ranges";
-import { type Candidate, type LoadMeter, spread } from "@bulrushwood/planner_ranges";
+import {
+  type Candidate,
+  joinNeighbours,
+  type LoadMeter,
+  spread,
+} from "@bulrushwood/planner_ranges";
 import { type Address, createStop, sleep } from "@bulrushwood/types";
 import { Event, type EventLog } from "./event_log.ts";
 import type { ServerWatch } from "./server_watch.ts";
@@ -111,10 +116,10 @@
       address !== self && table.hosts[address] !== undefined
     );
     const pieces = meter.cut(grantManager.ownRanges);
-    const outcome = await grantManager.transfer(() => spread(pieces, others), {
-      ...options,
-      leave: true,
-    });
+    const assignments = joinNeighbours(
+      spread(pieces, others, { ownerOf: (key) => rangeOf(table, key).owner }),
+    );
+    const outcome = await grantManager.transfer(() => assignments, { ...options, leave: true });
     log(Event.KeysTransferred, { cause, outcome });
     this.#isTransferring = false;
   }
