Serve a stopping daemon's keys until readiness checks have failed

What callers saw: while daemons restarted 1.6 s apart, three or four of seven servers with keys had none at any time, the others rejected what they could not take, and 300 a second were served of 350 to 500.

Cause: a stopping daemon lingers for 2.6 s, until readiness checks have failed and callers have left, but handed all its keys over at the start of that time. Its server stood idle from the signal until about two seconds after the restart.

Now it hands its keys over 0.9 s before its listener closes, and its server takes requests until then. Other daemons give it no keys and no duties from the signal on, as before. Where grants travel in reports, which takes some report intervals, the hand-over begins at the signal as before. The process ends no later: the new test fails before, in which the owner loses the key within a second of the signal, and the tests of planned stops and of leaving daemons pass.

--- a/packages/lease_checker/src/ranges/sim_daemon.ts
+++ b/packages/lease_checker/src/ranges/sim_daemon.ts
@@ -221,6 +221,7 @@
       service: SERVICE,
       dataCentre: "",
       isLeaving: false,
+      isServing: true,
       hasStore: this.#follower.isReachable && this.#relayedStore.isDirect,
       server: null,
     };
--- a/packages/membership_beats/src/heartbeats_test.ts
+++ b/packages/membership_beats/src/heartbeats_test.ts
@@ -55,6 +55,7 @@
     service,
     dataCentre: "a",
     isLeaving: false,
+    isServing: true,
     hasStore: true,
     server: null,
   };
--- a/packages/membership_beats/src/messages.ts
+++ b/packages/membership_beats/src/messages.ts
@@ -40,8 +40,10 @@
   incarnation: z.string(),
   service: z.string(),
   dataCentre: z.string(),
-  /** Whether the daemon is shutting down. */
+  /** Whether the daemon is shutting down, so that it gets no keys and no duties. */
   isLeaving: z.boolean(),
+  /** Whether its server takes requests; a daemon that is shutting down goes on for a while. */
+  isServing: z.boolean(),
   /** Whether the daemon reaches the store directly, not through peers. */
   hasStore: z.boolean(),
   /** The backend server beside the daemon; null where there is none. */
--- a/packages/router/src/key_transfers.ts
+++ b/packages/router/src/key_transfers.ts
@@ -40,7 +40,8 @@
   probe: () => Promise<string | undefined>;
   /** Sends the changed state to peers at once. */
   notifyPeers: () => void;
-  isEnding: () => boolean;
+  /** Whether the daemon hands all keys over because it stops. */
+  isHandingOver: () => boolean;
   /** Whether the store responds, so that released keys can be assigned to other servers. */
   hasStore: () => boolean;
   log: EventLog;
@@ -75,9 +76,9 @@
   }
 
   async #checkServer(): Promise<void> {
-    const { watch, isEnding, log } = this.#options;
+    const { watch, isHandingOver, log } = this.#options;
     const { report, leavingSince } = watch;
-    if (report === undefined || this.#isTransferring || isEnding()) {
+    if (report === undefined || this.#isTransferring || isHandingOver()) {
       return;
     }
     if (leavingSince !== undefined) {
@@ -147,8 +148,8 @@
 
   /** Transfers some keys to other servers. */
   transferMoves(moves: Moves): void {
-    const { grantManager, isEnding, log } = this.#options;
-    if (this.#isTransferring || isEnding()) {
+    const { grantManager, isHandingOver, log } = this.#options;
+    if (this.#isTransferring || isHandingOver()) {
       return;
     }
     this.#isTransferring = true;
--- a/packages/router/src/key_transfers_test.ts
+++ b/packages/router/src/key_transfers_test.ts
@@ -27,7 +27,7 @@
     candidates: () => [],
     probe: () => Promise.resolve(undefined),
     notifyPeers: () => {},
-    isEnding: () => false,
+    isHandingOver: () => false,
     hasStore: () => true,
     log: () => {},
   });
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -82,6 +82,14 @@
 const SAVED_RETRIES_MAX = 5;
 /** Time from the stop signal until the caller listener closes, so that readiness checks fail first, in milliseconds. */
 const STOP_LINGER_MS = 2_600;
+/**
+ * Time before the caller listener closes at which a stopping daemon begins to hand its keys over, in milliseconds. Grants in
+ * reports take some report intervals to change.
+ */
+const HAND_OVER_MS: Record<GrantDelivery, number> = {
+  [GrantDelivery.Orders]: 900,
+  [GrantDelivery.Reports]: STOP_LINGER_MS,
+};
 /** Time after the stop signal in which all requests of callers are accepted, in milliseconds. */
 const ACCEPT_ALL_MS = 2_800;
 /** Margin between the end of a graceful stop and the time when the platform kills the process, in milliseconds. */
@@ -162,6 +170,8 @@
   /** Services without keys; any of their servers may run a request. */
   #unkeyedServices: ReadonlySet<string> = new Set();
   readonly #shutdown: Shutdown;
+  /** Whether this daemon hands its keys over, at the end of a graceful stop. */
+  #isHandingOver = false;
   #loggedServerState = "";
 
   private constructor(options: RouterOptions) {
@@ -346,7 +356,7 @@
       candidates: () => this.#view.candidates(),
       probe: () => this.#probe(),
       notifyPeers: () => this.#heartbeats.sendNow(),
-      isEnding: () => this.#shutdown.isEnding,
+      isHandingOver: () => this.#isHandingOver,
       hasStore: () => this.#storeAccess.isReachable,
       log,
     });
@@ -564,6 +574,7 @@
       service,
       dataCentre,
       isLeaving: this.#shutdown.isEnding,
+      isServing: !this.#isHandingOver,
       hasStore: this.#storeAccess.isReachableDirectly,
       server: this.#view.status(options),
     };
@@ -691,8 +702,13 @@
     const { endAt } = this.#shutdown;
     this.#log(Event.Stopping);
     this.#heartbeats.sendNow();
+    // Callers and peers send requests until readiness checks have failed, so the server serves them until then.
+    const handOverMs = HAND_OVER_MS[this.#settings.grantDelivery];
+    await sleep(STOP_LINGER_MS - handOverMs);
+    this.#isHandingOver = true;
+    this.#heartbeats.sendNow();
     const transferred = this.#keyTransfers.transferAllBeforeEnd();
-    await sleep(STOP_LINGER_MS);
+    await sleep(startedAt + STOP_LINGER_MS - now());
     const closed = this.#callers.close({ timeoutMs: endAt - now() });
     await Promise.race([
       Promise.all([transferred, closed]),
--- a/packages/router/src/router_test.ts
+++ b/packages/router/src/router_test.ts
@@ -48,6 +48,9 @@
 /** Time that a server takes to start again, in milliseconds. */
 const RESTART_MS = 400;
 
+/** Time after a stop signal in which readiness checks have hardly failed twice. */
+const CHECKS_FAILED_MS = 1_500;
+
 /** Time of a request that ends after a stopping daemon has closed its listener. */
 const LINGER_MS_MIN = 2_800;
 const LONG_RESPONSE_BYTES = 4_000_000;
@@ -606,6 +609,24 @@
     await closeAll(instances);
   });
 
+  // Guards against servers that stand idle while their daemons wait for readiness checks to fail.
+  it("serves its own keys until readiness checks have failed, and hands them over before it ends", async () => {
+    const instances = await startThree(GrantDelivery.Orders);
+    const key = SOME_KEYS[0];
+    const owner = instances.find(({ server }) => server.holds(key))!;
+    const others = instances.filter((instance) => instance !== owner);
+    const left = owner.router.leave();
+    const until = now() + CHECKS_FAILED_MS;
+    while (now() < until) {
+      expect((await sendRequest(others[0], key)).status).to.equal(200);
+      expect(owner.server.holds(key)).to.equal(true);
+      await sleep(20);
+    }
+    await left;
+    expect(others.some(({ server }) => server.holds(key))).to.equal(true);
+    await closeAll(instances);
+  });
+
   it("rejects at once a request whose deadline is after the end", async () => {
     expect(await requestDuringStop({ afterMs: 3_600, serviceMs: 1_900 }))
       .to.deep.equal({ status: 503, hasRun: false });
--- a/packages/router/src/server_view.ts
+++ b/packages/router/src/server_view.ts
@@ -54,7 +54,7 @@
     const { self, settings, heartbeats, watch } = this.#options;
     const servers: Address[] = [];
     for (const [address, { status }] of heartbeats.peers) {
-      const isUsable = status.service === service && !status.isLeaving && mayOwn(status.server) &&
+      const isUsable = status.service === service && status.isServing && mayOwn(status.server) &&
         heartbeats.isResponsive(address);
       if (isUsable) {
         servers.push(address);
@@ -177,7 +177,9 @@
     const own = isEnding() || watch.ready === undefined
       ? []
       : [this.#toCandidate(self, this.status({ withPieces: true })!)];
-    const others = this.serversOf(settings.service).filter((address) => address !== self);
+    const others = this.serversOf(settings.service).filter((address) =>
+      address !== self && !heartbeats.peers.get(address)!.status.isLeaving
+    );
     return own.concat(
       others.map((address) =>
         this.#toCandidate(address, heartbeats.peers.get(address)!.status.server!)
