--- a/packages/cli/src/cli_test.ts
+++ b/packages/cli/src/cli_test.ts
@@ -1,8 +1,9 @@
 import { execFile } from "node:child_process";
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { request } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import process from "node:process";
 import { expect } from "chai";
 import { Deployment, Session } from "@bulrushwood/sessions";
 import { ExitCode } from "./output.ts";
@@ -17,8 +18,13 @@
 
 /** Runs the binary until it exits. */
 function run(...args: string[]): Promise<RunResult> {
+  return runFile(BINARY, args);
+}
+
+/** Runs a program until it exits. */
+function runFile(file: string, args: string[]): Promise<RunResult> {
   return new Promise((resolve) => {
-    execFile(BINARY, args, { timeout: 30_000 }, (error, stdout, stderr) => {
+    execFile(file, args, { timeout: 30_000 }, (error, stdout, stderr) => {
       const code = error === null ? 0 : Number(error.code ?? -1);
       resolve({ code, stdout, stderr });
     });
@@ -54,6 +60,21 @@
     }
   });
 
+  // Guards against a start that compiles the whole program, since its code cache is for other options of Node.js.
+  it("runs as the deploy file says, with its code cache", async () => {
+    const built = await runFile(process.execPath, ["--import=tsx", "scripts/build.ts", "--deploy"]);
+    expect(built.code, built.stderr).to.equal(ExitCode.Ok);
+    const command = /^run = "node (.*) serve"$/m.exec(readFileSync("deploy/system.toml", "utf8"))!;
+    const { code, stdout, stderr } = await runFile(process.execPath, [
+      ...command[1].split(" "),
+      "--version",
+    ]);
+    expect([code, stderr]).to.deep.equal([ExitCode.Ok, ""]);
+    expect(stdout).to.contain("bulrushwood");
+    const withOthers = await runFile(process.execPath, ["target/start.cjs", "--version"]);
+    expect(withOthers.stderr).to.contain("code cache");
+  });
+
   it("validates files offline and lists every fault with its position", async () => {
     const sound = await run("check", "examples/tamborin.jsonc");
     expect([sound.code, sound.stderr]).to.deep.equal([ExitCode.Ok, ""]);
--- a/packages/cli/src/executable.ts
+++ b/packages/cli/src/executable.ts
@@ -1,14 +1,28 @@
 /**
- * Entry point of the single executable. It receives signals before it loads the program, which takes almost as long as
- * Node.js takes to start.
+ * Entry point of the single executable, and of the program that Node.js runs with options of its own. It receives signals
+ * before it loads the program, which takes almost as long as Node.js takes to start.
  */
 import "./signals.ts";
 import { Buffer } from "node:buffer";
-import { getAsset, getRawAsset } from "node:sea";
+import { readFileSync } from "node:fs";
+import { join } from "node:path";
+import process from "node:process";
+import { getAsset, getRawAsset, isSea } from "node:sea";
 import { compileFunction } from "node:vm";
 
-const load = compileFunction(getAsset("program", "utf8"), ["require", "module", "exports"], {
+/** Reads a part of the program: from the executable, or from the folder of this file. */
+function readPart(asset: string, file: string): Buffer {
+  return isSea()
+    ? Buffer.from(getRawAsset(asset) as ArrayBuffer)
+    : readFileSync(join(__dirname, file));
+}
+
+const source = isSea() ? getAsset("program", "utf8") : readPart("program", "bulrushwood.cjs");
+const load = compileFunction(source.toString(), ["require", "module", "exports"], {
   filename: "bulrushwood.cjs",
-  cachedData: Buffer.from(getRawAsset("code-cache") as ArrayBuffer),
+  cachedData: readPart("code-cache", "bulrushwood.cache"),
 });
+if (load.cachedDataRejected) {
+  process.emitWarning("The code cache is for another version or other options of Node.js");
+}
 load(require, module, exports);
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -1,7 +1,7 @@
 /**
  * Bundles the programs into `dist`: the product, the stand-ins, the demonstration and the bench. With `--binary` it
- * also builds the single executable `dist/bulrushwood`; with `--deploy` it builds only that executable, as
- * `target/bulrushwood`.
+ * also builds the single executable `dist/bulrushwood`; with `--deploy` it builds only what the deploy file runs, in
+ * `target`: the program, for Node.js with the options that the deploy file names.
  */
 import { execFileSync } from "node:child_process";
 import {
@@ -10,19 +10,20 @@
   existsSync,
   mkdirSync,
   readFileSync,
-  renameSync,
   writeFileSync,
 } from "node:fs";
 import { createRequire } from "node:module";
 import process from "node:process";
-import { compileFunction } from "node:vm";
 import { build } from "esbuild";
 import { withoutNativeAddons } from "./native_addons.ts";
 
 /** Marker in the Node.js executable where `postject` enables the injected program. */
 const SENTINEL = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
 const BINARY = "dist/bulrushwood";
-const DEPLOYED_BINARY = "target/bulrushwood";
+const DEPLOY_FILE = "deploy/system.toml";
+const DEPLOY_FOLDER = "target";
+/** The command of the deploy file, with the options of Node.js. */
+const DEPLOYED_COMMAND = /^run = "node (.*) target\/start\.cjs .*"$/m;
 
 /** Program to bundle, with the path of its bundle. */
 interface Program {
@@ -58,19 +59,25 @@
   });
 }
 
-/** Compiles the product's bundle ahead, in the same way as the entry point of the executable compiles it. */
-function compileProduct(): void {
-  const source = readFileSync(PRODUCT.outfile, "utf8");
-  const { cachedData } = compileFunction(source, ["require", "module", "exports"], {
-    produceCachedData: true,
-  });
-  writeFileSync(CODE_CACHE, cachedData!);
+/**
+ * Compiles the product's bundle ahead, in the same way as the entry point of the executable compiles it. Node.js accepts the
+ * result only with the options that it was compiled with.
+ */
+function compileProduct(outfile: string, nodeOptions: string[]): void {
+  const script = `
+    const { readFileSync, writeFileSync } = require("node:fs");
+    const { compileFunction } = require("node:vm");
+    const source = readFileSync(${JSON.stringify(PRODUCT.outfile)}, "utf8");
+    const parameters = ["require", "module", "exports"];
+    const { cachedData } = compileFunction(source, parameters, { produceCachedData: true });
+    writeFileSync(${JSON.stringify(outfile)}, cachedData);`;
+  execFileSync(process.execPath, [...nodeOptions, "--eval", script]);
 }
 
 /** Injects the bundle into a copy of the Node.js executable that runs this script. */
 async function buildBinary(): Promise<void> {
   await bundle(EXECUTABLE);
-  compileProduct();
+  compileProduct(CODE_CACHE, []);
   const settings = {
     main: EXECUTABLE.outfile,
     output: "dist/bulrushwood.blob",
@@ -87,14 +94,22 @@
   execFileSync(process.execPath, [postject, ...args]);
 }
 
+/** Returns the options of Node.js that the deploy file names. */
+function readNodeOptions(): string[] {
+  const command = DEPLOYED_COMMAND.exec(readFileSync(DEPLOY_FILE, "utf8"));
+  if (command === null) {
+    throw new Error(`${DEPLOY_FILE}: run must be "node OPTIONS target/start.cjs COMMAND"`);
+  }
+  return command[1].split(" ");
+}
+
 async function deploy(): Promise<void> {
-  mkdirSync("target", { recursive: true });
-  await bundle(PRODUCT);
-  await buildBinary();
-  // A running executable cannot be overwritten, so the new one is renamed into place.
-  copyFileSync(BINARY, `${DEPLOYED_BINARY}.new`);
-  chmodSync(`${DEPLOYED_BINARY}.new`, 0o755);
-  renameSync(`${DEPLOYED_BINARY}.new`, DEPLOYED_BINARY);
+  mkdirSync(DEPLOY_FOLDER, { recursive: true });
+  await Promise.all(
+    [PRODUCT, { ...EXECUTABLE, outfile: `${DEPLOY_FOLDER}/start.cjs` }].map(bundle),
+  );
+  copyFileSync(PRODUCT.outfile, `${DEPLOY_FOLDER}/bulrushwood.cjs`);
+  compileProduct(`${DEPLOY_FOLDER}/bulrushwood.cache`, readNodeOptions());
 }
 
 async function main(): Promise<void> {
