Do not say ready while new callers are not accepted in time

Cause: readiness checks have a listener of their own, where one connection waits. Callers queue at another, of which Node.js accepts one connection in each round of the event loop. Where rounds take long, the queue grows until each connection is accepted after its caller has left, and the process never shows it.

A daemon now connects to its own listener for callers twice a second. While such a connection waits for more than 0.7 s, its readiness check fails and its heartbeats say so. Probes do not count as connections that closed before a request.

Evidence: a new test on real sockets lets messages of peers take all time of the event loop while 600 callers a second connect anew.

--- a/packages/lease_checker/src/ranges/sim_daemon.ts
+++ b/packages/lease_checker/src/ranges/sim_daemon.ts
@@ -222,6 +222,7 @@
       dataCentre: "",
       isLeaving: false,
       isServing: true,
+      acceptsCallers: true,
       hasStore: this.#follower.isReachable && this.#relayedStore.isDirect,
       server: null,
     };
--- a/packages/membership_beats/src/heartbeats_test.ts
+++ b/packages/membership_beats/src/heartbeats_test.ts
@@ -56,6 +56,7 @@
     dataCentre: "a",
     isLeaving: false,
     isServing: true,
+    acceptsCallers: true,
     hasStore: true,
     server: null,
   };
--- a/packages/membership_beats/src/messages.ts
+++ b/packages/membership_beats/src/messages.ts
@@ -44,6 +44,8 @@
   isLeaving: z.boolean(),
   /** Whether its server takes requests; a daemon that is shutting down goes on for a while. */
   isServing: z.boolean(),
+  /** Whether the daemon accepts new callers in time. */
+  acceptsCallers: z.boolean(),
   /** Whether the daemon reaches the store directly, not through peers. */
   hasStore: z.boolean(),
   /** The backend server beside the daemon; null where there is none. */
--- /dev/null
+++ b/packages/router/src/acceptance_probe.ts
@@ -0,0 +1,78 @@
+/**
+ * Shows whether new callers reach this daemon: connects to its own listener for callers, as they do. Readiness checks have a
+ * listener of their own, which is reached even while the other one accepts connections so late that callers have left.
+ */
+import { connect, type Socket } from "node:net";
+import type { Endpoint } from "@bulrushwood/deployment";
+import type { Clock } from "@bulrushwood/types";
+
+/** Time between probes, in milliseconds. */
+const INTERVAL_MS = 500;
+/** Time after which callers count as not accepted, in milliseconds; most have left by then. */
+const TIMEOUT_MS = 700;
+
+export interface AcceptanceProbeOptions {
+  /** Address of the listener for callers. */
+  endpoint: Endpoint;
+  now: Clock;
+  /** Opens a connection; the one of the system where left out. */
+  connect?: (endpoint: Endpoint) => Socket;
+}
+
+/** Probes of the listener for callers. */
+export class AcceptanceProbe {
+  readonly #options: AcceptanceProbeOptions;
+  #timer: NodeJS.Timeout | undefined;
+  #socket: Socket | undefined;
+  /** Since when a probe waits to be accepted; undefined while none waits. */
+  #waitsSince: number | undefined;
+
+  constructor(options: AcceptanceProbeOptions) {
+    this.#options = options;
+  }
+
+  /** Starts to probe periodically. */
+  start(): void {
+    this.#timer = setInterval(() => this.#probe(), INTERVAL_MS).unref();
+  }
+
+  /** Whether new callers are accepted in time. */
+  get isAccepted(): boolean {
+    return this.#waitsSince === undefined ||
+      this.#options.now() - this.#waitsSince < TIMEOUT_MS;
+  }
+
+  /** Records a connection that the listener accepted and keeps; returns whether it is a probe, which ends then. */
+  recordAccepted({ remoteAddress, remotePort, localAddress }: Socket): boolean {
+    const isProbe = remoteAddress === localAddress && remotePort !== undefined &&
+      remotePort === this.#socket?.localPort;
+    if (isProbe) {
+      this.#waitsSince = undefined;
+      this.#socket?.destroy();
+      this.#socket = undefined;
+    }
+    return isProbe;
+  }
+
+  /** Opens a connection unless one waits; a probe whose connection was closed goes on with a new one. */
+  #probe(): void {
+    const { endpoint, now, connect: open = connect } = this.#options;
+    if (this.#socket !== undefined) {
+      return;
+    }
+    this.#waitsSince ??= now();
+    const socket = open(endpoint);
+    this.#socket = socket;
+    socket.on("error", () => {}).once("close", () => {
+      if (this.#socket === socket) {
+        this.#socket = undefined;
+      }
+    });
+  }
+
+  /** Ends all probes. */
+  close(): void {
+    clearInterval(this.#timer);
+    this.#socket?.destroy();
+  }
+}
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -61,6 +61,8 @@
   shedder: LoadShedder;
   bodyMemory: BodyMemory;
   connectionLimit: ConnectionLimitOptions;
+  /** Called with each connection that is accepted and kept; returns whether it is a probe of this daemon. */
+  onAccepted?: (socket: Socket) => boolean;
   /** Called at the first request on each connection with the time since it was accepted, in milliseconds. */
   onFirstRequest: (ms: number) => void;
   /** Called when a connection closes before a request on it was read. */
@@ -98,6 +100,7 @@
   #longestDeadlines = new Map<string, number>();
   readonly #connections = new WeakMap<Socket, CallerConnection>();
   readonly #limitedConnections: ConnectionTable<Socket>;
+  readonly #probes = new WeakSet<Socket>();
   #openRequests = 0;
   /** Dispatched requests without a response yet. */
   readonly #dispatched = new OpenRequests();
@@ -136,6 +139,11 @@
       options.eventLoop.recordAccepted();
     });
     this.#limitedConnections = limitConnections(this.#server, options.connectionLimit);
+    this.#server.on("connection", (socket) => {
+      if (!socket.destroyed && options.onAccepted?.(socket)) {
+        this.#probes.add(socket);
+      }
+    });
     // Node.js would drop the headers after the first 2,000, which are not counted as the head's bytes then.
     this.#server.maxHeadersCount = 0;
     enforceTimeouts(this.#server, (socket) => this.#connectionOf(socket));
@@ -173,7 +181,12 @@
     if (existing !== undefined) {
       return existing;
     }
-    const { onFirstRequest, onUnread } = this.#options;
+    const { onFirstRequest } = this.#options;
+    const onUnread = () => {
+      if (!this.#probes.has(socket)) {
+        this.#options.onUnread();
+      }
+    };
     const connection = new CallerConnection(socket, { now, onFirstRequest, onUnread });
     this.#connections.set(socket, connection);
     return connection;
--- a/packages/router/src/caller_server_fixture.ts
+++ b/packages/router/src/caller_server_fixture.ts
@@ -56,6 +56,7 @@
     connectionsMax?: number;
     limits?: Partial<Manifest["limits"]>;
     onUnread?: () => void;
+    onAccepted?: (socket: Socket) => boolean;
   },
 ): Promise<CallerServer> {
   const { port, shutdown = new Shutdown({ now, shutdownMs: 6_000 }) } = options;
@@ -76,6 +77,7 @@
     shedder,
     bodyMemory: new BodyMemory({ bytesMax: options.bodyMemoryBytes ?? 100e6 }),
     connectionLimit: { max: () => options.connectionsMax ?? 1_000, onClosed: () => {} },
+    onAccepted: options.onAccepted,
     onFirstRequest: () => {},
     onUnread: options.onUnread ?? (() => {}),
     onResponse: () => {},
--- a/packages/router/src/caller_server_overload_test.ts
+++ b/packages/router/src/caller_server_overload_test.ts
@@ -1,12 +1,15 @@
 import { Buffer } from "node:buffer";
+import { createServer as createHttpServer } from "node:http";
 import { createServer } from "node:net";
 import { Worker } from "node:worker_threads";
 import { expect } from "chai";
 import type { RoutedResponse } from "@bulrushwood/routing";
 import { findFreePort } from "@bulrushwood/stand_ins";
 import { now } from "@bulrushwood/types";
+import { AcceptanceProbe } from "./acceptance_probe.ts";
 import { HOST, listenForCallers } from "./caller_server_fixture.ts";
 import type { Dispatcher } from "./dispatcher.ts";
+import { handleReadiness } from "./side_servers.ts";
 
 /** Time that the daemon needs to dispatch a request, in milliseconds. */
 const DISPATCH_MS = 8;
@@ -27,6 +30,12 @@
 const MESSAGE_MS = 3;
 /** Rate of callers that with these messages needs more time than there is. */
 const CALLS_PER_SECOND = 70;
+/** Messages that leave no time at all, and callers whose connections arrive faster than they are accepted then. */
+const LONG_MESSAGE_MS = 20;
+const LONG_MESSAGES_PER_SECOND = 70;
+const RUSH_PER_SECOND = 600;
+/** Time between readiness checks, in milliseconds. */
+const CHECK_INTERVAL_MS = 1_000;
 /** Share of what can be served that must be served, as the users' rule for the time after a restart. */
 const SERVED_SHARE_MIN = 0.25;
 
@@ -143,6 +152,27 @@
   `);
 }
 
+/** Readiness checks, each on a connection of its own; resolves to the number of those that did not pass. */
+function runReadinessChecks(port: number): Promise<number> {
+  return runThread(`
+    const { request } = require("node:http");
+    const { parentPort } = require("node:worker_threads");
+    let failed = 0;
+    const check = () => {
+      const call = request({ host: "${HOST}", port: ${port}, agent: false }, (response) => {
+        response.resume();
+        failed += response.statusCode === 200 ? 0 : 1;
+      });
+      call.on("error", () => failed++).end();
+    };
+    const timer = setInterval(check, ${CHECK_INTERVAL_MS});
+    setTimeout(() => {
+      clearInterval(timer);
+      parentPort.postMessage(failed);
+    }, ${DURATION_MS});
+  `);
+}
+
 describe("caller server: more requests than the processor can dispatch", () => {
   it("responds to callers before they leave, and serves as many as it can", async () => {
     const port = await findFreePort();
@@ -157,6 +187,40 @@
       .to.be.above(SERVED_SHARE_MIN);
   });
 
+  // Guards against a daemon that is ready, while its listener accepts connections only when their callers have left.
+  it("is not ready while no new connection is accepted in time", async () => {
+    const [port, peerPort, readyPort] = [
+      await findFreePort(),
+      await findFreePort(),
+      await findFreePort(),
+    ];
+    const probe = new AcceptanceProbe({ endpoint: { host: HOST, port }, now });
+    const server = await listenForCallers(new BusyDispatcher() as unknown as Dispatcher, {
+      port,
+      onAccepted: (socket) => probe.recordAccepted(socket),
+    });
+    probe.start();
+    const ready = createHttpServer(handleReadiness(() => probe.isAccepted));
+    await new Promise<void>((resolve) => ready.listen(readyPort, HOST, resolve));
+    const steps = calibrateWork() * LONG_MESSAGE_MS / DISPATCH_MS;
+    const peers = createServer((socket) => {
+      socket.on("data", () => work(steps)).on("error", () => {});
+    });
+    await new Promise<void>((resolve) => peers.listen(peerPort, HOST, resolve));
+    const [{ sent, responses }, failedChecks] = await Promise.all([
+      runCallers(port, RUSH_PER_SECOND),
+      runReadinessChecks(readyPort),
+      runPeers(peerPort, LONG_MESSAGES_PER_SECOND),
+    ]);
+    probe.close();
+    await server.close({ timeoutMs: 0 });
+    peers.close();
+    ready.close();
+    const responded = Object.values(responses).reduce((sum, count) => sum + count, 0);
+    expect(responded / sent, "share of callers with a response").to.be.below(0.02);
+    expect(failedChecks, "failed readiness checks").to.be.at.least(2);
+  });
+
   it("accepts connections in time while messages of peers take most of the processor's time", async () => {
     const [port, peerPort] = [await findFreePort(), await findFreePort()];
     const dispatcher = new BusyDispatcher();
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -44,6 +44,7 @@
 import { type LinkError, Links } from "@bulrushwood/protocol";
 import { RetryBudget, TwoChoices } from "@bulrushwood/routing";
 import { type Address, createStop, now, sleep, waitForChange } from "@bulrushwood/types";
+import { AcceptanceProbe } from "./acceptance_probe.ts";
 import { CallerServer } from "./caller_server.ts";
 import { Departures } from "./departures.ts";
 import { Dispatcher } from "./dispatcher.ts";
@@ -55,6 +56,7 @@
 import { KeyTransfers } from "./key_transfers.ts";
 import { LoopDelayMonitor } from "./loop_delay.ts";
 import { Metrics } from "./metrics.ts";
+import { mayGoOut } from "./readiness.ts";
 import { RECORDS_METHOD, Relay } from "./relay.ts";
 import { Runner } from "./runner.ts";
 import { ServerClient } from "./server_client.ts";
@@ -163,6 +165,7 @@
   });
   readonly #budgets = new Map<string, RetryBudget>();
   readonly #sideServers: SideServer[] = [];
+  readonly #acceptance: AcceptanceProbe;
   readonly #tasks: Promise<void>[] = [];
   #links!: Links;
   #dispatcher!: Dispatcher;
@@ -195,6 +198,7 @@
       shutdownMs: settings.bounds.shutdownMs - END_MARGIN_MS,
       acceptAllMs: ACCEPT_ALL_MS,
     });
+    this.#acceptance = new AcceptanceProbe({ endpoint: settings.listen.callers, now });
     const { peers } = settings.listen;
     this.#self = `${peers.host}:${peers.port}`;
     const call = this.#callPeer.bind(this);
@@ -388,8 +392,7 @@
   async #start(): Promise<void> {
     const { listen, instance, service, dataCentre } = this.#settings;
     this.#log(Event.Started, { address: this.#self, incarnation: this.#incarnation, service });
-    const isReady = () => this.#currentManifest.manifest !== undefined && !this.#shutdown.isEnding;
-    await this.#listenSide("ready", listen.ready, handleReadiness(isReady));
+    await this.#listenSide("ready", listen.ready, handleReadiness(() => this.#isReady()));
     const channel = this.#reportChannel;
     const respond = channel && channel.respond.bind(channel);
     const waitMs = this.#settings.reportEveryMs * REPORT_HOLD_SHARE;
@@ -438,6 +441,7 @@
       shedder: this.#shedder,
       bodyMemory: this.#bodyMemory,
       connectionLimit: this.#limitConnections("callers", CALLER_SOCKETS),
+      onAccepted: (socket) => this.#acceptance.recordAccepted(socket),
       onFirstRequest: (ms) => this.#metrics.recordFirstRequest(ms),
       onUnread: () => this.#metrics.recordUnread(),
       onResponse: (route, response, ms) => this.#metrics.recordResponse(route, response, ms),
@@ -465,12 +469,29 @@
       this.#storeAccess.start(),
       addMember(this.#storeAccess.store, member, { sleep, signal }),
     );
+    this.#acceptance.start();
     this.#keyTransfers.start();
     this.#tenure.start();
     this.#grantManager.start();
     this.#planner.start();
   }
 
+  /** Whether callers should come here. */
+  #isReady(): boolean {
+    if (this.#currentManifest.manifest === undefined || this.#shutdown.isEnding) {
+      return false;
+    }
+    return this.#acceptance.isAccepted || !this.#mayGoOut();
+  }
+
+  /** Whether this daemon may go out because it does not accept callers, in view of the others. */
+  #mayGoOut(): boolean {
+    const peers = [...this.#heartbeats.peers]
+      .filter(([address]) => this.#heartbeats.isResponsive(address))
+      .map(([address, { status }]) => ({ address, acceptsCallers: status.acceptsCallers }));
+    return mayGoOut(this.#self, peers);
+  }
+
   #openChannel(context: GrantContext): OrderChannel | ReportChannel {
     const { servers } = this.#adapter;
     const { grantDelivery, reportEveryMs } = this.#settings;
@@ -575,6 +596,7 @@
       dataCentre,
       isLeaving: this.#shutdown.isEnding,
       isServing: !this.#isHandingOver,
+      acceptsCallers: this.#acceptance.isAccepted,
       hasStore: this.#storeAccess.isReachableDirectly,
       server: this.#view.status(options),
     };
@@ -733,6 +755,7 @@
     this.#shutdown.begin();
     this.#stop.abort();
     this.#loopDelay.close();
+    this.#acceptance.close();
     this.#sideServers.forEach((side) => side.close());
     await this.#callers.close({ timeoutMs: 0 });
     await this.#links.close();
