Recognise probes that come from another address of the machine

What callers saw: a daemon that listens at 127.0.0.2 or at a second address of its machine was never ready, since no probe of its listener counted as accepted.

Cause: a probe was recognised by equal addresses at both ends. The system chooses the address that a connection comes from, and for other loopback addresses that is 127.0.0.1. The probe now compares the address and the port that its own end has.

The test of 127.0.0.9 fails before.

--- a/packages/router/src/acceptance_probe.ts
+++ b/packages/router/src/acceptance_probe.ts
@@ -43,9 +43,12 @@
   }
 
   /** Records a connection that the listener accepted and keeps; returns whether it is a probe, which ends then. */
-  recordAccepted({ remoteAddress, remotePort, localAddress }: Socket): boolean {
-    const isProbe = remoteAddress === localAddress && remotePort !== undefined &&
-      remotePort === this.#socket?.localPort;
+  recordAccepted(
+    { remoteAddress, remotePort }: Pick<Socket, "remoteAddress" | "remotePort">,
+  ): boolean {
+    // A connection to an address of this machine may come from another one of its addresses.
+    const isProbe = remotePort !== undefined && remotePort === this.#socket?.localPort &&
+      remoteAddress === this.#socket.localAddress;
     if (isProbe) {
       this.#waitsSince = undefined;
       this.#socket?.destroy();
