Revert "Forward at most twice what owners of keys accept"

Some owners have room while others are overloaded, so counting all of them together holds requests back from servers that stand idle.

--- a/packages/admission/src/mod.ts
+++ b/packages/admission/src/mod.ts
@@ -2,7 +2,6 @@
  * Admission of requests: priority queues, deadlines and early rejection at a backend server, and what a daemon still
  * accepts that stops or lacks processor time.
  */
-export { AdaptiveThrottle, type AdaptiveThrottleOptions } from "./adaptive_throttle.ts";
 export {
   Admission,
   type AdmissionOptions,
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -4,7 +4,7 @@
  * one that may have run is resent only if it is idempotent, time is left and the retry budget allows it.
  */
 import type { Buffer } from "node:buffer";
-import { AdaptiveThrottle, type RequestMemory } from "@bulrushwood/admission";
+import type { RequestMemory } from "@bulrushwood/admission";
 import { type Route, RouteKind } from "@bulrushwood/deployment";
 import {
   type LinkError,
@@ -47,9 +47,6 @@
 const OWNER_RETRY_AFTER_MS = 300;
 /** Shortest retry-after time for callers whose requests are held back, in milliseconds. */
 const BACKOFF_RETRY_AFTER_MIN_MS = 60;
-/** Shortest and longest retry-after time for callers whose requests are not forwarded, in milliseconds. */
-const THROTTLED_RETRY_AFTER_MIN_MS = 200;
-const THROTTLED_RETRY_AFTER_MAX_MS = 500;
 /** Share of the route's target that must be left before the deadline for a request to be resent. */
 const RESEND_SHARE = 0.4;
 /** Extra time for a response that is sent at the deadline, in milliseconds. */
@@ -127,7 +124,6 @@
   /** Requests with an earlier attempt that may have run. */
   readonly #mayHaveRun = new WeakSet<DispatchRequest>();
   readonly #backoff = new OverloadBackoff(now);
-  readonly #throttle = new AdaptiveThrottle({ now, random: Math.random });
   readonly #leavingServers: LeavingServers;
 
   constructor(options: DispatcherOptions) {
@@ -191,11 +187,6 @@
       if (backoffMs > 0) {
         return overloaded(`The key's owner ${owner} is overloaded`, backoffMs);
       }
-      if (this.#isThrottled(request, owner)) {
-        const spreadMs = THROTTLED_RETRY_AFTER_MAX_MS - THROTTLED_RETRY_AFTER_MIN_MS;
-        const retryAfterMs = THROTTLED_RETRY_AFTER_MIN_MS + Math.random() * spreadMs;
-        return notRun(Reason.Overloaded, "Most owners of keys are overloaded", retryAfterMs);
-      }
       if (owner !== null && unreachableMs < UNREACHABLE_MS) {
         response = await this.#attempt(request, owner);
         if (!this.#mayRetryAtOwner(request, response)) {
@@ -216,12 +207,6 @@
     return response;
   }
 
-  /** Whether a request is not forwarded to its owner, since most requests of its priority are rejected. */
-  #isThrottled({ head }: DispatchRequest, owner: Address | null): boolean {
-    return owner !== null && owner !== this.#options.self &&
-      !this.#throttle.mayForward(head.pool, head.priority ?? 0);
-  }
-
   /** Whether a request that failed at a key's owner may be tried again. */
   #mayRetryAtOwner(request: DispatchRequest, response: RoutedResponse): boolean {
     const { outcome, reason } = response.head;
@@ -363,14 +348,10 @@
 
   /** Records what a daemon's response shows about its load. */
   #recordResponse(
-    { head: { pool, shard, priority = 0 } }: DispatchRequest,
+    { head: { priority = 0 } }: DispatchRequest,
     address: Address,
     { head }: RoutedResponse,
   ): void {
-    if (shard >= 0) {
-      const isAccepted = head.reason !== Reason.Overloaded;
-      this.#throttle.recordForwarded(pool, priority, { isAccepted });
-    }
     if (head.outcome === undefined) {
       this.#backoff.recordServed(address, priority);
     } else if (head.reason === Reason.Overloaded) {
