--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -89,7 +89,7 @@
  * reports take some report intervals to change.
  */
 const HAND_OVER_MS: Record<GrantDelivery, number> = {
-  [GrantDelivery.Orders]: 900,
+  [GrantDelivery.Orders]: 1_400,
   [GrantDelivery.Reports]: STOP_LINGER_MS,
 };
 /** Time after the stop signal in which all requests of callers are accepted, in milliseconds. */
--- a/packages/router/src/router_test.ts
+++ b/packages/router/src/router_test.ts
@@ -48,8 +48,8 @@
 /** Time that a server takes to start again, in milliseconds. */
 const RESTART_MS = 400;
 
-/** Time after a stop signal in which readiness checks have hardly failed twice. */
-const CHECKS_FAILED_MS = 1_500;
+/** Least time after a stop signal in which two readiness checks fail, which are a second apart. */
+const CHECKS_FAILED_MS = 1_000;
 
 /** Time of a request that ends after a stopping daemon has closed its listener. */
 const LINGER_MS_MIN = 2_800;
