Leave out needless work in placing keys, grants and the start

Behaviour stays as it is: - `spread` joins neighbouring assignments itself, as both of its callers did. - The sources of a merged range are looked for only where no grant covers it, not for each range at each change of the table. - Moves by load end once the surplus is used up or no server has room; before, all other pieces of a donor were compared with all keys of all receivers although none could move. - The executable reads both parts of its program in the same way. - The acceptance probe had an option that nothing used.

--- a/packages/cli/src/executable.ts
+++ b/packages/cli/src/executable.ts
@@ -7,7 +7,7 @@
 import { readFileSync } from "node:fs";
 import { join } from "node:path";
 import process from "node:process";
-import { getAsset, getRawAsset, isSea } from "node:sea";
+import { getRawAsset, isSea } from "node:sea";
 import { compileFunction } from "node:vm";
 
 /** Reads a part of the program: from the executable, or from the folder of this file. */
@@ -17,8 +17,8 @@
     : readFileSync(join(__dirname, file));
 }
 
-const source = isSea() ? getAsset("program", "utf8") : readPart("program", "bulrushwood.cjs");
-const load = compileFunction(source.toString(), ["require", "module", "exports"], {
+const source = readPart("program", "bulrushwood.cjs").toString();
+const load = compileFunction(source, ["require", "module", "exports"], {
   filename: "bulrushwood.cjs",
   cachedData: readPart("code-cache", "bulrushwood.cache"),
 });
--- a/packages/lease_ranges/src/grant_manager.ts
+++ b/packages/lease_ranges/src/grant_manager.ts
@@ -173,12 +173,14 @@
     const previous = this.#grants;
     this.#grants = this.ownRanges.flatMap((range) => {
       const { epoch } = range;
-      const sources = sourcesOf(range, previous);
       return without(range, this.#transferring).map((span) => {
         const covering = previous.find((grant) => grant.epoch === epoch && encloses(grant, span));
         return covering !== undefined && encloses(span, covering)
           ? covering
-          : deriveGrant(covering === undefined ? sources : [covering], { ...span, epoch });
+          : deriveGrant(covering === undefined ? sourcesOf(range, previous) : [covering], {
+            ...span,
+            epoch,
+          });
       });
     });
     this.#channel.renew();
--- a/packages/planner_ranges/src/planner_ranges_test.ts
+++ b/packages/planner_ranges/src/planner_ranges_test.ts
@@ -1,14 +1,6 @@
 import { expect } from "chai";
 import { KEYS, sizeOf } from "@bulrushwood/ledger_store";
-import {
-  type Candidate,
-  joinNeighbours,
-  LoadMeter,
-  type Piece,
-  rebalance,
-  spread,
-  spreadEvenly,
-} from "./mod.ts";
+import { type Candidate, LoadMeter, type Piece, rebalance, spread, spreadEvenly } from "./mod.ts";
 
 function candidate(address: string, fields: Partial<Candidate> = {}): Candidate {
   return {
@@ -82,7 +74,7 @@
       const others = servers.filter((server) => server !== leaving)
         .map((server) => candidate(server, { rate: rateOf(server) }));
       const ownerOf = (key: number) => owners[key] ?? null;
-      apply(joinNeighbours(spread(piecesOf(leaving), others, { ownerOf })));
+      apply(spread(piecesOf(leaving), others, { ownerOf }));
       const rates = others.map(({ address }) => rateOf(address));
       expect(Math.max(...rates) / Math.min(...rates)).to.be.below(1.5);
       // The server comes back and gets keys of the others.
--- a/packages/planner_ranges/src/rebalance.ts
+++ b/packages/planner_ranges/src/rebalance.ts
@@ -115,7 +115,7 @@
     remaining -= piece.rate;
   };
   hot.forEach((piece) => move(piece, findReceiver(piece)));
-  while (others.length > 0) {
+  while (others.length > 0 && remaining >= 0 && available.some(({ room }) => room > 0)) {
     const index = others.findIndex((piece) => findNeighbour(piece) !== undefined);
     const [piece] = others.splice(Math.max(0, index), 1);
     move(piece, findNeighbour(piece) ?? findReceiver(piece));
--- a/packages/planner_ranges/src/spread.ts
+++ b/packages/planner_ranges/src/spread.ts
@@ -39,7 +39,7 @@
 }
 
 /**
- * Chooses an owner for each piece; null where there is no candidate. Fills all candidates up to the same utilisation.
+ * Chooses the owners of pieces; null where there is no candidate. Fills all candidates up to the same utilisation.
  * Each one gets neighbouring pieces, next to keys of its own where it has some: keys need a grant for each run of them.
  */
 export function spread(
@@ -59,7 +59,7 @@
   const roomOf = ({ capacity: total, load }: Receiver) => level * total - load;
   let previous: Piece | undefined;
   let current: Receiver | undefined;
-  return weighted.map((piece) => {
+  const assignments = weighted.map((piece) => {
     const isNext = previous !== undefined && previous.last + 1 === piece.first;
     const isNeighbour = (receiver: Receiver) =>
       (isNext ? receiver === current : receiver.address === ownerOf(piece.first - 1)) ||
@@ -80,6 +80,7 @@
       handover: null,
     };
   });
+  return joinNeighbours(assignments);
 }
 
 /** Adds to the load of each piece its share of the assumed load, so that keys without requests are spread as well. */
@@ -113,12 +114,11 @@
 /** Chooses owners for spans whose load is unknown. */
 export function spreadEvenly(spans: KeySpan[], candidates: Candidate[]): Assignment[] {
   const count = Math.max(1, candidates.length * PIECES_PER_CANDIDATE);
-  const pieces = cutEvenly(spans, count);
-  return joinNeighbours(spread(pieces, candidates));
+  return spread(cutEvenly(spans, count), candidates);
 }
 
 /** Merges neighbouring assignments to the same owner. */
-export function joinNeighbours(assignments: Assignment[]): Assignment[] {
+function joinNeighbours(assignments: Assignment[]): Assignment[] {
   const joined: Assignment[] = [];
   for (const assignment of assignments) {
     const previous = joined.at(-1);
--- a/packages/router/src/acceptance_probe.ts
+++ b/packages/router/src/acceptance_probe.ts
@@ -15,8 +15,6 @@
   /** Address of the listener for callers. */
   endpoint: Endpoint;
   now: Clock;
-  /** Opens a connection; the one of the system where left out. */
-  connect?: (endpoint: Endpoint) => Socket;
 }
 
 /** Probes of the listener for callers. */
@@ -59,12 +57,12 @@
 
   /** Opens a connection unless one waits; a probe whose connection was closed goes on with a new one. */
   #probe(): void {
-    const { endpoint, now, connect: open = connect } = this.#options;
+    const { endpoint, now } = this.#options;
     if (this.#socket !== undefined) {
       return;
     }
     this.#waitsSince ??= now();
-    const socket = open(endpoint);
+    const socket = connect(endpoint);
     this.#socket = socket;
     socket.on("error", () => {}).once("close", () => {
       if (this.#socket === socket) {
--- a/packages/router/src/key_transfers.ts
+++ b/packages/router/src/key_transfers.ts
@@ -5,12 +5,7 @@
 import { z } from "zod";
 import { type OwnershipTable, rangeOf } from "@bulrushwood/ledger_store";
 import type { GrantManager } from "@bulrushwood/lease_ranges";
-import {
-  type Candidate,
-  joinNeighbours,
-  type LoadMeter,
-  spread,
-} from "@bulrushwood/planner_ranges";
+import { type Candidate, type LoadMeter, spread } from "@bulrushwood/planner_ranges";
 import { type Address, createStop, sleep } from "@bulrushwood/types";
 import { Event, type EventLog } from "./event_log.ts";
 import type { ServerWatch } from "./server_watch.ts";
@@ -117,9 +112,8 @@
       address !== self && table.hosts[address] !== undefined
     );
     const pieces = meter.cut(grantManager.ownRanges);
-    const assignments = joinNeighbours(
-      spread(pieces, others, { ownerOf: (key) => rangeOf(table, key).owner }),
-    );
+    const ownerOf = (key: number) => rangeOf(table, key).owner;
+    const assignments = spread(pieces, others, { ownerOf });
     const outcome = await grantManager.transfer(() => assignments, { ...options, leave: true });
     log(Event.KeysTransferred, { cause, outcome });
     this.#isTransferring = false;
