Count store calls and requests that outlast their grant, show the planner's service time

The hypotheses of docs/incidents/work-that-outlasts-grants.md could not be told apart: a 500 of a server that ran out of its grant looked like any other response of a server, the time by which the planner estimates capacity was in no metric, and neither was the number of store calls.

--- a/packages/lease_ranges/src/grant_manager.ts
+++ b/packages/lease_ranges/src/grant_manager.ts
@@ -146,11 +146,21 @@
     if (this.#transferring.some((span) => span.first <= key && key <= span.last)) {
       return KeyState.Moving;
     }
-    const grant = this.#grants.find((candidate) => candidate.first <= key && key <= candidate.last);
+    const grant = this.#grantOf(key);
     const isGranted = grant !== undefined && grant.isConfirmed && grant.until > now();
     return isGranted ? KeyState.Granted : KeyState.Pending;
   }
 
+  /** Returns the end of the confirmed grant for a key, on this process's clock; infinite where there is none. */
+  grantedUntil(key: number): number {
+    const grant = this.#grantOf(key);
+    return grant?.isConfirmed ? grant.until : Infinity;
+  }
+
+  #grantOf(key: number): Grant | undefined {
+    return this.#grants.find(({ first, last }) => first <= key && key <= last);
+  }
+
   /** Ranges of the ownership table that this daemon owns. */
   get ownRanges(): Range[] {
     return rangesOf(this.#options.table.table.value, this.#options.self);
--- a/packages/router/src/metrics.ts
+++ b/packages/router/src/metrics.ts
@@ -6,6 +6,7 @@
 import type { ClosedConnection } from "@bulrushwood/http_server";
 import type { RequestHead } from "@bulrushwood/protocol";
 import type { RoutedResponse } from "@bulrushwood/routing";
+import type { StoreCall } from "./counted_store.ts";
 import type { RequestStage } from "./request_stage.ts";
 import { type ServerResult } from "./server_client.ts";
 
@@ -19,6 +20,8 @@
 export interface GaugeSources {
   running: () => number;
   waiting: () => number;
+  /** Mean service time by which the planner estimates the server's capacity, in milliseconds. */
+  serviceMs: () => number;
   /** Infinite while the server names no limit, since a server may name 0. */
   requestLimit: () => number;
   ownKeys: () => number;
@@ -41,6 +44,8 @@
   readonly #latency: Histogram;
   readonly #serverResults: Counter;
   readonly #serverLatency: Histogram;
+  readonly #outlasted: Counter;
+  readonly #storeCalls: Counter;
   readonly #orderFailures: Counter;
   readonly #cancelled: Counter;
   readonly #transit: Histogram;
@@ -81,6 +86,18 @@
       buckets: LATENCY_BUCKETS_MS,
       registers,
     });
+    this.#outlasted = new Counter({
+      name: "bulrushwood_outlasted_grants_total",
+      help: "Requests that the backend server failed when the grant they began under had ended",
+      labelNames: ["route"],
+      registers,
+    });
+    this.#storeCalls = new Counter({
+      name: "bulrushwood_store_calls_total",
+      help: "Calls of this daemon to the store",
+      labelNames: ["call"],
+      registers,
+    });
     this.#orderFailures = new Counter({
       name: "bulrushwood_order_failures_total",
       help: "Grants and releases that the backend server did not confirm",
@@ -167,6 +184,16 @@
     this.#serverLatency.observe({ route: head.workClass }, ms);
   }
 
+  /** Counts a request that failed when the grant under which it began had ended. */
+  recordOutlasted(head: RequestHead): void {
+    this.#outlasted.inc({ route: head.workClass });
+  }
+
+  /** Counts a call to the store. */
+  recordStoreCall(call: StoreCall): void {
+    this.#storeCalls.inc({ call });
+  }
+
   /** Counts a grant or release that the backend server did not confirm. */
   recordOrderFailure(order: string): void {
     this.#orderFailures.inc({ order });
@@ -177,6 +204,11 @@
     const gauges: [string, string, () => number][] = [
       ["running_requests", "Requests that run at the backend server", sources.running],
       ["waiting_requests", "Requests that wait for the backend server", sources.waiting],
+      [
+        "service_milliseconds",
+        "Mean service time by which the planner estimates the backend server's capacity",
+        sources.serviceMs,
+      ],
       ["request_limit", "Requests a second that the backend server accepts", sources.requestLimit],
       ["own_keys", "Keys that the backend server beside this daemon owns", sources.ownKeys],
       [
--- a/packages/router/src/metrics_test.ts
+++ b/packages/router/src/metrics_test.ts
@@ -1,5 +1,7 @@
 import perfHooks from "node:perf_hooks";
 import { expect } from "chai";
+import type { RequestHead } from "@bulrushwood/protocol";
+import { StoreCall } from "./counted_store.ts";
 import { Metrics } from "./metrics.ts";
 
 /** Most wake-ups a second that an idle daemon may spend on measuring its own event loop. */
@@ -23,3 +25,17 @@
     expect(1_000 / resolutions[0]).to.be.at.most(WAKE_UPS_MAX);
   });
 });
+
+describe("metrics of the store and of grants", () => {
+  it("count each call to the store by its kind, and requests that outlasted their grant by route", async () => {
+    const metrics = new Metrics();
+    [StoreCall.Read, StoreCall.Read, StoreCall.Append].forEach((call) =>
+      metrics.recordStoreCall(call)
+    );
+    metrics.recordOutlasted({ workClass: "book" } as RequestHead);
+    const page = await metrics.registry.metrics();
+    expect(page).to.contain('bulrushwood_store_calls_total{call="read"} 2');
+    expect(page).to.contain('bulrushwood_store_calls_total{call="append"} 1');
+    expect(page).to.contain('bulrushwood_outlasted_grants_total{route="book"} 1');
+  });
+});
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -214,6 +214,7 @@
       peers: () => this.#view.storePeers(),
       call,
       isFullMesh: () => this.#heartbeats.isFullMesh,
+      onCall: (call) => this.#metrics.recordStoreCall(call),
       log,
     });
     const { store, manifests, system } = this.#storeAccess;
@@ -328,6 +329,7 @@
       drainMs: settings.bounds.drainMs,
       log,
       onResult: (head, result, ms) => this.#metrics.recordServerResult(head, result, ms),
+      onOutlasted: (head) => this.#metrics.recordOutlasted(head),
       onCancelled: (head, stage, ms) => this.#forwarded.recordCancelled(head, stage, ms),
     });
     this.#forwarded = new ForwardedRequests({
@@ -696,6 +698,7 @@
     this.#metrics.addGauges({
       running: () => this.#view.measuredLoad.running,
       waiting: () => this.#view.measuredLoad.waiting,
+      serviceMs: () => this.#view.measuredLoad.serviceMs,
       requestLimit: () => this.#watch.limit.requestsPerSecond ?? Infinity,
       ownKeys: () => countKeys(this.#grantManager.ownRanges),
       ownRanges: () => this.#grantManager.ownRanges.length,
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -32,6 +32,7 @@
 const FIRST_REQUESTS = 4;
 /** Weight of the newest interval of 300 ms in the moving average of the request rate. */
 const RATE_WEIGHT = 0.3;
+const SERVER_FAILURE = 500;
 const MS_PER_SECOND = 1_000;
 
 export interface RunnerOptions {
@@ -45,6 +46,8 @@
   drainMs: number;
   log: EventLog;
   onResult: (head: RequestHead, result: ServerResult, ms: number) => void;
+  /** Called with each request that the server failed when the grant under which it began had ended. */
+  onOutlasted: (head: RequestHead) => void;
   /** Called with each request whose caller left before its response, and where it waited. */
   onCancelled: (head: RequestHead, stage: RequestStage, ms: number) => void;
 }
@@ -241,6 +244,7 @@
       return notRun(Reason.NotHolder, "The key changed its owner meanwhile", MOVE_RETRY_AFTER_MS);
     }
     const startedAt = now();
+    const grantedUntil = grantManager.grantedUntil(head.shard);
     const { limit } = watch;
     const headers = toFlatHeaders(head.headers).concat(wire.requestHeaders({
       id: head.id,
@@ -251,6 +255,9 @@
     }));
     const result = await client.send({ head, headers, body, deadline, signal, memory });
     onResult(head, result, now() - startedAt);
+    if (result.status >= SERVER_FAILURE && now() >= grantedUntil) {
+      this.#options.onOutlasted(head);
+    }
     this.#recordTimeliness(result, { server: incarnationName(report), startedAt, deadline });
     if (result.isConnectionLost && !signal.aborted) {
       ends.recordLost(report, { head, body, startedAt });
--- a/packages/router/src/runner_test.ts
+++ b/packages/router/src/runner_test.ts
@@ -82,12 +82,14 @@
     wire: { requestHeaders: () => [] } as Partial<ServerWire> as ServerWire,
     grantManager: {
       stateOf: state,
+      grantedUntil: () => Infinity,
       waitForChange: ({ ms, signal }: WaitOptions) => sleep(Math.min(ms, changeMs), signal),
     } as unknown as GrantManager,
     ends: { quarantinedMs: () => 0, recordLost: () => {}, recordCompleted: () => {} },
     drainMs: DRAIN_MS,
     log: () => {},
     onResult: () => {},
+    onOutlasted: () => {},
     onCancelled: (_head, stage) => stages.push(stage),
   });
   return { runner, watch, reachedAt, stages };
--- a/packages/router/src/store_access.ts
+++ b/packages/router/src/store_access.ts
@@ -13,6 +13,7 @@
 } from "@bulrushwood/ledger_store";
 import { VOTER_STORE_TIMEOUT_MS } from "@bulrushwood/lease_votes";
 import { type Address, type CallPeer, now, sleep } from "@bulrushwood/types";
+import { countCalls, type StoreCall } from "./counted_store.ts";
 import { Event, type EventLog } from "./event_log.ts";
 
 /**
@@ -33,6 +34,8 @@
   call: CallPeer;
   /** Whether the deployment is small, so that each change is read at once. */
   isFullMesh: () => boolean;
+  /** Called before each direct call to the store. */
+  onCall: (call: StoreCall) => void;
   log: EventLog;
 }
 
@@ -51,7 +54,7 @@
   constructor(options: StoreAccessOptions) {
     this.#options = options;
     const { adapter, settings, peers, call, log } = options;
-    this.#direct = adapter.openStore(settings);
+    this.#direct = countCalls(adapter.openStore(settings), options.onCall);
     this.store = new RelayedStore({
       direct: this.#direct,
       now,
