--- a/packages/admission/src/mod.ts
+++ b/packages/admission/src/mod.ts
@@ -17,4 +17,5 @@
 export { Quarantine, type ServerEnd, type SuspectRun } from "./quarantine.ts";
 export { StartRate, type StartRateOptions } from "./start_rate.ts";
 export { TimelyLimit } from "./timely_limit.ts";
+export { WorkTail } from "./work_tail.ts";
 export { Shutdown, type ShutdownOptions } from "./shutdown.ts";
--- a/packages/lease_checker/src/ranges/range_run.ts
+++ b/packages/lease_checker/src/ranges/range_run.ts
@@ -30,6 +30,10 @@
 const REPORT_TIMEOUT_MS = 1_000;
 /** Longest duration of work for keys to be released, in milliseconds. */
 const WORK_MS_MAX = 400;
+/** Largest time that votes last longer while work is long, in milliseconds. */
+const LONG_WORK_MS_MAX = 2_500;
+/** Time between changes of the duration of work, in milliseconds. */
+const WORK_CHANGE_MS = 2_000;
 /** Number of faults in a run. */
 const FAULT_COUNT = 10;
 /** Share of orders and status reports that are delayed while such a fault lasts. */
@@ -62,6 +66,8 @@
 class RangeRun {
   readonly #scheduler = new Scheduler();
   readonly #random: Random;
+  /** Random numbers of their own, so that the faults of a seed stay the same. */
+  readonly #workRandom: Random;
   readonly #rules: VoteRules;
   readonly #reportRules: ReportRules | undefined;
   readonly #store: KeyedStoreService;
@@ -72,6 +78,8 @@
   #appendFaultUntil = 0;
   #delaysUntil = 0;
   #violation: RangeViolation | undefined;
+  /** Time that votes last longer, in milliseconds, since work is long. */
+  #workMs = 0;
   #grants = 0;
   #ownerChanges = 0;
   /** Highest epoch and its server, by the first key of each grant seen. */
@@ -79,6 +87,7 @@
 
   constructor(seed: number, rules: VoteRules, reportRules?: ReportRules) {
     this.#random = createRandom(seed);
+    this.#workRandom = createRandom(seed);
     this.#rules = rules;
     this.#reportRules = reportRules;
     this.#store = new KeyedStoreService({
@@ -114,6 +123,9 @@
 
   #createDaemon(instance: Instance, members: string[]): SimDaemon {
     const { address, clock, incarnationCount } = instance;
+    const supportMs = this.#reportRules === undefined
+      ? SUPPORT_MS
+      : reportSupportMs(REPORT_INTERVAL_MS);
     const findOwnInstance = () =>
       this.#instances.find((other) => other.address === address) ?? instance;
     return new SimDaemon({
@@ -128,7 +140,9 @@
       sendOrder: this.#sendOrder,
       rules: this.#rules,
       reportRules: this.#reportRules,
-      supportMs: this.#reportRules === undefined ? SUPPORT_MS : reportSupportMs(REPORT_INTERVAL_MS),
+      supportMs,
+      requestedMs: () => supportMs + this.#workMs,
+      supportMsMax: supportMs + LONG_WORK_MS_MAX,
       random: this.#random,
     });
   }
@@ -326,6 +340,10 @@
       const at = FIRST_FAULT_MS + this.#random() * (RUN_MS - FIRST_FAULT_MS - 6_000);
       this.#scheduler.at(at, () => this.#injectFault());
     }
+    for (let at = 0; at < RUN_MS; at += WORK_CHANGE_MS) {
+      const workMs = this.#workRandom() < 0.5 ? 0 : this.#workRandom() * LONG_WORK_MS_MAX;
+      this.#scheduler.at(at, () => this.#workMs = workMs);
+    }
     for (let at = FIRST_FAULT_MS; at < RUN_MS; at += 700) {
       this.#scheduler.at(
         at,
--- a/packages/lease_checker/src/ranges/range_run_test.ts
+++ b/packages/lease_checker/src/ranges/range_run_test.ts
@@ -16,6 +16,7 @@
   "sealAfterSupport",
   "rejectSealed",
   "noticeSuspension",
+  "keepLongerVotes",
 ];
 
 describe("tenures and range grants in random schedules", () => {
--- a/packages/lease_checker/src/ranges/sim_daemon.ts
+++ b/packages/lease_checker/src/ranges/sim_daemon.ts
@@ -71,7 +71,11 @@
   sendOrder: SendOrder;
   /** Rules for grants in responses to status reports; undefined if grants are sent as orders. */
   reportRules: ReportRules | undefined;
+  /** Time for which votes last that name none, in milliseconds. */
   supportMs: number;
+  /** Returns how long votes should last now, in milliseconds; at most `supportMsMax`. */
+  requestedMs: () => number;
+  supportMsMax: number;
   rules: VoteRules;
   random: Random;
 }
@@ -140,7 +144,8 @@
       now,
       sleep,
       table,
-      supportMs: options.supportMs,
+      supportMs: options.requestedMs,
+      supportMsMax: () => options.supportMsMax,
       candidates: () => this.#voterCandidates(),
       server: () => ({ id: options.serverId(), bornMs: 1, slots: SLOTS }),
       rules,
@@ -152,7 +157,6 @@
       table,
       tenure: this.#tenureManager,
       suspension: new SuspensionDetector(now, clock.timeOfDay),
-      supportMs: options.supportMs,
       openChannel: (context) => this.#openChannel(context),
       server: () => ({ id: options.serverId(), bornMs: 1 }),
       grantMsMax: 10_000,
@@ -161,7 +165,6 @@
     });
     const voteManager = new VoteManager({
       now,
-      supportMs: options.supportMs,
       rules,
       isOwn: (tenure) => this.#tenureManager.isOwn(tenure),
       mustReject: (tenure) =>
@@ -179,20 +182,22 @@
       call: (peer, method, payload, { timeoutMs }) =>
         options.sendCall(this, peer, { method, payload, timeoutMs }),
       voteManager,
+      supportMs: options.supportMs,
       unkeyedServices: () => new Set(),
       requiredPeers: () => this.#tenureManager.voters,
       status: () => this.#status(),
       createHeartbeat: (peer) => ({
         ...this.#status(),
         tenures: this.#tenureManager.tenuresFor(peer),
+        supportMs: this.#tenureManager.supportMs,
         storeEnds: [this.#follower.end],
         entry: null,
         wantsStatus: false,
         wantsNews: false,
       }),
       storeEnds: () => [this.#follower.end],
-      onSupport: (peer, reply, sentAt) => {
-        const support = { tenures: reply.supported, sentAt };
+      onSupport: (peer, reply, vote) => {
+        const support = { tenures: reply.supported, ...vote };
         this.#tenureManager.recordSupport(peer, reply.incarnation, support);
       },
       onBehind: () => {},
@@ -202,7 +207,6 @@
       service: SERVICE,
       now,
       sleep,
-      supportMs: options.supportMs,
       table,
       heartbeats: this.heartbeats,
       mayPlan: () => this.#follower.isReachable,
--- a/packages/lease_ranges/src/grant_channel.ts
+++ b/packages/lease_ranges/src/grant_channel.ts
@@ -40,9 +40,9 @@
   grantableMs: (since: number) => number;
   /** Returns the handover token from the last owner of a grant's keys. */
   handoverOf: (grant: Grant) => string | undefined;
-  /** Time at which all grants of an earlier process at this address have certainly ended. */
-  earlierGrantsEndBy: number;
-  /** Called when the server has confirmed a grant, or a report shows that it lacks one. */
+  /** Returns the time at which all grants of an earlier process at this address have certainly ended. */
+  earlierGrantsEndBy: () => number;
+  /** Called when the server has confirmed or renewed a grant, or a report shows that it lacks one. */
   onChanged: () => void;
   /** Called when the server has a newer epoch for some keys of a grant, so that the grant needs one as well. */
   onOutdated: (grant: Grant) => Promise<void>;
--- a/packages/lease_ranges/src/grant_manager.ts
+++ b/packages/lease_ranges/src/grant_manager.ts
@@ -32,7 +32,6 @@
   type WaitOptions,
 } from "@bulrushwood/types";
 import {
-  endOfGrant,
   type Grant,
   type GrantChannel,
   type GrantContext,
@@ -42,16 +41,16 @@
 import type { TenureManager } from "./tenure_manager.ts";
 
 /** Time between renewals, in milliseconds; a fraction of a grant's duration. */
-const RENEW_INTERVAL_MS = 350;
+export const RENEW_INTERVAL_MS = 350;
 
 /** Fewest ranges by which a merge must shorten the table; each write costs all daemons a read of the table. */
 const MERGED_MIN = 4;
 
 /** Whether this daemon's backend server may serve a key. */
 export enum KeyState {
-  /** The server has confirmed a grant for the key. */
+  /** The server has confirmed a grant for the key, which lasts long enough. */
   Granted = "granted",
-  /** This daemon owns the key, but the server has no confirmed grant yet. */
+  /** This daemon owns the key, but the server has no confirmed grant that lasts long enough yet. */
   Pending = "pending",
   /** The key is being transferred, or it has no owner. */
   Moving = "moving",
@@ -73,8 +72,6 @@
   table: TableStore;
   tenure: TenureManager;
   suspension: SuspensionDetector;
-  /** How long a vote supports a tenure, in milliseconds. */
-  supportMs: number;
   openChannel: OpenGrantChannel;
   /** Returns the server that accepts orders; undefined while there is none. */
   server: () => ServerIdentity | undefined;
@@ -109,11 +106,11 @@
   }
 
   #createContext(): GrantContext {
-    const { now, sleep, table, supportMs, self, onFailed } = this.#options;
+    const { now, sleep, table, tenure, self, onFailed } = this.#options;
     return {
       now,
       sleep,
-      earlierGrantsEndBy: endOfGrant(now(), supportMs),
+      earlierGrantsEndBy: () => tenure.earlierGrantsEndBy,
       grants: () => this.#grants,
       server: () => this.#enteredServer,
       grantableMs: (since) => this.#grantableMs(since),
@@ -136,8 +133,8 @@
     this.#task = this.#run();
   }
 
-  /** Returns whether this daemon's server may serve a key now. */
-  stateOf(key: number): KeyState {
+  /** Returns whether this daemon's server may serve a key for the next `leftMs` milliseconds. */
+  stateOf(key: number, leftMs = 0): KeyState {
     const { table, self, now } = this.#options;
     const range = rangeOf(table.table.value, key);
     if (range.owner !== self) {
@@ -147,7 +144,7 @@
       return KeyState.Moving;
     }
     const grant = this.#grantOf(key);
-    const isGranted = grant !== undefined && grant.isConfirmed && grant.until > now();
+    const isGranted = grant !== undefined && grant.isConfirmed && grant.until > now() + leftMs;
     return isGranted ? KeyState.Granted : KeyState.Pending;
   }
 
@@ -166,9 +163,14 @@
     return rangesOf(this.#options.table.table.value, this.#options.self);
   }
 
+  /** Renews the grants that can be extended noticeably. */
+  renew(): void {
+    this.#channel.renew();
+  }
+
   async #run(): Promise<void> {
     while (!this.#stop.signal.aborted) {
-      this.#channel.renew();
+      this.renew();
       this.#mergeOwnRanges();
       await this.#options.sleep(RENEW_INTERVAL_MS, this.#stop.signal);
     }
@@ -193,7 +195,7 @@
           });
       });
     });
-    this.#channel.renew();
+    this.renew();
     this.#changed.next();
   }
 
--- a/packages/lease_ranges/src/grant_manager_test.ts
+++ b/packages/lease_ranges/src/grant_manager_test.ts
@@ -57,7 +57,8 @@
     now,
     sleep,
     table,
-    supportMs: SUPPORT_MS,
+    supportMs: () => SUPPORT_MS,
+    supportMsMax: () => SUPPORT_MS,
     candidates: () => [],
     server: () => ({ ...SERVER, slots: 4 }),
   });
@@ -78,7 +79,6 @@
     table,
     tenure,
     suspension: new SuspensionDetector(now),
-    supportMs: SUPPORT_MS,
     openChannel: (context) =>
       new OrderChannel(context, {
         wire: WIRE,
--- a/packages/lease_ranges/src/mod.ts
+++ b/packages/lease_ranges/src/mod.ts
@@ -8,7 +8,13 @@
   Handover,
   OpenGrantChannel,
 } from "./grant_channel.ts";
-export { GrantManager, type GrantManagerOptions, KeyState } from "./grant_manager.ts";
+export { GRANT_MARGIN_MS } from "./grant_channel.ts";
+export {
+  GrantManager,
+  type GrantManagerOptions,
+  KeyState,
+  RENEW_INTERVAL_MS,
+} from "./grant_manager.ts";
 export {
   OrderChannel,
   type OrderChannelOptions,
--- a/packages/lease_ranges/src/order_channel.ts
+++ b/packages/lease_ranges/src/order_channel.ts
@@ -157,12 +157,9 @@
     const response = await pending;
     sent.hasResponse = response.isOk;
     if (response.isOk && response.value.status === STATUS_OK) {
-      const isFirst = !grant.isConfirmed;
       grant.until = sentAt + durationMs;
       grant.isConfirmed = true;
-      if (isFirst) {
-        onChanged();
-      }
+      onChanged();
       return true;
     }
     onFailed(
@@ -180,12 +177,12 @@
     span: KeySpan & { epoch: number },
     options: { isServerLost: boolean },
   ): Promise<Handover[]> {
-    const { now, sleep, onFailed, earlierGrantsEndBy: earlierGrantsEndBy } = this.#context;
+    const { now, sleep, onFailed, earlierGrantsEndBy } = this.#context;
     const { wire, sendRelease } = this.#options;
     const sent = this.#sent.filter((grant) => overlaps(grant, span));
     await Promise.all(sent.map(({ done }) => done));
     const { first, last, epoch } = span;
-    const endsBy = Math.max(earlierGrantsEndBy, ...sent.map((grant) => grant.endsBy));
+    const endsBy = Math.max(earlierGrantsEndBy(), ...sent.map((grant) => grant.endsBy));
     if (options.isServerLost) {
       await sleep(Math.max(0, endsBy - now()));
       return [{ first, last, handover: null }];
@@ -209,10 +206,10 @@
    * where a later grant had a response.
    */
   async #awaitUnconfirmed(sent: SentGrant[]): Promise<void> {
-    const { now, sleep, earlierGrantsEndBy: earlierGrantsEndBy } = this.#context;
+    const { now, sleep, earlierGrantsEndBy } = this.#context;
     const late = sent.filter(({ hasResponse }) => !hasResponse);
     // It is unknown which grants of an earlier process had a response.
-    const endsBy = Math.max(earlierGrantsEndBy, ...late.map((grant) => grant.endsBy));
+    const endsBy = Math.max(earlierGrantsEndBy(), ...late.map((grant) => grant.endsBy));
     await sleep(Math.max(0, endsBy - now()));
   }
 
--- a/packages/lease_ranges/src/report_channel.ts
+++ b/packages/lease_ranges/src/report_channel.ts
@@ -218,12 +218,11 @@
     const recordSent = () => {
       response.sentAt = now();
       const current = granted.filter((grant) => grants().includes(grant));
-      const isFirst = current.some(({ isConfirmed }) => !isConfirmed);
       for (const grant of current) {
         grant.until = receivedAt + durationMs;
         grant.isConfirmed = true;
       }
-      if (isFirst) {
+      if (current.length > 0) {
         this.#context.onChanged();
       }
     };
@@ -288,10 +287,10 @@
     span: KeySpan & { epoch: number },
     options: { isServerLost: boolean },
   ): Promise<Handover[]> {
-    const { now, sleep, earlierGrantsEndBy: earlierGrantsEndBy } = this.#context;
+    const { now, sleep, earlierGrantsEndBy } = this.#context;
     const { first, last } = span;
     const granted = this.#responses.filter(({ rows }) => rows.some((row) => overlaps(row, span)));
-    const endsBy = Math.max(earlierGrantsEndBy, ...granted.map((response) => response.endsBy));
+    const endsBy = Math.max(earlierGrantsEndBy(), ...granted.map((response) => response.endsBy));
     const remainingMs = Math.max(0, endsBy - now());
     if (options.isServerLost) {
       await sleep(remainingMs);
--- a/packages/lease_ranges/src/report_channel_test.ts
+++ b/packages/lease_ranges/src/report_channel_test.ts
@@ -24,6 +24,7 @@
   options: { grants: Grant[]; grantableMs?: number; rules?: ReportRules },
 ) {
   const state = { grantableMs: 1_000, outdated: [] as Grant[], ...options };
+  const startedAt = now();
   const context: GrantContext = {
     now,
     sleep,
@@ -31,7 +32,7 @@
     grants: () => state.grants,
     grantableMs: (since) => now() + state.grantableMs - since,
     handoverOf: ({ first }) => `token ${first}`,
-    earlierGrantsEndBy: now(),
+    earlierGrantsEndBy: () => startedAt,
     onChanged: () => {},
     onOutdated: (grant) => {
       state.outdated.push(grant);
--- a/packages/lease_ranges/src/tenure_manager.ts
+++ b/packages/lease_ranges/src/tenure_manager.ts
@@ -65,8 +65,10 @@
   candidates: () => Voter[];
   /** Returns the server to enter; undefined while no server may own keys. */
   server: () => OwnServer | undefined;
-  /** How long a vote supports a tenure, in milliseconds; the same in all daemons. */
-  supportMs: number;
+  /** Returns how long votes should last, in milliseconds; at most `supportMsMax`. */
+  supportMs: () => number;
+  /** Returns how long votes may have to last at most, in milliseconds, as it is entered in the table. */
+  supportMsMax: () => number;
   /** Returns whether the deployment is so large that each daemon has only a few voters. */
   hasManyPeers?: () => boolean;
   /** Returns whether another daemon writes entries for many daemons; otherwise this one writes its own. */
@@ -83,9 +85,12 @@
   #tenures: Tenure[] = [];
   /** New tenure that no grant relies on yet. */
   #candidate: Tenure | undefined;
-  /** Time at which all grants of an earlier process at this address have certainly ended. */
-  readonly #earlierGrantsEndBy: number;
+  readonly #startedAt: number;
   #enteredAt = Number.NEGATIVE_INFINITY;
+  /** Longest time for which votes were requested, in milliseconds. */
+  #requestedMsMax = 0;
+  /** How long the votes of the last reply last, in milliseconds. */
+  #votedMs = 0;
   #waitingSince: number | undefined;
   /** Entry for another daemon to write; undefined for none. */
   #pending: { host: Host; replaces: string | null } | undefined;
@@ -93,7 +98,7 @@
 
   constructor(options: TenureManagerOptions) {
     this.#options = options;
-    this.#earlierGrantsEndBy = endOfGrant(options.now(), options.supportMs);
+    this.#startedAt = options.now();
   }
 
   /** Emits when a tenure has started. */
@@ -128,15 +133,41 @@
       .map(({ tenure }) => tenure);
   }
 
-  /** Records a voter's support; `sentAt` is when this daemon requested it. */
+  /**
+   * Time for which votes are requested, in milliseconds. It is within what the table says of this daemon's tenure, since
+   * other daemons rely on that where a voter has restarted.
+   */
+  get supportMs(): number {
+    const { self, table, supportMs, supportMsMax } = this.#options;
+    const host = table.table.value.hosts[self];
+    const isEntered = host !== undefined && this.isOwn(host.tenure);
+    const requestedMs = Math.min(supportMs(), isEntered ? host.supportMsMax : supportMsMax());
+    this.#requestedMsMax = Math.max(this.#requestedMsMax, requestedMs);
+    return requestedMs;
+  }
+
+  /** Time for which the votes last that support the tenure, in milliseconds; 0 before the first. */
+  get votedMs(): number {
+    return this.#votedMs;
+  }
+
+  /** Time at which all grants of an earlier process at this address have certainly ended. */
+  get earlierGrantsEndBy(): number {
+    const { self, table, supportMsMax } = this.#options;
+    const longest = table.table.value.hosts[self]?.supportMsMax ?? 0;
+    return endOfGrant(this.#startedAt, Math.max(longest, supportMsMax()));
+  }
+
+  /** Records a voter's support for `supportMs`; `sentAt` is when this daemon requested it. */
   recordSupport(
     voter: Address,
     incarnation: string,
-    options: { tenures: string[]; sentAt: number },
+    options: { tenures: string[]; sentAt: number; supportMs: number },
   ): void {
     for (const tenure of this.#requested) {
       if (options.tenures.includes(tenure.tenure)) {
-        tenure.recordSupport(voter, incarnation, options.sentAt);
+        tenure.recordSupport(voter, incarnation, options);
+        this.#votedMs = options.supportMs;
       }
     }
   }
@@ -177,7 +208,8 @@
     if (host === undefined || !this.isOwn(host.tenure)) {
       return this.#hasVoters();
     }
-    if (!isSameIncarnation(host.server, server) || host.isSuspected) {
+    const hasLongerWork = this.#options.supportMsMax() > host.supportMsMax;
+    if (!isSameIncarnation(host.server, server) || host.isSuspected || hasLongerWork) {
       return true;
     }
     const ageMs = now() - this.#enteredAt;
@@ -219,14 +251,14 @@
   }
 
   async #enter(server: OwnServer): Promise<void> {
-    const { self, incarnation, now, table, candidates, supportMs } = this.#options;
+    const { self, incarnation, now, table, candidates, supportMsMax } = this.#options;
     const voters = [{ address: self, incarnation }, ...candidates().slice(0, this.#votersMax - 1)];
     const tenure = new Tenure({
       tenure: randomUUID().slice(-TENURE_CHARACTERS),
       voters,
       self,
       now,
-      supportMs,
+      supportMs: () => this.supportMs,
       rules: this.#options.rules,
     });
     if (!(await this.#awaitSupport(tenure))) {
@@ -238,6 +270,7 @@
       voters,
       server: { id, bornMs },
       slots,
+      supportMsMax: Math.max(supportMsMax(), this.#requestedMsMax),
       isSuspected: false,
     };
     const enter = (current: OwnershipTable) =>
@@ -261,7 +294,7 @@
     const { now, rules = ALL_VOTE_RULES } = this.#options;
     const earlierEnd = () =>
       Math.max(
-        this.#earlierGrantsEndBy,
+        this.earlierGrantsEndBy,
         ...this.#tenures.map(({ supportedUntil }) => supportedUntil),
       );
     this.#candidate = tenure;
--- a/packages/lease_ranges/src/tenure_manager_test.ts
+++ b/packages/lease_ranges/src/tenure_manager_test.ts
@@ -17,14 +17,15 @@
     now,
     sleep,
     table,
-    supportMs: SUPPORT_MS,
+    supportMs: () => SUPPORT_MS,
+    supportMsMax: () => SUPPORT_MS,
     candidates: () => VOTERS.map((address) => ({ address, incarnation: "i1" })),
     server: () => ({ id: "s1", bornMs: state.bornMs, slots: 4 }),
   });
   const supportTimer = setInterval(() => {
     for (const voter of state.isSupported ? VOTERS : []) {
       const tenures = manager.tenuresFor(voter);
-      manager.recordSupport(voter, "i1", { tenures, sentAt: now() });
+      manager.recordSupport(voter, "i1", { tenures, sentAt: now(), supportMs: SUPPORT_MS });
     }
   }, 50);
   manager.start();
--- a/packages/lease_votes/src/lease_votes_test.ts
+++ b/packages/lease_votes/src/lease_votes_test.ts
@@ -12,7 +12,6 @@
 function createManager(clock: { now: number }, own = "own") {
   return new VoteManager({
     now: () => clock.now,
-    supportMs: SUPPORT_MS,
     mustReject: (tenure) => tenure === "suspected",
     isOwn: (tenure) => tenure === own,
   });
@@ -22,12 +21,24 @@
   it("seals a tenure only after its support has run out, and does not support it again", () => {
     const clock = { now: 0 };
     const manager = createManager(clock);
-    expect(manager.support("t")).to.equal(true);
+    expect(manager.support("t", SUPPORT_MS)).to.equal(true);
     clock.now = SUPPORT_MS - 1;
     expect(manager.seal("t")).to.equal(false);
     clock.now = SUPPORT_MS;
     expect(manager.seal("t")).to.equal(true);
-    expect(manager.support("t")).to.equal(false);
+    expect(manager.support("t", SUPPORT_MS)).to.equal(false);
+  });
+
+  it("seals a tenure only after its longest vote, also if a shorter one followed", () => {
+    const clock = { now: 0 };
+    const manager = createManager(clock);
+    manager.support("t", 3 * SUPPORT_MS);
+    clock.now = 10;
+    manager.support("t", SUPPORT_MS);
+    clock.now = 3 * SUPPORT_MS - 1;
+    expect(manager.seal("t")).to.equal(false);
+    clock.now = 3 * SUPPORT_MS;
+    expect(manager.seal("t")).to.equal(true);
   });
 
   it("seals a tenure that it never supported immediately", () => {
@@ -39,7 +50,7 @@
   });
 
   it("does not support a suspected tenure", () => {
-    expect(createManager({ now: 0 }).support("suspected")).to.equal(false);
+    expect(createManager({ now: 0 }).support("suspected", SUPPORT_MS)).to.equal(false);
   });
 });
 
@@ -52,7 +63,7 @@
       voters,
       self: "a",
       now: () => clock.now,
-      supportMs: SUPPORT_MS,
+      supportMs: () => SUPPORT_MS,
     });
   }
 
@@ -60,25 +71,25 @@
     const clock = { now: 100 };
     const tenure = createTenure(clock);
     expect(tenure.supportedUntil).to.equal(Number.NEGATIVE_INFINITY);
-    tenure.recordSupport("b", "b1", 60);
+    tenure.recordSupport("b", "b1", { sentAt: 60, supportMs: SUPPORT_MS });
     expect(tenure.supportedUntil).to.equal(60 + SUPPORT_MS - DRIFT_MARGIN_MS);
   });
 
   it("does not count the vote of a restarted voter", () => {
     const tenure = createTenure({ now: 0 });
-    tenure.recordSupport("b", "b2", 0);
+    tenure.recordSupport("b", "b2", { sentAt: 0, supportMs: SUPPORT_MS });
     expect(tenure.supportedUntil).to.equal(Number.NEGATIVE_INFINITY);
   });
 
   it("does not count the vote of a daemon that is no voter", () => {
     const tenure = createTenure({ now: 0 });
-    tenure.recordSupport("d", "d1", 0);
+    tenure.recordSupport("d", "d1", { sentAt: 0, supportMs: SUPPORT_MS });
     expect(tenure.supportedUntil).to.equal(Number.NEGATIVE_INFINITY);
   });
 
   it("drops all votes after a suspension", () => {
     const tenure = createTenure({ now: 0 });
-    tenure.recordSupport("b", "b1", 0);
+    tenure.recordSupport("b", "b1", { sentAt: 0, supportMs: SUPPORT_MS });
     tenure.dropSupport();
     expect(tenure.supportedUntil).to.equal(Number.NEGATIVE_INFINITY);
   });
--- a/packages/lease_votes/src/rules.ts
+++ b/packages/lease_votes/src/rules.ts
@@ -15,6 +15,8 @@
   matchIncarnation: boolean;
   /** A suspension of the instance ends all support. */
   noticeSuspension: boolean;
+  /** A shorter vote does not end a longer one before its time. */
+  keepLongerVotes: boolean;
   /** A tenure is entered only once its voters support it for as long as earlier grants run. */
   awaitSupport: boolean;
 }
@@ -26,11 +28,12 @@
   countFromSending: true,
   matchIncarnation: true,
   noticeSuspension: true,
+  keepLongerVotes: true,
   awaitSupport: true,
 };
 
 /**
- * Time that a vote supports a tenure where grants can be renewed at any time, in milliseconds; four
+ * Shortest time that a vote supports a tenure where grants can be renewed at any time, in milliseconds; four
  * heartbeats, so that three may be lost.
  */
 export const SUPPORT_MS = 1_300;
@@ -44,7 +47,10 @@
 /** Margin after the time at which voters have stopped and their support has run out, in milliseconds. */
 const SUSPICION_MARGIN_MS = 2_000;
 
-/** Returns the time after which a suspected tenure has ended without seals of its voters, in milliseconds. */
-export function suspicionTimeoutMs(supportMs: number): number {
-  return VOTER_STORE_TIMEOUT_MS + supportMs + SUSPICION_MARGIN_MS;
+/**
+ * Returns the time after which a suspected tenure has ended without seals of its voters, in milliseconds;
+ * `supportMsMax` is how long its votes last at most.
+ */
+export function suspicionTimeoutMs(supportMsMax: number): number {
+  return VOTER_STORE_TIMEOUT_MS + supportMsMax + SUSPICION_MARGIN_MS;
 }
--- a/packages/lease_votes/src/tenure.ts
+++ b/packages/lease_votes/src/tenure.ts
@@ -18,8 +18,8 @@
   voters: Voter[];
   self: Address;
   now: Clock;
-  /** How long a vote supports a tenure, in milliseconds; the same in all daemons. */
-  supportMs: number;
+  /** Returns how long this daemon supports its own tenure, in milliseconds. */
+  supportMs: () => number;
   rules?: VoteRules;
 }
 
@@ -48,8 +48,12 @@
     this.voters = options.voters;
   }
 
-  /** Records a voter's support; `sentAt` is when this daemon requested it. */
-  recordSupport(address: Address, incarnation: string, sentAt: number): void {
+  /** Records a voter's support for `supportMs`; `sentAt` is when this daemon requested it. */
+  recordSupport(
+    address: Address,
+    incarnation: string,
+    { sentAt, supportMs }: { sentAt: number; supportMs: number },
+  ): void {
     const voter = this.voters.find((candidate) => candidate.address === address);
     if (voter === undefined) {
       return;
@@ -57,7 +61,7 @@
     if (this.#rules.matchIncarnation && voter.incarnation !== incarnation) {
       return;
     }
-    const { now, supportMs } = this.#options;
+    const { now } = this.#options;
     const until = this.#rules.countFromSending
       ? sentAt + supportMs - DRIFT_MARGIN_MS
       : now() + supportMs;
@@ -68,7 +72,7 @@
   get supportedUntil(): number {
     const { self, now, supportMs } = this.#options;
     const ends = this.voters.map(({ address }) =>
-      address === self ? now() + supportMs : this.#until.get(address) ?? Number.NEGATIVE_INFINITY
+      address === self ? now() + supportMs() : this.#until.get(address) ?? Number.NEGATIVE_INFINITY
     );
     ends.sort((left, right) => right - left);
     return ends[quorumOf(ends.length) - 1] ?? Number.NEGATIVE_INFINITY;
--- a/packages/lease_votes/src/vote_manager.ts
+++ b/packages/lease_votes/src/vote_manager.ts
@@ -8,8 +8,6 @@
 /** Clock, support time and rules of a daemon's votes. */
 export interface VoteManagerOptions {
   now: Clock;
-  /** How long a vote supports a tenure, in milliseconds; the same in all daemons. */
-  supportMs: number;
   /** Returns whether the tenure is suspected in the store, or this daemon's view of the store is too old to know. */
   mustReject: (tenure: string) => boolean;
   /** Returns whether a tenure is this daemon's own; it relies on its own support as long as it runs. */
@@ -29,13 +27,14 @@
     this.#rules = options.rules ?? ALL_VOTE_RULES;
   }
 
-  /** Supports a tenure for `supportMs` from now; returns false when the vote is rejected. */
-  support(tenure: string): boolean {
+  /** Supports a tenure for some time from now, in milliseconds; returns false when the vote is rejected. */
+  support(tenure: string, supportMs: number): boolean {
     const isSealed = this.#rules.rejectSealed && this.#sealed.has(tenure);
     if (isSealed || this.#options.mustReject(tenure)) {
       return false;
     }
-    this.#until.set(tenure, this.#options.now() + this.#options.supportMs);
+    const earlier = this.#rules.keepLongerVotes ? this.#until.get(tenure) ?? 0 : 0;
+    this.#until.set(tenure, Math.max(earlier, this.#options.now() + supportMs));
     return true;
   }
 
--- a/packages/ledger_store/src/ownership_table.ts
+++ b/packages/ledger_store/src/ownership_table.ts
@@ -21,6 +21,11 @@
   /** Incarnation of the backend server that the keys belong to. */
   server: z.object({ id: z.string(), bornMs: z.number() }),
   slots: z.number(),
+  /**
+   * Longest time for which a voter may have been asked to support the tenure, in milliseconds. It tells when a voter's
+   * last vote has certainly ended if the voter has restarted since.
+   */
+  supportMsMax: z.number().positive(),
   /** Set while the tenure's end is awaited without seals of its voters. */
   isSuspected: z.boolean().default(false),
 });
@@ -186,10 +191,14 @@
   return merged.length === table.ranges.length ? table : { ...table, ranges: merged };
 }
 
-/** Enters a daemon or its new tenure. A new incarnation of its server gets a new epoch for its keys. */
+/**
+ * Enters a daemon or its new tenure. A new incarnation of its server gets a new epoch for its keys. Votes for earlier
+ * tenures at the address may last longer than those for the new one.
+ */
 export function enterHost(table: OwnershipTable, address: Address, host: Host): OwnershipTable {
   const previousHost = table.hosts[address];
-  const entered = { ...table, hosts: { ...table.hosts, [address]: host } };
+  const supportMsMax = Math.max(host.supportMsMax, previousHost?.supportMsMax ?? 0);
+  const entered = { ...table, hosts: { ...table.hosts, [address]: { ...host, supportMsMax } } };
   const own = rangesOf(table, address);
   if (isSameIncarnation(host.server, previousHost?.server) || own.length === 0) {
     return entered;
--- a/packages/ledger_store/src/ownership_table_test.ts
+++ b/packages/ledger_store/src/ownership_table_test.ts
@@ -20,6 +20,7 @@
   voters: [{ address: "a", incarnation: "i" }],
   server: { id: "s1", bornMs: 5 },
   slots: 12,
+  supportMsMax: 1_300,
   isSuspected: false,
 };
 
--- a/packages/ledger_store/src/table_format.ts
+++ b/packages/ledger_store/src/table_format.ts
@@ -12,6 +12,8 @@
 const TABLE_BYTES_MAX = 16 * 1024 * 1024;
 /** Index that stands for no owner. */
 const NO_OWNER = -1;
+/** Longest time of votes that is assumed where the table does not contain it, in milliseconds. */
+const SUPPORT_MS_MAX = 10_000;
 const DEFLATE_LEVEL = 1;
 /** Largest epoch that is accepted; far above any real one, and with room for later ones. */
 const EPOCH_MAX = 2 ** 52;
@@ -33,6 +35,8 @@
     z.number(),
     z.array(index),
   ])),
+  /** Longest time of votes for each host, in milliseconds; left out by daemons that always request the same. */
+  supports: z.array(z.number().positive()).optional(),
   owners: z.array(z.string()),
   /** First key, owner by index, epoch, handover token; a range ends where the next begins. */
   ranges: z.array(z.tuple([
@@ -78,6 +82,7 @@
         voters.indexOf(`${address} ${incarnation}`, [address, incarnation])
       ),
     ]),
+    supports: Object.values(table.hosts).map(({ supportMsMax }) => supportMsMax),
     ranges: table.ranges.map(({ first, owner, epoch, handover }) => [
       first,
       owner === null ? NO_OWNER : owners.indexOf(owner, owner),
@@ -104,7 +109,7 @@
     const { path, message } = parsed.error.issues[0];
     return corrupt(`${path.join(".")}: ${message}`);
   }
-  const { write, epoch, voters, hosts, owners, ranges } = parsed.data;
+  const { write, epoch, voters, hosts, supports = [], owners, ranges } = parsed.data;
   if (
     hosts.some(([, , , , , , voterIndexes]) =>
       !voterIndexes.every((position) => position in voters)
@@ -112,15 +117,17 @@
   ) {
     return corrupt("hosts: each voter must be listed");
   }
-  const entered = hosts.map(([address, tenure, id, bornMs, slots, suspected, voterIndexes]) => {
+  const entered = hosts.map((entry, position) => {
+    const [address, tenure, id, bornMs, slots, suspected, voterIndexes] = entry;
     const host: Host = {
       tenure,
-      voters: voterIndexes.map((position) => ({
-        address: voters[position][0],
-        incarnation: voters[position][1],
+      voters: voterIndexes.map((voter) => ({
+        address: voters[voter][0],
+        incarnation: voters[voter][1],
       })),
       server: { id, bornMs },
       slots,
+      supportMsMax: supports[position] ?? SUPPORT_MS_MAX,
       isSuspected: suspected === 1,
     };
     return [address, host] as const;
--- a/packages/membership_beats/src/heartbeats.ts
+++ b/packages/membership_beats/src/heartbeats.ts
@@ -73,6 +73,8 @@
   sleep: Sleep;
   call: CallPeer;
   voteManager: VoteManager;
+  /** How long a vote lasts that names no time, in milliseconds. */
+  supportMs: number;
   /** Returns the services without keys, whose servers every daemon must have the status of. */
   unkeyedServices: () => ReadonlySet<string>;
   /** Returns the daemons that are always heartbeat peers, such as the voters of a running tenure. */
@@ -83,8 +85,15 @@
   createHeartbeat: (peer: Address, role: HeartbeatPeerRole) => Heartbeat;
   /** Returns the offset after the last record that this daemon has, for each topic that daemons follow. */
   storeEnds: () => Offset[];
-  /** Called with each reply, for the support that it grants; `sentAt` is when the heartbeat was sent. */
-  onSupport: (peer: Address, reply: HeartbeatReply, sentAt: number) => void;
+  /**
+   * Called with each reply, for the support that it grants and how long it lasts, in milliseconds; `sentAt` is when the
+   * heartbeat was sent.
+   */
+  onSupport: (
+    peer: Address,
+    reply: HeartbeatReply,
+    options: { sentAt: number; supportMs: number },
+  ) => void;
   /** Called when a peer still has more records than this daemon after a delay. */
   onBehind: (peer: Address) => void;
   /** Called when another incarnation has taken a peer's address; all that is known of the earlier one is outdated. */
@@ -289,7 +298,8 @@
     }
     this.#recordReceived(peer, reply.data.incarnation);
     reply.data.news.forEach((update) => this.#applyUpdate(update));
-    this.#options.onSupport(peer, reply.data, sentAt);
+    const { supportMs = this.#options.supportMs } = reply.data;
+    this.#options.onSupport(peer, reply.data, { sentAt, supportMs });
     this.#compareStoreEnds(peer, reply.data.storeEnds);
   }
 
@@ -406,8 +416,10 @@
     const { entry, ...status } = heartbeat;
     this.#peers.set(heartbeat.address, { status, entry, receivedAt: now() });
     this.#compareStoreEnds(heartbeat.address, heartbeat.storeEnds);
-    const supported = heartbeat.tenures.filter((tenure) => voteManager.support(tenure));
-    return { incarnation, supported, storeEnds: storeEnds(), news: this.#updatesFor(heartbeat) };
+    const { supportMs = this.#options.supportMs } = heartbeat;
+    const supported = heartbeat.tenures.filter((tenure) => voteManager.support(tenure, supportMs));
+    const news = this.#updatesFor(heartbeat);
+    return { incarnation, supported, supportMs, storeEnds: storeEnds(), news };
   }
 
   #replyToSeal(tenure: string): SealReply {
--- a/packages/membership_beats/src/heartbeats_test.ts
+++ b/packages/membership_beats/src/heartbeats_test.ts
@@ -108,10 +108,10 @@
     },
     voteManager: new VoteManager({
       now: clock.now,
-      supportMs: SUPPORT_MS,
       mustReject: () => false,
       isOwn: () => false,
     }),
+    supportMs: SUPPORT_MS,
     unkeyedServices: () => new Set([UNKEYED]),
     requiredPeers: () => required,
     status: () => createStatus(self),
--- a/packages/membership_beats/src/messages.ts
+++ b/packages/membership_beats/src/messages.ts
@@ -5,6 +5,9 @@
 import { ServerState } from "@bulrushwood/deployment";
 import { hostSchema } from "@bulrushwood/ledger_store";
 
+/** Longest time for which a vote may be requested, in milliseconds. */
+const SUPPORT_MS_MAX = 60_000;
+
 const keySpanSchema = z.object({ first: z.number().int(), last: z.number().int() });
 
 /** Schema of the load of one backend server. */
@@ -13,6 +16,8 @@
   rate: z.number(),
   /** Mean time from sending a request to its response, in milliseconds; 0 before the first. */
   serviceMs: z.number(),
+  /** Time within which nearly all requests of the server's own work end, in milliseconds; left out before the first. */
+  workMs: z.number().nonnegative().optional(),
   running: z.number(),
   waiting: z.number(),
   /** The server's own keys, as spans of about equal load with the requests per second for each. */
@@ -69,6 +74,8 @@
 export const heartbeatSchema = daemonStatusSchema.extend({
   /** Tenures that the receiver is asked to support. */
   tenures: z.array(z.string()),
+  /** How long the votes should last, in milliseconds; left out by daemons that always request the same. */
+  supportMs: z.number().positive().max(SUPPORT_MS_MAX).optional(),
   /** Offset after the last record that the sender has, for each topic that daemons follow. */
   storeEnds: z.array(z.number()),
   /** Entry that the receiver should write into the ownership table, or null for none. */
@@ -87,6 +94,8 @@
   incarnation: z.string(),
   /** Tenures that the replying daemon supports. */
   supported: z.array(z.string()),
+  /** How long these votes last, in milliseconds; left out by daemons whose votes all last the same. */
+  supportMs: z.number().positive().optional(),
   storeEnds: z.array(z.number()),
   /** Status of the replying daemon and of others; empty unless the heartbeat asked for it. */
   news: z.array(statusUpdateSchema),
--- a/packages/membership_beats/src/sealing.ts
+++ b/packages/membership_beats/src/sealing.ts
@@ -9,6 +9,11 @@
 /** Added to the time for which a vote lasts before a restarted process counts as a seal, in milliseconds. */
 const RESTART_MARGIN_MS = 200;
 
+/** Longest time for which a voter may have been asked to support a tenure, in milliseconds. */
+export interface SealTiming {
+  supportMsMax: number;
+}
+
 /** Asks a daemon to seal a tenure; resolves to undefined when it does not reply. */
 export type AskSeal = (voter: Address, tenure: string) => Promise<SealReply | undefined>;
 
@@ -16,7 +21,7 @@
 export function isSealedBy(
   voter: Voter,
   reply: SealReply | undefined,
-  options: { supportMs: number },
+  options: SealTiming,
 ): boolean {
   if (reply === undefined) {
     return false;
@@ -24,14 +29,14 @@
   if (reply.incarnation === voter.incarnation) {
     return reply.isSealed;
   }
-  return reply.uptimeMs > options.supportMs + RESTART_MARGIN_MS;
+  return reply.uptimeMs > options.supportMsMax + RESTART_MARGIN_MS;
 }
 
 /** Asks all voters of a tenure to seal it; resolves to true once enough have. */
 export async function sealTenure(
   tenure: string,
   voters: Voter[],
-  options: { ask: AskSeal; supportMs: number },
+  options: SealTiming & { ask: AskSeal },
 ): Promise<boolean> {
   let missing = sealQuorumOf(voters.length);
   return await new Promise((resolve) => {
--- a/packages/membership_beats/src/sealing_test.ts
+++ b/packages/membership_beats/src/sealing_test.ts
@@ -2,7 +2,7 @@
 import { SUPPORT_MS } from "@bulrushwood/lease_votes";
 import { isSealedBy, sealTenure } from "./mod.ts";
 
-const TIMING = { supportMs: SUPPORT_MS };
+const TIMING = { supportMsMax: SUPPORT_MS };
 const VOTERS = ["a", "b", "c"].map((address) => ({ address, incarnation: `${address}1` }));
 
 describe("sealing a tenure", () => {
--- a/packages/planner_ranges/src/range_planner.ts
+++ b/packages/planner_ranges/src/range_planner.ts
@@ -59,8 +59,6 @@
   service: string;
   now: Clock;
   sleep: Sleep;
-  /** How long a vote supports a tenure, in milliseconds. */
-  supportMs: number;
   table: TableStore;
   heartbeats: Heartbeats;
   /** Returns whether the service has keys and this daemon reaches the store. */
@@ -216,18 +214,18 @@
     tenure: string,
     options: { since: number },
   ): Promise<void> {
-    const { heartbeats, table, onEvent, supportMs } = this.#options;
+    const { heartbeats, table, onEvent } = this.#options;
     const host = table.table.value.hosts[address];
     if (host === undefined || host.tenure !== tenure) {
       return;
     }
     const isSealed = await sealTenure(tenure, host.voters, {
       ask: (voter, name) => heartbeats.seal(voter, name),
-      supportMs,
+      supportMsMax: host.supportMsMax,
     });
     const suspectedAt = this.#suspectedAt.get(tenure);
     const hasTimedOut = suspectedAt !== undefined &&
-      this.#options.now() - suspectedAt > suspicionTimeoutMs(supportMs);
+      this.#options.now() - suspectedAt > suspicionTimeoutMs(host.supportMsMax);
     if (!isSealed && !hasTimedOut) {
       if (this.#options.now() - options.since > SEAL_TIMEOUT_MS) {
         await this.#suspect(address, tenure);
--- a/packages/planner_ranges/src/range_planner_test.ts
+++ b/packages/planner_ranges/src/range_planner_test.ts
@@ -29,7 +29,6 @@
     service: SERVICE,
     now,
     sleep,
-    supportMs: 1_300,
     table: {} as TableStore,
     heartbeats: heartbeats as unknown as Heartbeats,
     mayPlan: () => options.mayPlan,
--- a/packages/router/src/held_up_grants_test.ts
+++ b/packages/router/src/held_up_grants_test.ts
@@ -76,7 +76,7 @@
       server: () => SERVER,
       grantableMs: () => GRANT_MS,
       handoverOf: () => undefined,
-      earlierGrantsEndBy: Number.NEGATIVE_INFINITY,
+      earlierGrantsEndBy: () => Number.NEGATIVE_INFINITY,
       onChanged: () => {},
       onOutdated: () => Promise.resolve(),
       onFailed: () => {},
--- a/packages/router/src/metrics.ts
+++ b/packages/router/src/metrics.ts
@@ -31,6 +31,8 @@
   acceptedShare: () => number;
   callerConnections: () => number;
   callerConnectionsMax: () => number;
+  /** Time for which votes for the tenure are requested, in milliseconds. */
+  supportMs: () => number;
   supportedMs: () => number;
   isStoreReachable: () => boolean;
   manifestVersion: () => number;
@@ -228,6 +230,11 @@
         sources.callerConnectionsMax,
       ],
       ["lease_milliseconds", "Time for which grants may still be extended", sources.supportedMs],
+      [
+        "vote_milliseconds",
+        "Time for which votes for the tenure are requested",
+        sources.supportMs,
+      ],
       ["store_reachable", "1 while the store answers", () => Number(sources.isStoreReachable())],
       ["manifest_version", "Version of the manifest in force", sources.manifestVersion],
       ["peers_heard", "Daemons that were heard lately", sources.reachablePeers],
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -28,10 +28,9 @@
   OrderChannel,
   type OwnServer,
   ReportChannel,
-  reportSupportMs,
   TenureManager,
 } from "@bulrushwood/lease_ranges";
-import { SUPPORT_MS, SuspensionDetector, VoteManager } from "@bulrushwood/lease_votes";
+import { SuspensionDetector, VoteManager } from "@bulrushwood/lease_votes";
 import {
   addMember,
   type DaemonStatus,
@@ -62,6 +61,7 @@
 import { ServerClient } from "./server_client.ts";
 import { ServerEnds } from "./server_ends.ts";
 import { ServerView } from "./server_view.ts";
+import { SupportTime } from "./support_time.ts";
 import { ServerWatch } from "./server_watch.ts";
 import { handleReadiness, handleReports, SideServer } from "./side_servers.ts";
 import { StoreAccess } from "./store_access.ts";
@@ -144,6 +144,7 @@
   readonly #client: ServerClient;
   readonly #grantConnections: GrantConnections;
   readonly #ends: ServerEnds;
+  readonly #supportTime: SupportTime;
   readonly #tenure: TenureManager;
   readonly #grantManager: GrantManager;
   /** Set if grants are delivered in the responses to status reports. */
@@ -261,16 +262,21 @@
     const table = this.#storeAccess.tableOf(settings.service);
     const self = this.#self;
     const incarnation = this.#incarnation;
-    const supportMs = settings.grantDelivery === GrantDelivery.Orders
-      ? SUPPORT_MS
-      : reportSupportMs(settings.reportEveryMs);
+    this.#supportTime = new SupportTime({
+      grantDelivery: settings.grantDelivery,
+      reportEveryMs: settings.reportEveryMs,
+      grantMsMax: settings.bounds.grantMsMax,
+      workMs: () => this.#runner.workMs ?? this.#view.peerWorkMs,
+      timeoutMsMax: () => this.#timeoutMsMax,
+    });
     this.#tenure = new TenureManager({
       self,
       incarnation,
       now,
       sleep,
       table,
-      supportMs,
+      supportMs: () => this.#supportTime.ms,
+      supportMsMax: () => this.#supportTime.msMax,
       candidates: () => this.#view.voters(),
       server: () => this.#ownServer(),
       hasManyPeers: () => !this.#heartbeats.isFullMesh,
@@ -283,7 +289,6 @@
       table,
       tenure: this.#tenure,
       suspension: new SuspensionDetector(now),
-      supportMs,
       openChannel: (context) => this.#openChannel(context),
       server: () => this.#watch.report,
       grantMsMax: settings.bounds.grantMsMax,
@@ -295,7 +300,6 @@
     });
     this.#voteManager = new VoteManager({
       now,
-      supportMs,
       mustReject: (tenure) => this.#storeAccess.mustReject(tenure),
       isOwn: (tenure) => this.#tenure.isOwn(tenure),
     });
@@ -307,13 +311,14 @@
       sleep,
       call,
       voteManager: this.#voteManager,
+      supportMs: this.#supportTime.msMin,
       unkeyedServices: () => this.#unkeyedServices,
       requiredPeers: () => this.#tenure.voters,
       status: () => this.#status({ withPieces: false }),
       createHeartbeat: (peer, role) => this.#createHeartbeat(peer, role),
       storeEnds: () => this.#relay.ends,
-      onSupport: (peer, reply, sentAt) => {
-        const options = { tenures: reply.supported, sentAt };
+      onSupport: (peer, reply, vote) => {
+        const options = { tenures: reply.supported, ...vote };
         this.#tenure.recordSupport(peer, reply.incarnation, options);
       },
       onBehind: (peer) => this.#relay.requestRecords(peer),
@@ -325,6 +330,7 @@
       client: this.#client,
       wire: adapter.servers,
       grantManager: this.#grantManager,
+      grantLeftMs: () => this.#supportTime.grantLeftMs(this.#tenure.votedMs),
       ends: this.#ends,
       drainMs: settings.bounds.drainMs,
       log,
@@ -371,7 +377,6 @@
       service: settings.service,
       now,
       sleep,
-      supportMs,
       table,
       heartbeats: this.#heartbeats,
       mayPlan: () =>
@@ -582,10 +587,18 @@
     return this.#ownService?.isKeyed ?? false;
   }
 
+  /** Longest timeout of the routes to this daemon's service in the manifest in force, in milliseconds; 0 without any. */
+  get #timeoutMsMax(): number {
+    const { service } = this.#settings;
+    const routes = this.#currentManifest.manifest?.routes ?? [];
+    return routes.filter(({ shares }) => shares.some((share) => share.service === service))
+      .reduce((longest, { timeoutMs }) => Math.max(longest, timeoutMs), 0);
+  }
+
   /** Returns the backend server if it may be entered as an owner of keys. */
   #ownServer(): OwnServer | undefined {
     const mayNotOwn = this.#shutdown.isEnding || this.#keyTransfers.isTransferring ||
-      !this.#isKeyed;
+      !this.#isKeyed || !this.#storeAccess.hasReadAll;
     return mayNotOwn ? undefined : this.#watch.ready;
   }
 
@@ -611,6 +624,7 @@
     return {
       ...this.#status({ withPieces: isToPlanner }),
       tenures: this.#tenure.tenuresFor(peer),
+      supportMs: this.#tenure.supportMs,
       storeEnds: this.#relay.ends,
       entry: isToPlanner ? this.#tenure.pendingEntry ?? null : null,
       wantsStatus: !isFullMesh,
@@ -705,6 +719,7 @@
       acceptedShare: () => this.#shedder.acceptedShare,
       callerConnections: () => this.#callers.connections,
       callerConnectionsMax: () => this.#connectionsMax(CALLER_SOCKETS),
+      supportMs: () => this.#tenure.supportMs,
       supportedMs: () => Math.max(0, this.#tenure.supportedUntil - now()),
       isStoreReachable: () => this.#storeAccess.isReachable,
       manifestVersion: () => this.#currentManifest.version,
--- a/packages/router/src/router_test.ts
+++ b/packages/router/src/router_test.ts
@@ -234,9 +234,14 @@
   }
 
   holds(key: number): boolean {
-    return this.#holdings.some(({ first, last, until }) =>
-      first <= key && key <= last && until > now()
-    );
+    return this.#grantedUntil(key) > now();
+  }
+
+  /** Returns the end of the grant for a key; in the past if there is none. */
+  #grantedUntil(key: number): number {
+    const ends = this.#holdings.filter(({ first, last }) => first <= key && key <= last)
+      .map(({ until }) => until);
+    return Math.max(Number.NEGATIVE_INFINITY, ...ends);
   }
 
   async #run(
@@ -250,8 +255,14 @@
     }
     this.ran.push(id);
     this.#runningKeys.push(key);
-    await sleep(this.serviceMs);
+    // Work ends with the grant under which it began, whether that is renewed or not.
+    const leftMs = this.#grantedUntil(key) - now();
+    await sleep(Math.min(this.serviceMs, leftMs));
     this.#runningKeys.splice(this.#runningKeys.indexOf(key), 1);
+    if (this.serviceMs > leftMs) {
+      response.writeHead(500, { id, mark: this.id }).end();
+      return;
+    }
     response.writeHead(200, { id, mark: this.id }).end(
       `${key} by ${this.id}`.padEnd(this.paddingBytes),
     );
@@ -402,6 +413,7 @@
   instance: Instance,
   key: number,
   path = "/x",
+  options: { deadlineMs?: number } = {},
 ): Promise<{ id: string; status: number; body: string }> {
   const id = `r${nextId++}`;
   return new Promise((resolve) => {
@@ -409,7 +421,7 @@
       host: HOST,
       port: instance.callers,
       path,
-      headers: { host: "h", id, key: String(key) },
+      headers: { host: "h", id, key: String(key), deadline: String(options.deadlineMs ?? 2_000) },
     }, (response) => {
       const parts: Buffer[] = [];
       response.on("data", (part: Buffer) => parts.push(part));
@@ -533,6 +545,50 @@
   });
 }
 
+/** Work that takes longer than the shortest grants, in milliseconds. */
+const LONG_WORK_MS = 2_500;
+/** Timeout of the route for long work, in milliseconds. */
+const LONG_TIMEOUT_MS = 4_000;
+/** Number of requests for each key after which a server's work is known. */
+const KNOWN_AFTER = 3;
+
+/** Sends a request that takes long to each key at the same moment; returns the statuses. */
+async function sendLong(ingress: Instance): Promise<number[]> {
+  const options = { deadlineMs: LONG_TIMEOUT_MS };
+  const responses = await Promise.all(
+    SOME_KEYS.map((key) => sendRequest(ingress, key, "/download/", options)),
+  );
+  return responses.map(({ status }) => status);
+}
+
+/** Sends requests that take long until one succeeds, so that the owner of the key knows how long work takes. */
+async function serveLongWork(ingress: Instance, key: number): Promise<void> {
+  const until = now() + START_MS_MAX;
+  const options = { deadlineMs: LONG_TIMEOUT_MS };
+  while ((await sendRequest(ingress, key, "/download/", options)).status !== 200) {
+    expect(now(), "long work is served in time").to.be.below(until);
+  }
+}
+
+for (const grantDelivery of Object.values(GrantDelivery)) {
+  describe(`router: work that outlasts the shortest grants, grants in ${grantDelivery}`, () => {
+    // Guards against servers that fail long work at the end of the grant under which it began.
+    it("ends with the server's response once it is known how long work takes", async () => {
+      const instances = await startThree(grantDelivery);
+      instances.forEach(({ server }) => server.serviceMs = LONG_WORK_MS);
+      for (let round = 0; round < KNOWN_AFTER; round++) {
+        await sendLong(instances[0]);
+      }
+      const statuses: number[] = [];
+      for (let round = 0; round < KNOWN_AFTER; round++) {
+        statuses.push(...await sendLong(instances[round]));
+      }
+      expect(statuses.filter((status) => status !== 200)).to.deep.equal([]);
+      await closeAll(instances);
+    });
+  });
+}
+
 /** Sends requests for a key one by one until `over`; returns the longest time between two successes. */
 async function longestGap(ingress: Instance, key: number, over: Promise<unknown>): Promise<number> {
   let isOver = false;
@@ -570,6 +626,7 @@
     const ingress = instances.find((instance) => instance !== owner)!;
     const send = await openConnection(ingress, key);
     owner.server.serviceMs = options.serviceMs;
+    await serveLongWork(ingress, key);
     // The process exits at the end of a graceful stop.
     const stopped = ingress.router.leave().then(() => ingress.router.close());
     await sleep(options.afterMs);
@@ -592,6 +649,7 @@
     const owner = instances.find(({ server }) => server.holds(key))!;
     const ingress = instances.find((instance) => instance !== owner)!;
     owner.server.serviceMs = LINGER_MS_MIN;
+    await serveLongWork(ingress, key);
     owner.server.paddingBytes = LONG_RESPONSE_BYTES;
     const headers = { host: "h", id: "long", key: String(key), deadline: "4000" };
     const endpoint = { host: HOST, port: ingress.callers, path: "/download/" };
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -3,7 +3,13 @@
  * and reports whether the request ran, did not run or may have run.
  */
 import type { Buffer } from "node:buffer";
-import { type AdmissionError, AdmissionErrorKind, Gate, TimelyLimit } from "@bulrushwood/admission";
+import {
+  type AdmissionError,
+  AdmissionErrorKind,
+  Gate,
+  TimelyLimit,
+  WorkTail,
+} from "@bulrushwood/admission";
 import { incarnationName, type ServerWire } from "@bulrushwood/deployment";
 import { type GrantManager, KeyState } from "@bulrushwood/lease_ranges";
 import { LoadMeter } from "@bulrushwood/planner_ranges";
@@ -42,6 +48,8 @@
   client: ServerClient;
   wire: ServerWire;
   grantManager: GrantManager;
+  /** Returns the time that a grant must have left for work to begin, in milliseconds. */
+  grantLeftMs: () => number;
   ends: Pick<ServerEnds, "quarantinedMs" | "recordLost" | "recordCompleted">;
   drainMs: number;
   log: EventLog;
@@ -56,6 +64,8 @@
 export interface MeasuredLoad {
   rate: number;
   serviceMs: number;
+  /** Time within which nearly all requests for keys end; undefined before the first. */
+  workMs?: number;
   running: number;
   waiting: number;
 }
@@ -66,6 +76,7 @@
   readonly #gate: Gate;
   readonly #meter = new LoadMeter(now);
   #timelyLimit = new TimelyLimit();
+  #workTail = new WorkTail();
   /** Incarnation of the server that the limit is for. */
   #limitedServer: string | undefined;
   #isClosed = false;
@@ -104,6 +115,11 @@
     return this.#meter;
   }
 
+  /** Time within which nearly all requests for keys end, in milliseconds; undefined before the first. */
+  get workMs(): number | undefined {
+    return this.#workTail.ms;
+  }
+
   /** Measures the load; the rate is a moving average that is updated by each call. */
   measure(): MeasuredLoad {
     const elapsedMs = Math.max(1, now() - this.#rateUpdatedAt);
@@ -112,7 +128,7 @@
     this.#arrivals = 0;
     this.#rateUpdatedAt = now();
     const { running, waiting, serviceMs } = this.#gate;
-    return { rate: this.#rate, serviceMs, running, waiting };
+    return { rate: this.#rate, serviceMs, workMs: this.workMs, running, waiting };
   }
 
   /** Runs a request that this daemon or a peer received from a caller. */
@@ -179,12 +195,12 @@
 
   /** Waits for a bounded time until the key is granted here; resolves to whether it is. */
   async #awaitKey(head: RequestHead, signal: AbortSignal): Promise<boolean> {
-    const { grantManager } = this.#options;
+    const { grantManager, grantLeftMs } = this.#options;
     const { shard: key, remainingMs, targetMs = remainingMs } = head;
     const keyWaitMs = waitLimitMs({ targetMs, remainingMs, serviceMs: this.#gate.serviceMs });
     const until = now() + Math.min(KEY_WAIT_MS, keyWaitMs);
     while (!signal.aborted) {
-      switch (grantManager.stateOf(key)) {
+      switch (grantManager.stateOf(key, grantLeftMs())) {
         case KeyState.Granted:
           return true;
         case KeyState.Elsewhere:
@@ -193,6 +209,7 @@
           if (now() >= until) {
             return false;
           }
+          grantManager.renew();
           await grantManager.waitForChange({ ms: until - now(), signal });
       }
     }
@@ -226,8 +243,11 @@
     body: Buffer | undefined,
     options: ServeOptions & { deadline: number },
   ): Promise<RoutedResponse> {
-    const { client, watch, grantManager, ends, wire, log, onResult } = this.#options;
+    const { client, watch, grantManager, ends, wire, log, onResult, onOutlasted } = this.#options;
     const { deadline, signal, memory } = options;
+    if (head.shard >= 0 && !await this.#awaitKey(head, signal)) {
+      return notRun(Reason.NotHolder, "The key changed its owner meanwhile", MOVE_RETRY_AFTER_MS);
+    }
     const quarantinedMs = ends.quarantinedMs(head, body);
     if (quarantinedMs > 0) {
       return toQuarantineRejection(quarantinedMs);
@@ -240,9 +260,6 @@
         MOVE_RETRY_AFTER_MS,
       );
     }
-    if (head.shard >= 0 && grantManager.stateOf(head.shard) !== KeyState.Granted) {
-      return notRun(Reason.NotHolder, "The key changed its owner meanwhile", MOVE_RETRY_AFTER_MS);
-    }
     const startedAt = now();
     const grantedUntil = grantManager.grantedUntil(head.shard);
     const { limit } = watch;
@@ -255,10 +272,14 @@
     }));
     const result = await client.send({ head, headers, body, deadline, signal, memory });
     onResult(head, result, now() - startedAt);
-    if (result.status >= SERVER_FAILURE && now() >= grantedUntil) {
-      this.#options.onOutlasted(head);
+    const hasOutlasted = result.status >= SERVER_FAILURE && now() >= grantedUntil;
+    if (hasOutlasted) {
+      onOutlasted(head);
     }
     this.#recordTimeliness(result, { server: incarnationName(report), startedAt, deadline });
+    if (head.shard >= 0 && result.outcome === ServerOutcome.Responded) {
+      this.#workTail.record((hasOutlasted ? deadline : now()) - startedAt);
+    }
     if (result.isConnectionLost && !signal.aborted) {
       ends.recordLost(report, { head, body, startedAt });
     } else if (result.outcome === ServerOutcome.Responded) {
@@ -288,6 +309,7 @@
     const { server, startedAt, deadline } = options;
     if (server !== this.#limitedServer) {
       this.#timelyLimit = new TimelyLimit();
+      this.#workTail = new WorkTail();
       this.#limitedServer = server;
     }
     if (outcome === ServerOutcome.Responded) {
--- a/packages/router/src/runner_test.ts
+++ b/packages/router/src/runner_test.ts
@@ -34,6 +34,9 @@
 };
 
 const TARGET_MS = 400;
+/** Time that a grant must have left, in milliseconds. */
+const GRANT_LEFT_MS = 800;
+
 const HEAD = { ...REQUEST_HEAD, pool: SERVICE, targetMs: TARGET_MS };
 
 const RESPONDED: ServerResult = {
@@ -57,7 +60,8 @@
 function createRunner(
   options: {
     workMs?: number | (() => number);
-    state?: () => KeyState;
+    state?: (key: number, leftMs?: number) => KeyState;
+    grantLeftMs?: number;
     changeMs?: number;
     reachedAt?: number[];
     respond?: (count: number) => ServerResult;
@@ -83,8 +87,10 @@
     grantManager: {
       stateOf: state,
       grantedUntil: () => Infinity,
+      renew: () => {},
       waitForChange: ({ ms, signal }: WaitOptions) => sleep(Math.min(ms, changeMs), signal),
     } as unknown as GrantManager,
+    grantLeftMs: () => options.grantLeftMs ?? 0,
     ends: { quarantinedMs: () => 0, recordLost: () => {}, recordCompleted: () => {} },
     drainMs: DRAIN_MS,
     log: () => {},
@@ -216,6 +222,21 @@
     expect((await runner.serve(HEAD, undefined, { signal: NEVER })).head.status).to.equal(200);
   });
 
+  // Guards against work that outlasts the grant under which it begins.
+  it("runs a request only once the grant for its key lasts long enough for the work", async () => {
+    const renewedAt = now() + 100;
+    const { runner, watch, reachedAt } = createRunner({
+      workMs: 10,
+      state: (_key, leftMs = 0) =>
+        leftMs < GRANT_LEFT_MS || now() >= renewedAt ? KeyState.Granted : KeyState.Pending,
+      grantLeftMs: GRANT_LEFT_MS,
+    });
+    watch.apply(report({ slots: 4 }));
+    await runner.serve({ ...HEAD, shard: 7 }, undefined, { signal: NEVER });
+    expect(reachedAt).to.have.length(1);
+    expect(reachedAt[0]).to.be.at.least(renewedAt);
+  });
+
   it("rejects a request whose key is not granted before the target has passed", async () => {
     const { runner, watch, reachedAt } = createRunner({ state: () => KeyState.Moving });
     watch.apply(report());
--- a/packages/router/src/server_view.ts
+++ b/packages/router/src/server_view.ts
@@ -82,6 +82,19 @@
     return { running, waiting, slots, requestsPerSecond, serviceMs };
   }
 
+  /**
+   * Time within which nearly all requests for keys end at the other servers of the service, as far as they reported it,
+   * in milliseconds: the median of the servers. Undefined where none did.
+   */
+  get peerWorkMs(): number | undefined {
+    const { settings, heartbeats } = this.#options;
+    const reported = [...heartbeats.peers.values()]
+      .filter(({ status }) => status.service === settings.service)
+      .flatMap(({ status }) => status.server?.load.workMs ?? [])
+      .sort((one, other) => one - other);
+    return reported[Math.floor(reported.length / 2)];
+  }
+
   /** Returns whether a daemon is in the same data centre. */
   isLocal(address: Address): boolean {
     const { self, settings, heartbeats } = this.#options;
@@ -137,7 +150,7 @@
     if (report === undefined) {
       return null;
     }
-    const { rate, serviceMs, running, waiting } = this.#measure();
+    const { rate, serviceMs, workMs, running, waiting } = this.#measure();
     const pieces = options.withPieces ? this.#cutPieces() : [];
     return {
       id: report.id,
@@ -147,7 +160,7 @@
       state: leavingSince === undefined ? ServerState.Ready : ServerState.Draining,
       isCold,
       isReachable,
-      load: { rate, serviceMs, running, waiting, pieces },
+      load: { rate, serviceMs, workMs, running, waiting, pieces },
     };
   }
 
--- a/packages/soak/src/backend_server.ts
+++ b/packages/soak/src/backend_server.ts
@@ -132,9 +132,16 @@
       ownership.recordRun(this.#keys, key!);
     }
     const endKey = this.#isKeyed ? this.#keys.begin(key!) : () => {};
+    // Work ends with the grant under which it began, whether that is renewed or not.
+    const grantedUntil = this.#isKeyed ? this.#keys.grantedUntil(key!) : Infinity;
+    const workMs = WORK_MS[Math.floor(index / WORK_MS.length) % WORK_MS.length];
     try {
       await readBody(request);
-      await sleep(WORK_MS[Math.floor(index / WORK_MS.length) % WORK_MS.length]);
+      await sleep(Math.min(workMs, grantedUntil - now()));
+      if (now() >= grantedUntil) {
+        this.#fail(response, id);
+        return;
+      }
       const load = { running: this.#running, waiting: 0, slots: SLOTS };
       const headers = outside.responseHeaders({ id, originMarker: `${this.id}.${id}`, load });
       await sendShape(response, { shape: shapeOf(request.url), headers, body: bodyOf(run) });
@@ -144,6 +151,15 @@
     }
   }
 
+  /** Responds that a request has run and failed. */
+  #fail(response: ServerResponse, id: string): void {
+    const headers = this.#options.outside.responseHeaders({
+      id,
+      originMarker: `${this.id}.${id}`,
+    });
+    response.writeHead(500, { ...headers, "content-length": 0 }).end();
+  }
+
   #endingOnClose(): RunEnding {
     return this.#isOver ? RunEnding.Crashed : RunEnding.Cut;
   }
--- a/packages/soak/src/held_keys.ts
+++ b/packages/soak/src/held_keys.ts
@@ -24,6 +24,11 @@
     return this.#until[key] > now();
   }
 
+  /** End of the grant for a key, on this process's clock; in the past for none. */
+  grantedUntil(key: number): number {
+    return this.#until[key];
+  }
+
   /** Highest epoch that was granted for a key; -1 for none. */
   epochOf(key: number): number {
     return this.#epochs[key];
