--- a/packages/planner_ranges/src/planner_ranges_test.ts
+++ b/packages/planner_ranges/src/planner_ranges_test.ts
@@ -122,6 +122,29 @@
     expect(moved).to.be.within(45, 66);
   });
 
+  // Guards against servers whose few requests only test the manifest, and which look a hundred times as fast.
+  it("moves keys from a busy server while others have few requests that take hardly any time", () => {
+    const usual = Array.from({ length: 120 }, (_, index) => ({
+      ...loaded(`usual${index}`, 300 * index, 8),
+      slots: 6,
+      serviceMs: 400,
+    }));
+    const quiet = Array.from({ length: 37 }, (_, index) => ({
+      ...loaded(`quiet${index}`, 40_000 + 300 * index, 0.6),
+      slots: 6,
+      serviceMs: 6,
+    }));
+    const hot = { ...loaded("hot", 60_000, 30), slots: 6, serviceMs: 400 };
+    const moves = rebalance([...usual, ...quiet, hot]);
+    expect(new Set(moves.map(({ from }) => from))).to.deep.equal(new Set(["hot"]));
+    const receivers = new Set(moves.map(({ to }) => to));
+    const movedTo = (address: string) =>
+      moves.filter(({ to }) => to === address)
+        .reduce((sum, move) => sum + sizeOf(move) / 200 * 30, 0);
+    // A server runs 15 such requests a second.
+    receivers.forEach((address) => expect(movedTo(address)).to.be.below(15));
+  });
+
   it("moves keys from servers that name a request limit to those without one", () => {
     const servers = [
       loaded("free", 0, 40),
