Make a change of the ownership table again soon after a conflict

The record that a change conflicts with comes with the pending read, so the table store now looks for it each 15 ms, reads anew only after 60 ms, and waits up to 60 ms before it tries again.

--- a/packages/ledger_store/src/table_store.ts
+++ b/packages/ledger_store/src/table_store.ts
@@ -20,8 +20,14 @@
 const SLOW_CHANGE_MS = 250;
 /** Time after a slow change in which the store counts as slow, in milliseconds. */
 const SLOW_PERIOD_MS = 3_000;
-/** Delay before an append is retried, in milliseconds. */
+/** Delay before an append without a response is retried, in milliseconds. */
 const RETRY_DELAY_MS = 150;
+/** Longest delay before a change is made again whose condition did not hold, in milliseconds. */
+const CONFLICT_DELAY_MS = 60;
+/** Time between checks whether the record has been read that a change conflicted with, in milliseconds. */
+const SETTLE_CHECK_MS = 15;
+/** Number of such checks after which the read is made anew, since it may be paced or its connection silent. */
+const SETTLE_CHECKS = 4;
 
 /** Dependencies of a table store. */
 export interface TableStoreOptions {
@@ -118,7 +124,7 @@
       if (isWritten) {
         return ChangeOutcome.Done;
       }
-      await this.#options.sleep(RETRY_DELAY_MS * this.#options.random());
+      await this.#options.sleep(CONFLICT_DELAY_MS * this.#options.random());
     }
     return ChangeOutcome.Abandoned;
   }
@@ -152,9 +158,11 @@
   /** Reads past the conflicting record, and returns whether it is this write. */
   async #settle(write: string, expectedEnd: Offset): Promise<boolean> {
     const { follower, sleep } = this.#options;
-    while (follower.end <= expectedEnd) {
-      follower.refresh();
-      await sleep(RETRY_DELAY_MS / 2);
+    for (let check = 1; follower.end <= expectedEnd; check++) {
+      if (check % SETTLE_CHECKS === 0) {
+        follower.refresh();
+      }
+      await sleep(SETTLE_CHECK_MS);
     }
     return this.#table.value.write === write;
   }
