Transfer keys without running requests before those whose work goes on

Moves for load take spans of many keys, and on a busy server some request always runs for one of them.

A daemon knows the keys that its server works on, since only it sends requests there. It now releases the keys between them at once and each of them on its own. "transfers keys without running requests while requests for others of the same span run" fails when spans are not cut.

--- a/packages/lease_checker/src/ranges/sim_daemon.ts
+++ b/packages/lease_checker/src/ranges/sim_daemon.ts
@@ -160,6 +160,7 @@
       openChannel: (context) => this.#openChannel(context),
       server: () => ({ id: options.serverId(), bornMs: 1 }),
       grantMsMax: 10_000,
+      busyKeys: () => [],
       onSuspended: () => {},
       onFailed: () => {},
     });
--- a/packages/lease_ranges/src/grant_manager.ts
+++ b/packages/lease_ranges/src/grant_manager.ts
@@ -76,6 +76,8 @@
   /** Returns the server that accepts orders; undefined while there is none. */
   server: () => ServerIdentity | undefined;
   grantMsMax: number;
+  /** Returns the keys that the server runs requests for. */
+  busyKeys: () => Iterable<number>;
   /** Called with the time that the instance was suspended, in milliseconds. */
   onSuspended: (ms: number) => void;
   /** Called when an order to the server failed. */
@@ -224,7 +226,8 @@
   /**
    * Transfers the keys that `choose` selects to their new owners. With `leave`, all other own keys are left
    * without an owner, and the daemon is removed from the table. Each span is transferred as soon as its work
-   * has ended, without waiting for the others. Resolves once the store has all changes.
+   * has ended, without waiting for the others; keys with running requests have spans of their own, since work may
+   * take seconds. Resolves once the store has all changes.
    */
   async transfer(
     choose: (own: Range[]) => Assignment[],
@@ -233,7 +236,8 @@
     const chosen = choose(this.ownRanges);
     const rest = this.ownRanges.flatMap((range) => without(range, chosen));
     const others = options.leave ? rest.map((span) => ({ ...span, to: null, handover: null })) : [];
-    const assignments = this.#clipToOwn([...chosen, ...others]);
+    const clipped = this.#clipToOwn([...chosen, ...others]);
+    const assignments = options.isServerLost ? clipped : this.#separateBusyKeys(clipped);
     this.#transferring.push(...assignments);
     this.#updateGrants();
     const released = new Map<KeySpan, Transfer[]>();
@@ -275,6 +279,18 @@
       );
   }
 
+  /** Cuts assignments so that each key with running requests is apart from the others. */
+  #separateBusyKeys(assignments: Assignment[]): Assignment[] {
+    const busy = [...new Set(this.#options.busyKeys())]
+      .sort((one, other) => one - other)
+      .map((key) => ({ first: key, last: key }));
+    return assignments.flatMap((assignment) => {
+      const within = busy.filter((span) => encloses(assignment, span));
+      const idle = without(assignment, within);
+      return [...idle, ...within].map((span) => ({ ...assignment, ...span }));
+    });
+  }
+
   /** Writes the new owners of all spans released so far; none of them is granted again until that is done. */
   async #transferReleased(
     released: Map<KeySpan, Transfer[]>,
--- a/packages/lease_ranges/src/grant_manager_test.ts
+++ b/packages/lease_ranges/src/grant_manager_test.ts
@@ -46,9 +46,9 @@
 /** Starts a daemon whose server owns all keys and which is its only voter. */
 async function startDaemon(
   respond: Responder = respondOk,
-  options: { connectMs?: number; isConnected?: boolean } = {},
+  options: { connectMs?: number; isConnected?: boolean; busyKeys?: number[] } = {},
 ) {
-  const { connectMs = 0, isConnected = true } = options;
+  const { connectMs = 0, isConnected = true, busyKeys = [] } = options;
   const followed = await followTable();
   const { table } = followed;
   const tenure = new TenureManager({
@@ -87,6 +87,7 @@
       }),
     server: () => SERVER,
     grantMsMax: 10_000,
+    busyKeys: () => busyKeys,
     onSuspended: () => {},
     onFailed: () => {},
   });
@@ -234,6 +235,27 @@
     await close();
   });
 
+  // Guards against moves that leave many keys unserved while a few requests run.
+  it("transfers keys without running requests while requests for others of the same span run", async () => {
+    const { manager, table, close } = await startDaemon(async (sent) => {
+      const includesBusy = sent.order.first <= 105 && 105 <= sent.order.last;
+      await sleep(sent.kind === "release" && includesBusy ? 800 : 0);
+      return respondOk(sent);
+    }, { busyKeys: [105, 300] });
+    await sleep(EARLIER_GRANTS_END_MS);
+    const transferred = manager.transfer(
+      () => [{ first: 100, last: 109, to: OTHER, handover: null }],
+      { leave: false, isServerLost: false },
+    );
+    await sleep(400);
+    const ownersNow = [100, 104, 105, 106, 109].map((key) => rangeOf(table.table.value, key).owner);
+    expect(ownersNow).to.deep.equal([OTHER, OTHER, SELF, OTHER, OTHER]);
+    expect(manager.stateOf(105)).to.equal(KeyState.Moving);
+    expect(await transferred).to.equal(ChangeOutcome.Done);
+    expect(rangeOf(table.table.value, 105).owner).to.equal(OTHER);
+    await close();
+  });
+
   it("waits until a grant has expired at an unresponsive server", async () => {
     let isUnresponsive = false;
     const { manager, close } = await startDaemon((sent) =>
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -292,6 +292,7 @@
       openChannel: (context) => this.#openChannel(context),
       server: () => this.#watch.report,
       grantMsMax: settings.bounds.grantMsMax,
+      busyKeys: () => this.#runner.runningKeys,
       onSuspended: (ms) => log(Event.Suspended, { ms: Math.round(ms) }),
       onFailed: (order, reason, { first, last }) => {
         this.#metrics.recordOrderFailure(order);
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -79,6 +79,8 @@
   #workTail = new WorkTail();
   /** Incarnation of the server that the limit is for. */
   #limitedServer: string | undefined;
+  /** Key of each running request. */
+  readonly #runningKeys = new Map<RequestHead, number>();
   #isClosed = false;
   #arrivals = 0;
   #rate = 0;
@@ -110,6 +112,11 @@
     return this.running + this.waiting;
   }
 
+  /** Keys that the server runs requests for. */
+  get runningKeys(): Iterable<number> {
+    return this.#runningKeys.values();
+  }
+
   /** Meter of the requests by key. */
   get meter(): LoadMeter {
     return this.#meter;
@@ -270,7 +277,11 @@
       callerService: head.tenant,
       key: head.shard >= 0 ? head.shard : undefined,
     }));
-    const result = await client.send({ head, headers, body, deadline, signal, memory });
+    if (head.shard >= 0) {
+      this.#runningKeys.set(head, head.shard);
+    }
+    const result = await client.send({ head, headers, body, deadline, signal, memory })
+      .finally(() => this.#runningKeys.delete(head));
     onResult(head, result, now() - startedAt);
     const hasOutlasted = result.status >= SERVER_FAILURE && now() >= grantedUntil;
     if (hasOutlasted) {
