Give a server's keys to others as soon as its process has ended

Keys of a crashed server stayed without a server until its last grant had run out.

A daemon that finds its server lost now also checks whether the server's process has ended: it has no connection to it any more, no request is running there, and nobody listens at its address. Grants end with the process. A server that is only unresponsive still keeps its grants until their end.

"leaves its keys to others within two seconds" (a server with long work) fails without the check.

--- a/packages/lease_checker/src/ranges/sim_daemon.ts
+++ b/packages/lease_checker/src/ranges/sim_daemon.ts
@@ -161,6 +161,7 @@
       server: () => ({ id: options.serverId(), bornMs: 1 }),
       grantMsMax: 10_000,
       busyKeys: () => [],
+      hasServerEnded: () => Promise.resolve(false),
       onSuspended: () => {},
       onFailed: () => {},
     });
--- a/packages/lease_ranges/src/grant_channel.ts
+++ b/packages/lease_ranges/src/grant_channel.ts
@@ -42,6 +42,8 @@
   handoverOf: (grant: Grant) => string | undefined;
   /** Returns the time at which all grants of an earlier process at this address have certainly ended. */
   earlierGrantsEndBy: () => number;
+  /** Whether the process of the server that the last grants were sent to has certainly ended. */
+  hasServerEnded: () => Promise<boolean>;
   /** Called when the server has confirmed or renewed a grant, or a report shows that it lacks one. */
   onChanged: () => void;
   /** Called when the server has a newer epoch for some keys of a grant, so that the grant needs one as well. */
@@ -66,6 +68,17 @@
 /** Opens a channel for the grants of one daemon. */
 export type OpenGrantChannel = (context: GrantContext) => GrantChannel;
 
+/** Time between checks whether a lost server has ended, in milliseconds. */
+const END_CHECK_MS = 100;
+
+/** Waits until the grants of a lost server have certainly ended: by their time, or with the server's process. */
+export async function awaitGrantsEnd(context: GrantContext, endsBy: number): Promise<void> {
+  const { now, sleep, hasServerEnded } = context;
+  while (now() < endsBy && !await hasServerEnded()) {
+    await sleep(Math.min(END_CHECK_MS, Math.max(0, endsBy - now())));
+  }
+}
+
 /** Returns the longest duration, in milliseconds, of a grant that has certainly ended at the server by `until`. */
 export function grantMsUntil(until: number, now: number): number {
   return (until - now - GRANT_MARGIN_MS) / (1 + MAX_CLOCK_DRIFT);
--- a/packages/lease_ranges/src/grant_manager.ts
+++ b/packages/lease_ranges/src/grant_manager.ts
@@ -78,6 +78,8 @@
   grantMsMax: number;
   /** Returns the keys that the server runs requests for. */
   busyKeys: () => Iterable<number>;
+  /** Whether the process of the server that the last grants were sent to has certainly ended. */
+  hasServerEnded: () => Promise<boolean>;
   /** Called with the time that the instance was suspended, in milliseconds. */
   onSuspended: (ms: number) => void;
   /** Called when an order to the server failed. */
@@ -108,11 +110,12 @@
   }
 
   #createContext(): GrantContext {
-    const { now, sleep, table, tenure, self, onFailed } = this.#options;
+    const { now, sleep, table, tenure, self, hasServerEnded, onFailed } = this.#options;
     return {
       now,
       sleep,
       earlierGrantsEndBy: () => tenure.earlierGrantsEndBy,
+      hasServerEnded,
       grants: () => this.#grants,
       server: () => this.#enteredServer,
       grantableMs: (since) => this.#grantableMs(since),
--- a/packages/lease_ranges/src/grant_manager_test.ts
+++ b/packages/lease_ranges/src/grant_manager_test.ts
@@ -46,7 +46,12 @@
 /** Starts a daemon whose server owns all keys and which is its only voter. */
 async function startDaemon(
   respond: Responder = respondOk,
-  options: { connectMs?: number; isConnected?: boolean; busyKeys?: number[] } = {},
+  options: {
+    connectMs?: number;
+    isConnected?: boolean;
+    busyKeys?: number[];
+    hasServerEnded?: boolean;
+  } = {},
 ) {
   const { connectMs = 0, isConnected = true, busyKeys = [] } = options;
   const followed = await followTable();
@@ -88,6 +93,7 @@
     server: () => SERVER,
     grantMsMax: 10_000,
     busyKeys: () => busyKeys,
+    hasServerEnded: () => Promise.resolve(options.hasServerEnded ?? false),
     onSuspended: () => {},
     onFailed: () => {},
   });
@@ -271,6 +277,17 @@
     await close();
   });
 
+  it("does not wait for the grants of a server whose process has ended", async () => {
+    const { manager, close } = await startDaemon(respondOk, { hasServerEnded: true });
+    const startedAt = now();
+    await manager.transfer(
+      () => [{ first: 0, last: KEYS - 1, to: OTHER, handover: null }],
+      { leave: false, isServerLost: true },
+    );
+    expect(now() - startedAt).to.be.below(300);
+    await close();
+  });
+
   it("transfers keys only after a grant without a response has expired, even if a later one had a response", async () => {
     let grants = 0;
     const { manager, sent, close } = await startDaemon((order) =>
--- a/packages/lease_ranges/src/order_channel.ts
+++ b/packages/lease_ranges/src/order_channel.ts
@@ -15,6 +15,7 @@
 import { type KeySpan, overlaps } from "@bulrushwood/ledger_store";
 import { createStop } from "@bulrushwood/types";
 import {
+  awaitGrantsEnd,
   endOfGrant,
   type Grant,
   GRANT_MIN_MS,
@@ -184,7 +185,7 @@
     const { first, last, epoch } = span;
     const endsBy = Math.max(earlierGrantsEndBy(), ...sent.map((grant) => grant.endsBy));
     if (options.isServerLost) {
-      await sleep(Math.max(0, endsBy - now()));
+      await awaitGrantsEnd(this.#context, endsBy);
       return [{ first, last, handover: null }];
     }
     const order = wire.release({ first, last, epoch });
--- a/packages/lease_ranges/src/report_channel.ts
+++ b/packages/lease_ranges/src/report_channel.ts
@@ -16,6 +16,7 @@
 } from "@bulrushwood/deployment";
 import { encloses, type KeySpan, overlaps, without } from "@bulrushwood/ledger_store";
 import {
+  awaitGrantsEnd,
   endOfGrant,
   type Grant,
   GRANT_MIN_MS,
@@ -293,7 +294,7 @@
     const endsBy = Math.max(earlierGrantsEndBy(), ...granted.map((response) => response.endsBy));
     const remainingMs = Math.max(0, endsBy - now());
     if (options.isServerLost) {
-      await sleep(remainingMs);
+      await awaitGrantsEnd(this.#context, endsBy);
       return [{ first, last, handover: null }];
     }
     const release: Release = {
--- a/packages/lease_ranges/src/report_channel_test.ts
+++ b/packages/lease_ranges/src/report_channel_test.ts
@@ -33,6 +33,7 @@
     grantableMs: (since) => now() + state.grantableMs - since,
     handoverOf: ({ first }) => `token ${first}`,
     earlierGrantsEndBy: () => startedAt,
+    hasServerEnded: () => Promise.resolve(false),
     onChanged: () => {},
     onOutdated: (grant) => {
       state.outdated.push(grant);
--- a/packages/router/src/grant_connections.ts
+++ b/packages/router/src/grant_connections.ts
@@ -153,6 +153,11 @@
     this.#options = options;
   }
 
+  /** Whether a connection to the server is open or being opened. */
+  get isConnected(): boolean {
+    return this.#open.size > 0;
+  }
+
   /** Returns a connection that certainly leads to an incarnation; undefined while there is none. */
   async connect(server: ServerIdentity): Promise<OrderConnection | undefined> {
     const name = incarnationName(server);
--- a/packages/router/src/held_up_grants_test.ts
+++ b/packages/router/src/held_up_grants_test.ts
@@ -77,6 +77,7 @@
       grantableMs: () => GRANT_MS,
       handoverOf: () => undefined,
       earlierGrantsEndBy: () => Number.NEGATIVE_INFINITY,
+      hasServerEnded: () => Promise.resolve(false),
       onChanged: () => {},
       onOutdated: () => Promise.resolve(),
       onFailed: () => {},
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -293,6 +293,7 @@
       server: () => this.#watch.report,
       grantMsMax: settings.bounds.grantMsMax,
       busyKeys: () => this.#runner.runningKeys,
+      hasServerEnded: () => this.#hasServerEnded(),
       onSuspended: (ms) => log(Event.Suspended, { ms: Math.round(ms) }),
       onFailed: (order, reason, { first, last }) => {
         this.#metrics.recordOrderFailure(order);
@@ -596,6 +597,12 @@
       .reduce((longest, { timeoutMs }) => Math.max(longest, timeoutMs), 0);
   }
 
+  /** Whether the server's process has ended: nobody listens at its address, and all connections to it are lost. */
+  async #hasServerEnded(): Promise<boolean> {
+    const isConnected = () => this.#grantConnections.isConnected || this.#runner.running > 0;
+    return !isConnected() && !(await this.#client.isListening()) && !isConnected();
+  }
+
   /** Returns the backend server if it may be entered as an owner of keys. */
   #ownServer(): OwnServer | undefined {
     const mayNotOwn = this.#shutdown.isEnding || this.#keyTransfers.isTransferring ||
--- a/packages/router/src/router_test.ts
+++ b/packages/router/src/router_test.ts
@@ -545,6 +545,8 @@
   });
 }
 
+/** Time within which keys of a lost server are served again, in milliseconds. */
+const LOSS_MS_MAX = 2_000;
 /** Work that takes longer than the shortest grants, in milliseconds. */
 const LONG_WORK_MS = 2_500;
 /** Timeout of the route for long work, in milliseconds. */
@@ -589,6 +591,26 @@
   });
 }
 
+describe("router: a server that ends while its grants last long", () => {
+  // Guards against keys that wait for the end of long grants although their server's process has ended.
+  it("leaves its keys to others within two seconds", async () => {
+    const instances = await startThree(GrantDelivery.Orders);
+    const key = SOME_KEYS[0];
+    const owner = instances.find(({ server }) => server.holds(key))!;
+    const others = instances.filter((instance) => instance !== owner);
+    owner.server.serviceMs = LONG_WORK_MS;
+    await serveLongWork(others[0], key);
+    owner.stopReports();
+    owner.server.close();
+    const endedAt = now();
+    while (!others.some(({ server }) => server.holds(key))) {
+      expect(now() - endedAt, "time until another server has the key").to.be.below(LOSS_MS_MAX);
+      await sleep(20);
+    }
+    await closeAll(instances);
+  });
+});
+
 /** Sends requests for a key one by one until `over`; returns the longest time between two successes. */
 async function longestGap(ingress: Instance, key: number, over: Promise<unknown>): Promise<number> {
   let isOver = false;
