Read a quiet store less often, and in a large deployment at most twice a second

Each daemon's two reads of the store waited for 1.5 s at most, so that a connection that had gone silent was noticed in time: 1.3 calls a second and daemon while nothing changed.

Two daemons of each service go on like that. The others wait for 4 s: their heartbeats show them that they lack records, which they then get from a peer, as daemons do that are cut off from the store. A large deployment reads changes of the ownership table twice a second instead of four times.

--- a/packages/lease_checker/src/ranges/sim_daemon.ts
+++ b/packages/lease_checker/src/ranges/sim_daemon.ts
@@ -125,7 +125,7 @@
       topic: SYSTEM_TOPIC,
       now,
       sleep,
-      waitMs: 2_000,
+      waitMs: () => 2_000,
       onReachable: () => {},
     });
     const table = new TableStore({
--- a/packages/ledger_store/src/keyed_follower.ts
+++ b/packages/ledger_store/src/keyed_follower.ts
@@ -18,8 +18,8 @@
   topic: string;
   now: Clock;
   sleep: Sleep;
-  /** Longest time that one read waits for a record, in milliseconds. */
-  waitMs: number;
+  /** Returns the longest time that the next read waits for a record, in milliseconds. */
+  waitMs: () => number;
   /**
    * Returns the delay after a read that returned records, in milliseconds, so that many changes of a large
    * deployment are read together; no delay by default.
@@ -39,6 +39,7 @@
   #confirmedAt = Number.NEGATIVE_INFINITY;
   #repliedAt = Number.NEGATIVE_INFINITY;
   #isReachable = false;
+  #readWaitMs = 0;
   #task: Promise<void> | undefined;
   #interrupt = new AbortController();
 
@@ -76,6 +77,11 @@
     return this.#confirmedAt;
   }
 
+  /** Longest time that the current read waits for a record, in milliseconds. */
+  get readWaitMs(): number {
+    return this.#readWaitMs;
+  }
+
   /** Time of the last reply; while the store responds, the next one comes within the longest wait of a read. */
   get repliedAt(): number {
     return this.#repliedAt;
@@ -94,8 +100,10 @@
   }
 
   async #readOnce(): Promise<void> {
-    const { store, topic, now, sleep, waitMs } = this.#options;
+    const { store, topic, now, sleep } = this.#options;
     const sentAt = now();
+    const waitMs = this.#options.waitMs();
+    this.#readWaitMs = waitMs;
     this.#interrupt = new AbortController();
     const { signal } = this.#interrupt;
     const read = await store.read(topic, this.#end, { waitMs, signal });
--- a/packages/ledger_store/src/keyed_follower_pace_test.ts
+++ b/packages/ledger_store/src/keyed_follower_pace_test.ts
@@ -26,7 +26,7 @@
       topic: TOPIC,
       now,
       sleep,
-      waitMs: 500,
+      waitMs: () => 500,
       onReachable: () => {},
       paceMs: () => PACE_MS,
     });
--- a/packages/router/src/departures_fixture.ts
+++ b/packages/router/src/departures_fixture.ts
@@ -13,7 +13,7 @@
   { reportEveryMs }: { reportEveryMs: number },
 ) {
   const store = service.connect();
-  const options = { store, topic: SYSTEM_TOPIC, now, sleep, waitMs: 300 };
+  const options = { store, topic: SYSTEM_TOPIC, now, sleep, waitMs: () => 300 };
   const follower = new KeyedFollower({ ...options, onReachable: () => {} });
   const watch = new ServerWatch({ service: "s", now, reportEveryMs });
   const departures = new Departures({
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -215,6 +215,7 @@
       peers: () => this.#view.storePeers(),
       call,
       isFullMesh: () => this.#heartbeats.isFullMesh,
+      isReader: () => this.#view.isReader,
       onCall: (call) => this.#metrics.recordStoreCall(call),
       log,
     });
--- a/packages/router/src/router_test.ts
+++ b/packages/router/src/router_test.ts
@@ -823,6 +823,8 @@
 const QUIET_AFTER_MS = 7_000;
 /** Longest wait of a read of the store; the time in question is twice as long. */
 const READ_WAIT_MS = 4_000;
+/** The same at the daemons that notice soon when they have no response. */
+const READER_WAIT_MS = 1_500;
 
 async function readMetric({ metrics }: Instance, name: string): Promise<number> {
   const page = await fetch(`http://${metrics.host}:${metrics.port}/metrics`);
@@ -845,6 +847,30 @@
   });
 });
 
+/** Time in which reads of a quiet store are counted, in milliseconds. */
+const COUNTED_MS = 9_000;
+const READS_METRIC = 'bulrushwood_store_calls_total{call="read"}';
+
+describe("router: reads of a quiet store", () => {
+  // Guards against calls to the store that grow with the number of daemons while nothing changes.
+  it("are few but at the two daemons that notice soon when they have no response", async () => {
+    const instances = await startThree(GrantDelivery.Orders);
+    await sleep(QUIET_AFTER_MS);
+    const countReads = () =>
+      Promise.all(instances.map((instance) => readMetric(instance, READS_METRIC)));
+    const before = await countReads();
+    await sleep(COUNTED_MS);
+    const after = await countReads();
+    const reads = after.map((count, index) => count - before[index]).sort((one, other) =>
+      one - other
+    );
+    // Each daemon reads two topics.
+    expect(reads[0]).to.be.at.most(2 * (COUNTED_MS / READ_WAIT_MS + 1));
+    expect(reads[1]).to.be.at.least(2 * (COUNTED_MS / READER_WAIT_MS - 1));
+    await closeAll(instances);
+  });
+});
+
 /** Time for which a crashed server is down, in milliseconds; shorter than the time between two reports. */
 const CRASHED_MS = 40;
 /** Time until the next incarnation reports, in milliseconds; the server does not count as lost by then. */
--- a/packages/router/src/server_ends_test.ts
+++ b/packages/router/src/server_ends_test.ts
@@ -51,7 +51,7 @@
       topic: SYSTEM_TOPIC,
       now,
       sleep,
-      waitMs: 1_000,
+      waitMs: () => 1_000,
       onReachable: () => {},
     });
     this.ends = new ServerEnds({
--- a/packages/router/src/server_view.ts
+++ b/packages/router/src/server_view.ts
@@ -15,6 +15,8 @@
 
 /** Time for which a load measurement is reused, in milliseconds. */
 const MEASURE_INTERVAL_MS = 200;
+/** Number of daemons of a service that notice soon when their reads of the store have no response. */
+const READER_COUNT = 2;
 
 export interface ServerViewOptions {
   self: Address;
@@ -112,6 +114,19 @@
     return [...peers.slice(start), ...peers.slice(0, start)];
   }
 
+  /**
+   * Whether this daemon is one of the few of its service that notice soon when their reads of the store have no response.
+   * The others hear from these that they lack records.
+   */
+  get isReader(): boolean {
+    const { self, settings, heartbeats } = this.#options;
+    const preferred = [...heartbeats.peers].filter(([address, { status }]) =>
+      address < self && status.service === settings.service && status.hasStore &&
+      heartbeats.isResponsive(address)
+    );
+    return preferred.length < READER_COUNT;
+  }
+
   /** The peer that plans for the service, in this daemon's view: the lowest address that can reach the store. */
   get planner(): Address | undefined {
     const { settings, heartbeats } = this.#options;
--- a/packages/router/src/store_access.ts
+++ b/packages/router/src/store_access.ts
@@ -17,12 +17,17 @@
 import { Event, type EventLog } from "./event_log.ts";
 
 /**
- * Longest wait of a read of the store, in milliseconds. A read on a connection that has gone silent is noticed only
- * when it is overdue, and changes must be in force within 2 s.
+ * Longest wait of a read of the store at a reader, in milliseconds. A read on a connection that has gone silent is
+ * noticed only when it is overdue, and changes must be in force within 2 s.
  */
-const READ_WAIT_MS = 1_500;
+const READER_WAIT_MS = 1_500;
+/**
+ * The same at all other daemons, in milliseconds. They get the records from peers when their own connection has gone
+ * silent, but stop to vote some time after their last read.
+ */
+const READ_WAIT_MS = 4_000;
 /** Time between reads of the system topic in a large deployment, in milliseconds. */
-const READ_PACE_MS = 250;
+const READ_PACE_MS = 500;
 /** Margin beyond the time of an overdue read after which the store counts as unreachable, in milliseconds. */
 const STORE_MARGIN_MS = 700;
 
@@ -34,6 +39,8 @@
   call: CallPeer;
   /** Whether the deployment is small, so that each change is read at once. */
   isFullMesh: () => boolean;
+  /** Whether this daemon is one of the few that notice soon when their reads have no response. */
+  isReader: () => boolean;
   /** Called before each direct call to the store. */
   onCall: (call: StoreCall) => void;
   log: EventLog;
@@ -74,7 +81,7 @@
       topic,
       now,
       sleep,
-      waitMs: READ_WAIT_MS,
+      waitMs: () => this.#options.isReader() ? READER_WAIT_MS : READ_WAIT_MS,
       paceMs: () => this.#readPaceMs(topic),
       onReachable: (isReachable, reason) => {
         log(isReachable ? Event.StoreReachable : Event.StoreLost, { topic, reason });
@@ -109,7 +116,8 @@
   /** Whether the store responds; an overdue read is noticed here before it times out. */
   get isReachable(): boolean {
     const sinceMs = now() - this.system.repliedAt;
-    return this.system.isReachable && sinceMs < READ_WAIT_MS + READ_OVERDUE_MS + STORE_MARGIN_MS;
+    const overdueMs = this.system.readWaitMs + READ_OVERDUE_MS + STORE_MARGIN_MS;
+    return this.system.isReachable && sinceMs < overdueMs;
   }
 
   /** Whether the store responds to this instance directly; only such daemons plan, so that there is one planner. */
--- a/packages/stand_ins/src/followed_table.ts
+++ b/packages/stand_ins/src/followed_table.ts
@@ -29,7 +29,7 @@
     topic: SYSTEM_TOPIC,
     now,
     sleep,
-    waitMs: READ_WAIT_MS,
+    waitMs: () => READ_WAIT_MS,
     paceMs: () => options.paceMs ?? 0,
     onReachable: () => {},
   });
