Write keys that are released soon after each other together

A daemon now writes released keys at most once in 2 ms for each host of the table, so the time between writes grows with what a write costs: 20 ms with ten hosts, 0.3 s with 158.

--- a/packages/lease_ranges/src/grant_manager.ts
+++ b/packages/lease_ranges/src/grant_manager.ts
@@ -43,6 +43,12 @@
 /** Time between renewals, in milliseconds; a fraction of a grant's duration. */
 export const RENEW_INTERVAL_MS = 350;
 
+/**
+ * Time between writes of transferred keys, in milliseconds for each host: all hosts read each change of the table, so the
+ * more there are, the more keys should change their owner at a time.
+ */
+const WRITE_INTERVAL_MS_PER_HOST = 2;
+
 /** Fewest ranges by which a merge must shorten the table; each write costs all daemons a read of the table. */
 const MERGED_MIN = 4;
 
@@ -97,6 +103,8 @@
   readonly #subscription;
   /** Spans that are being transferred; they are not granted. */
   #transferring: KeySpan[] = [];
+  /** When the transfer of keys was last written, or will be next. */
+  #writeAt = Number.NEGATIVE_INFINITY;
   /** Pending merge of own ranges; undefined while there is none. */
   #merge: Promise<unknown> | undefined;
   #task: Promise<void> | undefined;
@@ -299,6 +307,7 @@
     released: Map<KeySpan, Transfer[]>,
     options: { leave: boolean },
   ): Promise<ChangeOutcome> {
+    await this.#awaitWrite();
     let written: KeySpan[] = [];
     const outcome = await this.#options.table.change((table) => {
       written = [...released.keys()];
@@ -310,6 +319,16 @@
     return outcome;
   }
 
+  /** Waits until keys that were released may be written; those that are released meanwhile are written with them. */
+  async #awaitWrite(): Promise<void> {
+    const { now, sleep, table } = this.#options;
+    const intervalMs = Object.keys(table.table.value.hosts).length * WRITE_INTERVAL_MS_PER_HOST;
+    if (this.#writeAt <= now()) {
+      this.#writeAt = Math.max(now(), this.#writeAt + intervalMs);
+    }
+    await sleep(Math.max(0, this.#writeAt - now()));
+  }
+
   /** Clips assignments to own ranges; omits keys that are already being transferred. */
   #clipToOwn(assignments: Assignment[]): Assignment[] {
     const clipped: Assignment[] = [];
--- a/packages/lease_ranges/src/grant_manager_test.ts
+++ b/packages/lease_ranges/src/grant_manager_test.ts
@@ -262,6 +262,34 @@
     await close();
   });
 
+  // Guards against a read of the table by each of many hosts for every single key.
+  it("writes keys that are released soon after each other together where many hosts read the table", async () => {
+    const keys = [10, 20, 30, 40, 50];
+    const { manager, table, close } = await startDaemon(async (sent) => {
+      await sleep(sent.kind === "release" ? 20 * keys.indexOf(sent.order.first) : 0);
+      return respondOk(sent);
+    });
+    await sleep(EARLIER_GRANTS_END_MS);
+    const host = table.table.value.hosts[OTHER];
+    await table.change((current) =>
+      Array.from({ length: 100 }, (_, index) => `10.0.1.${index}:7000`)
+        .reduce((entered, address) => enterHost(entered, address, host), current)
+    );
+    const writes: string[] = [];
+    const subscription = table.table.subscribe(({ write }) => writes.push(write));
+    await manager.transfer(
+      () => keys.map((key) => ({ first: key, last: key, to: OTHER, handover: null })),
+      { leave: false, isServerLost: false },
+    );
+    subscription.unsubscribe();
+    expect(keys.map((key) => rangeOf(table.table.value, key).owner)).to.deep.equal(
+      keys.map(() => OTHER),
+    );
+    // The first is the table before the transfer.
+    expect(new Set(writes).size - 1).to.be.at.most(2);
+    await close();
+  });
+
   it("waits until a grant has expired at an unresponsive server", async () => {
     let isUnresponsive = false;
     const { manager, close } = await startDaemon((sent) =>
