Wait for a key once in all, and renew grants with each vote

A request that had waited for its slot waited for its key once more, for as long as it had waited before.

Grants were renewed each 350 ms whatever the votes did, so votes had to last that much longer than the work. They are renewed with each vote now, and votes last 0.3 s shorter for the same work, so the keys of a lost daemon are served 0.3 s sooner.

--- a/packages/lease_ranges/src/grant_manager.ts
+++ b/packages/lease_ranges/src/grant_manager.ts
@@ -40,8 +40,8 @@
 } from "./grant_channel.ts";
 import type { TenureManager } from "./tenure_manager.ts";
 
-/** Time between renewals, in milliseconds; a fraction of a grant's duration. */
-export const RENEW_INTERVAL_MS = 350;
+/** Longest time between renewals, in milliseconds; grants are also renewed with each vote. */
+const RENEW_INTERVAL_MS = 350;
 
 /**
  * Time between writes of transferred keys, in milliseconds for each host: all hosts read each change of the table, so the
--- a/packages/lease_ranges/src/mod.ts
+++ b/packages/lease_ranges/src/mod.ts
@@ -9,12 +9,7 @@
   OpenGrantChannel,
 } from "./grant_channel.ts";
 export { GRANT_MARGIN_MS } from "./grant_channel.ts";
-export {
-  GrantManager,
-  type GrantManagerOptions,
-  KeyState,
-  RENEW_INTERVAL_MS,
-} from "./grant_manager.ts";
+export { GrantManager, type GrantManagerOptions, KeyState } from "./grant_manager.ts";
 export {
   OrderChannel,
   type OrderChannelOptions,
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -323,6 +323,7 @@
       onSupport: (peer, reply, vote) => {
         const options = { tenures: reply.supported, ...vote };
         this.#tenure.recordSupport(peer, reply.incarnation, options);
+        this.#grantManager.renew();
       },
       onBehind: (peer) => this.#relay.requestRecords(peer),
       onReplaced: (peer) => this.#forgetPeer(peer),
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -162,9 +162,10 @@
       return notRun(Reason.NotHolder, detail, MOVE_RETRY_AFTER_MS);
     }
     this.#arrivals++;
+    const keyUntil = arrivedAt + this.#keyWaitMs(head);
     if (head.shard >= 0) {
       this.#meter.record(head.shard);
-      const isGranted = await this.#awaitKey(head, signal);
+      const isGranted = await this.#awaitKey(head, { until: keyUntil, signal });
       if (signal.aborted) {
         return cancel(RequestStage.Key);
       }
@@ -190,7 +191,7 @@
       return signal.aborted ? cancel(RequestStage.Slot) : toRejection(admitted.error);
     }
     try {
-      const response = await this.#run(head, body, { deadline, signal, memory });
+      const response = await this.#run(head, body, { deadline, keyUntil, signal, memory });
       if (signal.aborted) {
         cancel(RequestStage.Server);
       }
@@ -200,12 +201,18 @@
     }
   }
 
-  /** Waits for a bounded time until the key is granted here; resolves to whether it is. */
-  async #awaitKey(head: RequestHead, signal: AbortSignal): Promise<boolean> {
+  /** Longest time that a request waits here for its key, in milliseconds. */
+  #keyWaitMs({ remainingMs, targetMs = remainingMs }: RequestHead): number {
+    const { serviceMs } = this.#gate;
+    return Math.min(KEY_WAIT_MS, waitLimitMs({ targetMs, remainingMs, serviceMs }));
+  }
+
+  /** Waits until the key is granted here, or until a time on this process's clock; resolves to whether it is. */
+  async #awaitKey(
+    { shard: key }: RequestHead,
+    { until, signal }: { until: number; signal: AbortSignal },
+  ): Promise<boolean> {
     const { grantManager, grantLeftMs } = this.#options;
-    const { shard: key, remainingMs, targetMs = remainingMs } = head;
-    const keyWaitMs = waitLimitMs({ targetMs, remainingMs, serviceMs: this.#gate.serviceMs });
-    const until = now() + Math.min(KEY_WAIT_MS, keyWaitMs);
     while (!signal.aborted) {
       switch (grantManager.stateOf(key, grantLeftMs())) {
         case KeyState.Granted:
@@ -248,11 +255,11 @@
   async #run(
     head: RequestHead,
     body: Buffer | undefined,
-    options: ServeOptions & { deadline: number },
+    options: ServeOptions & { deadline: number; keyUntil: number },
   ): Promise<RoutedResponse> {
     const { client, watch, grantManager, ends, wire, log, onResult, onOutlasted } = this.#options;
     const { deadline, signal, memory } = options;
-    if (head.shard >= 0 && !await this.#awaitKey(head, signal)) {
+    if (head.shard >= 0 && !await this.#awaitKey(head, { until: options.keyUntil, signal })) {
       return notRun(Reason.NotHolder, "The key changed its owner meanwhile", MOVE_RETRY_AFTER_MS);
     }
     const quarantinedMs = ends.quarantinedMs(head, body);
--- a/packages/router/src/runner_test.ts
+++ b/packages/router/src/runner_test.ts
@@ -34,6 +34,8 @@
 };
 
 const TARGET_MS = 400;
+/** Time for which a request waits for a slot, in milliseconds. */
+const SLOT_WAIT_MS = 200;
 /** Time that a grant must have left, in milliseconds. */
 const GRANT_LEFT_MS = 800;
 
@@ -237,6 +239,29 @@
     expect(reachedAt[0]).to.be.at.least(renewedAt);
   });
 
+  // Guards against requests that wait for their key once more after they have waited for a slot.
+  it("waits for a key no longer in all than the target can still be met", async () => {
+    let workMs = 0;
+    let isBlocked = false;
+    const { runner, watch } = createRunner({
+      workMs: () => workMs,
+      state: () => isBlocked ? KeyState.Pending : KeyState.Granted,
+    });
+    watch.apply(report({ slots: 1 }));
+    for (let count = 0; count < 10; count++) {
+      await runner.serve({ ...HEAD, shard: 7 }, undefined, { signal: NEVER });
+    }
+    workMs = SLOT_WAIT_MS;
+    const first = runner.serve({ ...HEAD, shard: 7 }, undefined, { signal: NEVER });
+    const startedAt = now();
+    const second = runner.serve({ ...HEAD, shard: 8 }, undefined, { signal: NEVER });
+    await sleep(SLOT_WAIT_MS / 2);
+    isBlocked = true;
+    expect((await second).head.reason).to.equal(Reason.NotHolder);
+    expect(now() - startedAt).to.be.below(TARGET_MS + SLOT_WAIT_MS / 2);
+    await first;
+  });
+
   it("rejects a request whose key is not granted before the target has passed", async () => {
     const { runner, watch, reachedAt } = createRunner({ state: () => KeyState.Moving });
     watch.apply(report());
--- a/packages/router/src/support_time.ts
+++ b/packages/router/src/support_time.ts
@@ -4,10 +4,13 @@
  * longer: nobody else can serve the keys of a daemon that is lost until they have run out.
  */
 import { GrantDelivery } from "@bulrushwood/deployment";
-import { GRANT_MARGIN_MS, RENEW_INTERVAL_MS, reportSupportMs } from "@bulrushwood/lease_ranges";
+import { GRANT_MARGIN_MS, reportSupportMs } from "@bulrushwood/lease_ranges";
 import { DRIFT_MARGIN_MS, SUPPORT_MS } from "@bulrushwood/lease_votes";
 import { HEARTBEAT_MS } from "@bulrushwood/membership_beats";
 
+/** Time from a heartbeat until the server has confirmed the grants that it extends, in milliseconds. */
+const RENEWAL_MS = 50;
+
 /** Options of `SupportTime`; times are in milliseconds. */
 export interface SupportTimeOptions {
   grantDelivery: GrantDelivery;
@@ -33,7 +36,7 @@
     const { grantDelivery, reportEveryMs } = options;
     const isOrdered = grantDelivery === GrantDelivery.Orders;
     this.msMin = isOrdered ? SUPPORT_MS : reportSupportMs(reportEveryMs);
-    const renewalMs = isOrdered ? RENEW_INTERVAL_MS : reportEveryMs;
+    const renewalMs = isOrdered ? RENEWAL_MS : reportEveryMs;
     this.#lagMs = DRIFT_MARGIN_MS + GRANT_MARGIN_MS + HEARTBEAT_MS + renewalMs;
   }
 
