Move the keys of at most six servers in one round

Each donor's daemon writes the whole table on one condition, so writes at the same time conflict, and each writer tries again until it has its turn: calls grow with the square of the donors. On a site with 158 servers dozens are above their share at once.

The new test had 40 donors in one round before.

--- a/packages/planner_ranges/src/planner_ranges_test.ts
+++ b/packages/planner_ranges/src/planner_ranges_test.ts
@@ -181,6 +181,21 @@
       .to.equal(true);
   });
 
+  // Guards against writes of the table that conflict with each other, all of which count as calls to the store.
+  it("moves the keys of a few of the busiest servers in one round, however many are busy", () => {
+    const busy = Array.from(
+      { length: 40 },
+      (_, index) => loaded(`busy${index}`, 1_000 * index, 110 + index),
+    );
+    const idle = Array.from(
+      { length: 100 },
+      (_, index) => loaded(`idle${index}`, 41_000 + 220 * index, 10),
+    );
+    const donors = new Set(rebalance([...busy, ...idle]).map(({ from }) => from));
+    expect(donors.size).to.be.within(1, 6);
+    expect(donors).to.include("busy39");
+  });
+
   it("moves keys from a server with queued requests before its rate shows the load", () => {
     const hot = { ...loaded("hot", 0, 40), waiting: 12 };
     const rest = [loaded("b", 1_000, 12), loaded("c", 2_000, 12)];
--- a/packages/planner_ranges/src/rebalance.ts
+++ b/packages/planner_ranges/src/rebalance.ts
@@ -29,6 +29,11 @@
 const QUEUE_MIN = 0.25;
 /** Smallest gain that is worth the interruption of a move, as a share of a server's capacity. */
 const GAIN_MIN = 0.04;
+/**
+ * Largest number of servers whose keys move in one round. Each of their daemons changes the table itself, and the more
+ * do so at the same time, the more often each has to try.
+ */
+const DONORS_MAX = 6;
 /** Mean utilisation above which a server without keys gets some even when no server is busy. */
 const IDLE_MEAN_MIN = 0.02;
 
@@ -85,7 +90,8 @@
         isSignificant(candidate.rate, surplus);
       return isBusy || (hasEmpty && excess > 0);
     })
-    .sort((left, right) => utilisation(right) - utilisation(left));
+    .sort((left, right) => utilisation(right) - utilisation(left))
+    .slice(0, DONORS_MAX);
   return donors.flatMap((donor) => {
     const surplus = donor.rate - mean * capacityOf(donor.address);
     return moveSurplus(donor, surplus, receivers);
