Open the connection of a test after the work that precedes it

Its connection was opened before the owner of the key had shown how long work takes; that takes over 5 s, after which the daemon closes idle connections, and the test waited for an event that had passed. It opens the connection afterwards now, and checks the same.

--- a/packages/router/src/router_test.ts
+++ b/packages/router/src/router_test.ts
@@ -668,9 +668,9 @@
     const key = SOME_KEYS[0];
     const owner = instances.find(({ server }) => server.holds(key))!;
     const ingress = instances.find((instance) => instance !== owner)!;
-    const send = await openConnection(ingress, key);
     owner.server.serviceMs = options.serviceMs;
     await serveLongWork(ingress, key);
+    const send = await openConnection(ingress, key);
     // The process exits at the end of a graceful stop.
     const stopped = ingress.router.leave().then(() => ingress.router.close());
     await sleep(options.afterMs);
