Find the longest timeout of the routes once a manifest, and leave out a needless renewal

The longest timeout was searched among all routes for each heartbeat, each grant that might be due and each check of the tenure, which a manifest with over a thousand routes makes dear. It changes only with the manifest. A request that waits for its key asked for a renewal of the grants, which since follows each vote anyway. Behaviour is the same.

--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -173,6 +173,8 @@
   #callers!: CallerServer;
   /** Services without keys; any of their servers may run a request. */
   #unkeyedServices: ReadonlySet<string> = new Set();
+  /** Longest timeout of the routes to this daemon's service in the manifest in force, in milliseconds; 0 without any. */
+  #timeoutMsMax = 0;
   readonly #shutdown: Shutdown;
   /** Whether this daemon hands its keys over, at the end of a graceful stop. */
   #isHandingOver = false;
@@ -460,6 +462,9 @@
     this.#currentManifest.changes.subscribe((manifest) => {
       const unkeyed = [...manifest.services.values()].filter(({ isKeyed }) => !isKeyed);
       this.#unkeyedServices = new Set(unkeyed.map(({ name }) => name));
+      this.#timeoutMsMax = manifest.routes
+        .filter(({ shares }) => shares.some((share) => share.service === service))
+        .reduce((longest, { timeoutMs }) => Math.max(longest, timeoutMs), 0);
       this.#callers.applyManifest();
       // A voter needs the tables of all services, since a tenure may be suspected in any of them.
       [...manifest.services.values()].filter(({ isKeyed }) => isKeyed)
@@ -591,14 +596,6 @@
     return this.#ownService?.isKeyed ?? false;
   }
 
-  /** Longest timeout of the routes to this daemon's service in the manifest in force, in milliseconds; 0 without any. */
-  get #timeoutMsMax(): number {
-    const { service } = this.#settings;
-    const routes = this.#currentManifest.manifest?.routes ?? [];
-    return routes.filter(({ shares }) => shares.some((share) => share.service === service))
-      .reduce((longest, { timeoutMs }) => Math.max(longest, timeoutMs), 0);
-  }
-
   /** Whether the server's process has ended: nobody listens at its address, and all connections to it are lost. */
   async #hasServerEnded(): Promise<boolean> {
     const isConnected = () => this.#grantConnections.isConnected || this.#runner.running > 0;
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -223,7 +223,6 @@
           if (now() >= until) {
             return false;
           }
-          grantManager.renew();
           await grantManager.waitForChange({ ms: until - now(), signal });
       }
     }
--- a/packages/router/src/runner_test.ts
+++ b/packages/router/src/runner_test.ts
@@ -89,7 +89,6 @@
     grantManager: {
       stateOf: state,
       grantedUntil: () => Infinity,
-      renew: () => {},
       waitForChange: ({ ms, signal }: WaitOptions) => sleep(Math.min(ms, changeMs), signal),
     } as unknown as GrantManager,
     grantLeftMs: () => options.grantLeftMs ?? 0,
