--- a/packages/router/src/router_test.ts
+++ b/packages/router/src/router_test.ts
@@ -591,44 +591,46 @@
   });
 }
 
+/** Starts three instances, one of which owns a key and knows that work for it takes long; its server reports no more. */
+async function startWithLongWork() {
+  const instances = await startThree(GrantDelivery.Orders);
+  const key = SOME_KEYS[0];
+  const owner = instances.find(({ server }) => server.holds(key))!;
+  const others = instances.filter((instance) => instance !== owner);
+  owner.server.serviceMs = LONG_WORK_MS;
+  await serveLongWork(others[0], key);
+  owner.stopReports();
+  return { instances, key, owner, others };
+}
+
+/** Returns the time until one of the instances holds a key, in milliseconds. */
+async function msUntilHeld(instances: Instance[], key: number): Promise<number> {
+  const startedAt = now();
+  while (!instances.some(({ server }) => server.holds(key)) && now() < startedAt + START_MS_MAX) {
+    await sleep(20);
+  }
+  return now() - startedAt;
+}
+
 describe("router: a server that ends while its grants last long", () => {
   // Guards against keys that wait for the end of long grants although their server's process has ended.
   it("leaves its keys to others within two seconds", async () => {
-    const instances = await startThree(GrantDelivery.Orders);
-    const key = SOME_KEYS[0];
-    const owner = instances.find(({ server }) => server.holds(key))!;
-    const others = instances.filter((instance) => instance !== owner);
-    owner.server.serviceMs = LONG_WORK_MS;
-    await serveLongWork(others[0], key);
-    owner.stopReports();
+    const { instances, key, owner, others } = await startWithLongWork();
     owner.server.close();
-    const endedAt = now();
-    while (!others.some(({ server }) => server.holds(key))) {
-      expect(now() - endedAt, "time until another server has the key").to.be.below(LOSS_MS_MAX);
-      await sleep(20);
-    }
+    const lossMs = await msUntilHeld(others, key);
     await closeAll(instances);
+    expect(lossMs, "time until another server has the key").to.be.below(LOSS_MS_MAX);
   });
 });
 
 describe("router: a daemon that ends without notice beside a server with long work", () => {
   // Guards against keys that wait for the end of long grants which nobody can ask the server to release.
   it("leaves its keys to others within two seconds", async () => {
-    const instances = await startThree(GrantDelivery.Orders);
-    const key = SOME_KEYS[0];
-    const lost = instances.find(({ server }) => server.holds(key))!;
-    const others = instances.filter((instance) => instance !== lost);
-    lost.server.serviceMs = LONG_WORK_MS;
-    await serveLongWork(others[0], key);
-    lost.stopReports();
-    await lost.router.close();
-    const endedAt = now();
-    while (!others.some(({ server }) => server.holds(key)) && now() < endedAt + START_MS_MAX) {
-      await sleep(20);
-    }
-    const lossMs = now() - endedAt;
+    const { key, owner, others } = await startWithLongWork();
+    await owner.router.close();
+    const lossMs = await msUntilHeld(others, key);
     await closeAll(others);
-    lost.server.close();
+    owner.server.close();
     expect(lossMs, "time until another server has the key").to.be.below(LOSS_MS_MAX);
   });
 });
