Recognise work that outlasts a grant which ends a moment earlier at the server

The server counts such a grant from when it sent the report, the daemon from when it received it, so the 500 came a millisecond or two before the end that the daemon knows, and a cut run counted as one that was as short as its grant. The time for the delivery of a grant now counts as its end.

--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -11,7 +11,7 @@
   WorkTail,
 } from "@bulrushwood/admission";
 import { incarnationName, type ServerWire } from "@bulrushwood/deployment";
-import { type GrantManager, KeyState } from "@bulrushwood/lease_ranges";
+import { GRANT_MARGIN_MS, type GrantManager, KeyState } from "@bulrushwood/lease_ranges";
 import { LoadMeter } from "@bulrushwood/planner_ranges";
 import { Reason, type RequestHead } from "@bulrushwood/protocol";
 import { notRun, type RoutedResponse, unknown, waitLimitMs } from "@bulrushwood/routing";
@@ -289,7 +289,9 @@
     const result = await client.send({ head, headers, body, deadline, signal, memory })
       .finally(() => this.#runningKeys.delete(head));
     onResult(head, result, now() - startedAt);
-    const hasOutlasted = result.status >= SERVER_FAILURE && now() >= grantedUntil;
+    // The server may count the grant from a moment before this daemon does.
+    const hasOutlasted = result.status >= SERVER_FAILURE &&
+      now() >= grantedUntil - GRANT_MARGIN_MS;
     if (hasOutlasted) {
       onOutlasted(head);
     }
--- a/packages/router/src/runner_test.ts
+++ b/packages/router/src/runner_test.ts
@@ -64,6 +64,8 @@
     workMs?: number | (() => number);
     state?: (key: number, leftMs?: number) => KeyState;
     grantLeftMs?: number;
+    grantedUntil?: () => number;
+    onOutlasted?: () => void;
     changeMs?: number;
     reachedAt?: number[];
     respond?: (count: number) => ServerResult;
@@ -88,7 +90,7 @@
     wire: { requestHeaders: () => [] } as Partial<ServerWire> as ServerWire,
     grantManager: {
       stateOf: state,
-      grantedUntil: () => Infinity,
+      grantedUntil: options.grantedUntil ?? (() => Infinity),
       waitForChange: ({ ms, signal }: WaitOptions) => sleep(Math.min(ms, changeMs), signal),
     } as unknown as GrantManager,
     grantLeftMs: () => options.grantLeftMs ?? 0,
@@ -96,7 +98,7 @@
     drainMs: DRAIN_MS,
     log: () => {},
     onResult: () => {},
-    onOutlasted: () => {},
+    onOutlasted: options.onOutlasted ?? (() => {}),
     onCancelled: (_head, stage) => stages.push(stage),
   });
   return { runner, watch, reachedAt, stages };
@@ -238,6 +240,22 @@
     expect(reachedAt[0]).to.be.at.least(renewedAt);
   });
 
+  // Guards against work that is taken for short since its grant ended a moment earlier at the server.
+  it("takes work for longer than its grant if it fails when the grant ends by the server's clock", async () => {
+    for (const [earlierMs, outlasted] of [[20, 1], [300, 0]]) {
+      let count = 0;
+      const { runner, watch } = createRunner({
+        workMs: 50,
+        respond: () => ({ ...RESPONDED, status: 500 }),
+        grantedUntil: () => now() + 50 + earlierMs,
+        onOutlasted: () => count++,
+      });
+      watch.apply(report({ slots: 4 }));
+      await runner.serve({ ...HEAD, shard: 7 }, undefined, { signal: NEVER });
+      expect(count).to.equal(outlasted);
+    }
+  });
+
   // Guards against requests that wait for their key once more after they have waited for a slot.
   it("waits for a key no longer in all than the target can still be met", async () => {
     let workMs = 0;
