Count requests that are shed, and log how many servers get the first keys

Requests that a daemon rejects for lack of processor time had the same reason as those that wait too long for a server, so logs and metrics could not tell whether the load shedder or the servers' queues reject too much. The event of the first assignment names the number of servers that share the keys.

--- a/packages/planner_ranges/src/range_planner.ts
+++ b/packages/planner_ranges/src/range_planner.ts
@@ -287,7 +287,9 @@
     });
     if (outcome === ChangeOutcome.Done) {
       const keys = countKeys(free);
-      onEvent(PlannerEvent.KeysAssigned, { cause: isFirstStart ? "first start" : "free", keys });
+      const servers = this.#enteredCandidates(table.table.value).length;
+      const cause = isFirstStart ? "first start" : "free";
+      onEvent(PlannerEvent.KeysAssigned, { cause, keys, servers });
     }
   }
 
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -59,6 +59,8 @@
   shutdown: Shutdown;
   eventLoop: EventLoop;
   shedder: LoadShedder;
+  /** Called with the priority of each request that the shedder rejects. */
+  onShed?: (priority: number) => void;
   bodyMemory: BodyMemory;
   connectionLimit: ConnectionLimitOptions;
   /** Called with each connection that is accepted and kept; returns whether it is a probe of this daemon. */
@@ -251,6 +253,7 @@
     }
     const { shedder } = this.#options;
     if (!shedder.mayAccept(route.priority)) {
+      this.#options.onShed?.(route.priority);
       const routed = notRun(
         Reason.Overloaded,
         "This daemon lacks processor time",
--- a/packages/router/src/forwarded_requests.ts
+++ b/packages/router/src/forwarded_requests.ts
@@ -10,7 +10,7 @@
 import { Event, type EventLog } from "./event_log.ts";
 import { sendResponse } from "./exchange.ts";
 import { LongBodies } from "./long_bodies.ts";
-import type { Metrics } from "./metrics.ts";
+import { type Metrics, RequestOrigin } from "./metrics.ts";
 import { RequestStage } from "./request_stage.ts";
 
 /** Shortest delay of a forwarded request in transit that is logged, in milliseconds. */
@@ -73,8 +73,10 @@
   }
 
   async #serve(exchange: IncomingExchange): Promise<void> {
-    const { shedder, bodyMemory } = this.#options;
-    if (!shedder.mayAccept(exchange.head.priority ?? 0)) {
+    const { shedder, bodyMemory, metrics } = this.#options;
+    const { priority = 0 } = exchange.head;
+    if (!shedder.mayAccept(priority)) {
+      metrics.recordShed(RequestOrigin.Peer, priority);
       const detail = "The daemon of the server lacks processor time";
       await sendResponse(exchange, notRun(Reason.Overloaded, detail, shedder.retryAfterMs));
       return;
--- a/packages/router/src/metrics.ts
+++ b/packages/router/src/metrics.ts
@@ -16,6 +16,12 @@
 /** Outcome label of requests that a backend server responded to. */
 const RESPONDED = "answered";
 
+/** Sender of a request that a daemon without processor time rejects. */
+export enum RequestOrigin {
+  Caller = "caller",
+  Peer = "peer",
+}
+
 /** Sources of the gauges, which are read at each scrape. */
 export interface GaugeSources {
   running: () => number;
@@ -55,6 +61,7 @@
   readonly #firstRequests: Histogram;
   readonly #unread: Counter;
   readonly #closedConnections: Counter;
+  readonly #shed: Counter;
 
   constructor() {
     const registers = [this.registry];
@@ -141,6 +148,12 @@
       labelNames: ["listener", "closed"],
       registers,
     });
+    this.#shed = new Counter({
+      name: "bulrushwood_shed_requests_total",
+      help: "Requests that the daemon rejected for lack of processor time, by who sent them",
+      labelNames: ["origin", "priority"],
+      registers,
+    });
   }
 
   /** Records the time for which a request waited until the daemon began to work on it. */
@@ -163,6 +176,11 @@
     this.#closedConnections.inc({ listener, closed }, count);
   }
 
+  /** Counts a request that was rejected for lack of processor time. */
+  recordShed(origin: RequestOrigin, priority: number): void {
+    this.#shed.inc({ origin, priority });
+  }
+
   /** Counts a request whose caller left while it waited here. */
   recordCancelled(stage: RequestStage): void {
     this.#cancelled.inc({ stage });
--- a/packages/router/src/metrics_test.ts
+++ b/packages/router/src/metrics_test.ts
@@ -2,7 +2,7 @@
 import { expect } from "chai";
 import type { RequestHead } from "@bulrushwood/protocol";
 import { StoreCall } from "./counted_store.ts";
-import { Metrics } from "./metrics.ts";
+import { Metrics, RequestOrigin } from "./metrics.ts";
 
 /** Most wake-ups a second that an idle daemon may spend on measuring its own event loop. */
 const WAKE_UPS_MAX = 4;
@@ -26,16 +26,18 @@
   });
 });
 
-describe("metrics of the store and of grants", () => {
-  it("count each call to the store by its kind, and requests that outlasted their grant by route", async () => {
+describe("metrics of the store, of grants and of overload", () => {
+  it("count calls to the store, requests that outlasted their grant, and requests that were shed", async () => {
     const metrics = new Metrics();
     [StoreCall.Read, StoreCall.Read, StoreCall.Append].forEach((call) =>
       metrics.recordStoreCall(call)
     );
     metrics.recordOutlasted({ workClass: "book" } as RequestHead);
+    metrics.recordShed(RequestOrigin.Peer, 2);
     const page = await metrics.registry.metrics();
     expect(page).to.contain('bulrushwood_store_calls_total{call="read"} 2');
     expect(page).to.contain('bulrushwood_store_calls_total{call="append"} 1');
     expect(page).to.contain('bulrushwood_outlasted_grants_total{route="book"} 1');
+    expect(page).to.contain('bulrushwood_shed_requests_total{origin="peer",priority="2"} 1');
   });
 });
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -54,7 +54,7 @@
 import { CurrentManifest } from "./current_manifest.ts";
 import { KeyTransfers } from "./key_transfers.ts";
 import { LoopDelayMonitor } from "./loop_delay.ts";
-import { Metrics } from "./metrics.ts";
+import { Metrics, RequestOrigin } from "./metrics.ts";
 import { mayGoOut } from "./readiness.ts";
 import { RECORDS_METHOD, Relay } from "./relay.ts";
 import { Runner } from "./runner.ts";
@@ -457,6 +457,7 @@
       onAccepted: (socket) => this.#acceptance.recordAccepted(socket),
       onFirstRequest: (ms) => this.#metrics.recordFirstRequest(ms),
       onUnread: () => this.#metrics.recordUnread(),
+      onShed: (priority) => this.#metrics.recordShed(RequestOrigin.Caller, priority),
       onResponse: (route, response, ms) => this.#metrics.recordResponse(route, response, ms),
     });
     this.#currentManifest.changes.subscribe((manifest) => {
