Shed no more requests than needed where urgent ones are few

Callers of a daemon that lacks processor time saw more of their least urgent requests rejected than it had to reject. It now tracks how frequent each priority is, over about a second, and gives the room that urgent requests leave to the next ones.

--- a/packages/admission/src/load_shedder.ts
+++ b/packages/admission/src/load_shedder.ts
@@ -23,6 +23,8 @@
 const INCREASE = 0.1;
 /** Least share of accepted requests, so that some show whether there is still overload. */
 const ACCEPTED_MIN = 0.05;
+/** Time in which the weight of earlier requests in the mix of priorities decays to about a third (1/e), in milliseconds. */
+const MIX_DECAY_MS = 1_000;
 /** Shortest and longest retry-after time of rejected requests, in milliseconds; spread so that callers do not return together. */
 const RETRY_AFTER_MIN_MS = 200;
 const RETRY_AFTER_MAX_MS = 500;
@@ -44,8 +46,10 @@
   /** Shortest wait in this interval, in milliseconds, and the number of waits. */
   #shortestMs = Infinity;
   #waits = 0;
-  /** Priorities of the requests so far, the most urgent first. */
-  #priorities: number[] = [];
+  /** Number of requests in this interval, by priority. */
+  readonly #arrivals = new Map<number, number>();
+  /** Number of requests in the intervals before, weighted by their age, by priority. */
+  readonly #mix = new Map<number, number>();
 
   constructor(options: LoadShedderOptions) {
     this.#options = options;
@@ -68,9 +72,7 @@
 
   /** Whether a request of a priority may be accepted; a lower number is more urgent. */
   mayAccept(priority: number): boolean {
-    if (!this.#priorities.includes(priority)) {
-      this.#priorities = [...this.#priorities, priority].sort((one, other) => one - other);
-    }
+    this.#arrivals.set(priority, (this.#arrivals.get(priority) ?? 0) + 1);
     if (this.#accepted >= 1) {
       return true;
     }
@@ -88,9 +90,26 @@
 
   /** Returns the share of one priority's requests that are accepted; lower priorities lose theirs first. */
   #acceptedOf(priority: number): number {
-    const count = this.#priorities.length;
-    const moreUrgent = this.#priorities.indexOf(priority);
-    return Math.max(ACCEPTED_MIN, Math.min(1, this.#accepted * count - moreUrgent));
+    const requests = sum(this.#mix.values());
+    if (requests === 0) {
+      return this.#accepted;
+    }
+    const moreUrgent = [...this.#mix].filter(([other]) => other < priority);
+    const left = this.#accepted * requests - sum(moreUrgent.map(([, count]) => count));
+    const own = Math.max(1, this.#mix.get(priority) ?? 0);
+    return Math.max(ACCEPTED_MIN, Math.min(1, left / own));
+  }
+
+  /** Adds the requests of the interval that ends to the mix. */
+  #updateMix(elapsedMs: number): void {
+    const factor = Math.exp(-elapsedMs / MIX_DECAY_MS);
+    for (const [priority, count] of this.#mix) {
+      this.#mix.set(priority, count * factor);
+    }
+    for (const [priority, count] of this.#arrivals) {
+      this.#mix.set(priority, (this.#mix.get(priority) ?? 0) + count);
+    }
+    this.#arrivals.clear();
   }
 
   /** Time since the interval began, in milliseconds. */
@@ -102,6 +121,7 @@
   #update(): void {
     const elapsedMs = this.#elapsedMs;
     const wasOverloaded = this.#accepted < 1;
+    this.#updateMix(elapsedMs);
     if (this.#waits >= WAITS_MIN && this.#shortestMs > WAIT_MS_MAX) {
       this.#accepted *= Math.max(DECREASE_MIN, WAIT_MS_MAX / this.#shortestMs);
       this.#accepted = Math.max(ACCEPTED_MIN, this.#accepted);
@@ -118,3 +138,7 @@
     }
   }
 }
+
+function sum(values: Iterable<number>): number {
+  return [...values].reduce((total, value) => total + value, 0);
+}
--- a/packages/admission/src/load_shedder_test.ts
+++ b/packages/admission/src/load_shedder_test.ts
@@ -43,6 +43,20 @@
     const accepted = Array.from({ length: 1_000 }, () => this.shedder.mayAccept(priority));
     return accepted.filter(Boolean).length / 1_000;
   }
+
+  /** Shares of 3,000 requests that are accepted now, of which every so many are urgent. */
+  mixedShares(options: { urgentEvery: number }): { urgent: number; other: number; all: number } {
+    const [urgent, other] = [1, 2].map(() => ({ accepted: 0, count: 0 }));
+    for (let request = 0; request < 3_000; request++) {
+      const isUrgent = request % options.urgentEvery === 0;
+      const counts = isUrgent ? urgent : other;
+      counts.accepted += Number(this.shedder.mayAccept(isUrgent ? 1 : 2));
+      counts.count++;
+    }
+    const shareOf = ({ accepted, count }: typeof urgent) => accepted / count;
+    const all = { accepted: urgent.accepted + other.accepted, count: urgent.count + other.count };
+    return { urgent: shareOf(urgent), other: shareOf(other), all: shareOf(all) };
+  }
 }
 
 describe("load shedding", () => {
@@ -78,6 +92,33 @@
     expect(scenario.share(2)).to.be.above(0);
   });
 
+  // Guards against rejecting more requests than needed when urgent ones are the smaller part.
+  it("accepts the share that there is processor time for, however many requests are urgent", () => {
+    for (const urgentEvery of [4, 10]) {
+      const scenario = new Scenario();
+      scenario.mixedShares({ urgentEvery });
+      scenario.waits(75, 300);
+      const { acceptedShare } = scenario.shedder;
+      const { urgent, other, all } = scenario.mixedShares({ urgentEvery });
+      expect(acceptedShare).to.be.within(0.3, 0.9);
+      expect(all).to.be.within(acceptedShare - 0.05, acceptedShare + 0.05);
+      expect(urgent).to.equal(1);
+      expect(other).to.be.within(0.2, 0.9);
+    }
+  });
+
+  it("accepts the share that there is processor time for after the mix of requests has changed", () => {
+    const scenario = new Scenario();
+    scenario.mixedShares({ urgentEvery: 2 });
+    scenario.waits(SHORT_MS, 300);
+    scenario.pause(10_000);
+    scenario.mixedShares({ urgentEvery: 10 });
+    scenario.waits(75, 300);
+    const { acceptedShare } = scenario.shedder;
+    const { all } = scenario.mixedShares({ urgentEvery: 10 });
+    expect(all).to.be.within(acceptedShare - 0.05, acceptedShare + 0.05);
+  });
+
   it("accepts all requests within some seconds after the load ended, also without work", () => {
     for (const pauseMs of [0, 3_000]) {
       const scenario = new Scenario();
