Spread neighbouring keys over all servers at the first start

Callers saw rejections for keys of a few servers from the first second on, while other servers ran nothing: each server got one contiguous span of keys, and busy keys are neighbours. Now each server gets four spans, which alternate with those of the others. The new test failed before: a server had four times its share of a quarter of the keys.

--- a/packages/planner_ranges/src/mod.ts
+++ b/packages/planner_ranges/src/mod.ts
@@ -12,4 +12,4 @@
   TRANSFER_METHOD,
 } from "./range_planner.ts";
 export { type Move, rebalance } from "./rebalance.ts";
-export { cutEvenly, spread, spreadEvenly } from "./spread.ts";
+export { cutEvenly, interleave, spread, spreadEvenly } from "./spread.ts";
--- a/packages/planner_ranges/src/planner_ranges_test.ts
+++ b/packages/planner_ranges/src/planner_ranges_test.ts
@@ -1,6 +1,14 @@
 import { expect } from "chai";
 import { KEYS, sizeOf } from "@bulrushwood/ledger_store";
-import { type Candidate, LoadMeter, type Piece, rebalance, spread, spreadEvenly } from "./mod.ts";
+import {
+  type Candidate,
+  interleave,
+  LoadMeter,
+  type Piece,
+  rebalance,
+  spread,
+  spreadEvenly,
+} from "./mod.ts";
 
 function candidate(address: string, fields: Partial<Candidate> = {}): Candidate {
   return {
@@ -39,6 +47,34 @@
     expect(Math.max(...shares.values()) / Math.min(...shares.values())).to.be.below(1.1);
   });
 
+  // Guards against first owners of which some get all busy keys, which are neighbours, and others none.
+  it("gives every server some of any neighbouring keys at the first start", () => {
+    const names = Array.from({ length: 48 }, (_, index) => `server${index}`);
+    const assignments = interleave(
+      [{ first: 0, last: KEYS - 1 }],
+      names.map((address) => candidate(address)),
+    );
+    const owners = new Array<string>(KEYS);
+    assignments.forEach(({ first, last, to }) => owners.fill(to!, first, last + 1));
+    for (let start = 0; start < KEYS; start += KEYS / 4) {
+      const shares = new Map(names.map((name) => [name, 0]));
+      owners.slice(start, start + KEYS / 4)
+        .forEach((owner) => shares.set(owner, shares.get(owner)! + 1));
+      const sizes = [...shares.values()];
+      expect(Math.max(...sizes) * names.length / (KEYS / 4)).to.be.below(1.25);
+      expect(Math.min(...sizes) * names.length / (KEYS / 4)).to.be.above(0.75);
+    }
+  });
+
+  it("gives servers first keys in proportion to their slots", () => {
+    const servers = [candidate("small", { slots: 4 }), candidate("large", { slots: 12 })];
+    const assignments = interleave([{ first: 0, last: KEYS - 1 }], servers);
+    const keysOf = (server: string) =>
+      assignments.filter(({ to }) => to === server).reduce((sum, span) => sum + sizeOf(span), 0);
+    expect(keysOf("small") + keysOf("large")).to.equal(KEYS);
+    expect(keysOf("large") / keysOf("small")).to.be.within(2.5, 3.5);
+  });
+
   // Guards against ranges that become ever smaller with each restart: each one costs its owner a grant.
   it("gives each server neighbouring keys, also after many servers have left in turn", () => {
     const servers = ["a", "b", "c", "d", "e", "f", "g"];
--- a/packages/planner_ranges/src/range_planner.ts
+++ b/packages/planner_ranges/src/range_planner.ts
@@ -20,7 +20,7 @@
 import { type Heartbeats, sealTenure } from "@bulrushwood/membership_beats";
 import type { Candidate } from "./capacity.ts";
 import { type Move, rebalance } from "./rebalance.ts";
-import { spreadEvenly } from "./spread.ts";
+import { interleave, spreadEvenly } from "./spread.ts";
 import { ServerState } from "@bulrushwood/deployment";
 import {
   type Address,
@@ -281,9 +281,10 @@
     const outcome = await table.change((current) => {
       const unowned = rangesOf(current, null);
       const candidates = this.#enteredCandidates(current);
+      const choose = isFirstStart ? interleave : spreadEvenly;
       return unowned.length === 0 || candidates.length === 0
         ? undefined
-        : assign(current, spreadEvenly(unowned, candidates));
+        : assign(current, choose(unowned, candidates));
     });
     if (outcome === ChangeOutcome.Done) {
       const keys = countKeys(free);
--- a/packages/planner_ranges/src/spread.ts
+++ b/packages/planner_ranges/src/spread.ts
@@ -8,6 +8,11 @@
 
 /** Number of pieces for each candidate, so that shares can differ by less than one server's share. */
 const PIECES_PER_CANDIDATE = 2;
+/**
+ * Number of pieces for each server that gets first keys. Busy keys are close to one another, so the more pieces, the more
+ * evenly they are shared; but each piece needs a grant of its own.
+ */
+const FIRST_PIECES_PER_CANDIDATE = 4;
 /** Load assumed for all keys of a service together while it is unknown, in requests a second. */
 const ASSUMED_RATE = 1;
 
@@ -117,6 +122,32 @@
   return spread(cutEvenly(spans, count), candidates);
 }
 
+/**
+ * Chooses the first owners of spans: each server gets several pieces in turn, so that neighbouring keys belong to different
+ * servers, in proportion to their capacity.
+ */
+export function interleave(spans: KeySpan[], candidates: Candidate[]): Assignment[] {
+  const capacity = capacities(candidates);
+  const receivers = candidates.map(({ address }) => ({
+    address,
+    capacity: capacity.get(address) ?? 1,
+    load: 0,
+  }));
+  const pieces = cutEvenly(spans, Math.max(1, candidates.length * FIRST_PIECES_PER_CANDIDATE));
+  const assignments = pieces.map(({ first, last, rate }) => {
+    const receiver = receivers.reduce<Receiver | undefined>(
+      (least, other) =>
+        least === undefined || utilisation(other) < utilisation(least) ? other : least,
+      undefined,
+    );
+    if (receiver !== undefined) {
+      receiver.load += rate;
+    }
+    return { first, last, to: receiver?.address ?? null, handover: null };
+  });
+  return joinNeighbours(assignments);
+}
+
 /** Merges neighbouring assignments to the same owner. */
 function joinNeighbours(assignments: Assignment[]): Assignment[] {
   const joined: Assignment[] = [];
