Reject callers' requests before forwarded ones while processor time is short

A request that is forwarded is judged by the load shedders of two daemons. Where both are short of processor time, callers saw rejections of requests that their own daemon had accepted, read and sent on, and the time for that was lost. The shedder now rejects the requests of its own callers before forwarded ones of the same priority; a less urgent forwarded request still goes after a more urgent one of a caller.

--- a/packages/admission/src/load_shedder.ts
+++ b/packages/admission/src/load_shedder.ts
@@ -2,7 +2,8 @@
  * Decides which requests a daemon rejects at once because it lacks processor time. When more work arrives than it can
  * do, work waits longer and longer, until callers leave before they get a response, and come back with new requests.
  * Rejecting a request takes a fraction of the time that serving it takes, so the daemon rejects as many as needed to
- * keep the wait short, the least urgent first.
+ * keep the wait short, the least urgent first. Of equally urgent ones, it rejects those of its own callers before those
+ * that other daemons have forwarded, since the work that these have done would be lost.
  *
  * A single long wait, such as after a pause of the process, is no overload: only if all work of an interval has waited
  * long, more is at hand all the time.
@@ -23,7 +24,7 @@
 const INCREASE = 0.1;
 /** Least share of accepted requests, so that some show whether there is still overload. */
 const ACCEPTED_MIN = 0.05;
-/** Time in which the weight of earlier requests in the mix of priorities decays to about a third (1/e), in milliseconds. */
+/** Time in which the weight of earlier requests in the mix of ranks decays to about a third (1/e), in milliseconds. */
 const MIX_DECAY_MS = 1_000;
 /** Shortest and longest retry-after time of rejected requests, in milliseconds; spread so that callers do not return together. */
 const RETRY_AFTER_MIN_MS = 200;
@@ -46,9 +47,9 @@
   /** Shortest wait in this interval, in milliseconds, and the number of waits. */
   #shortestMs = Infinity;
   #waits = 0;
-  /** Number of requests in this interval, by priority. */
+  /** Number of requests in this interval, by rank. */
   readonly #arrivals = new Map<number, number>();
-  /** Number of requests in the intervals before, weighted by their age, by priority. */
+  /** Number of requests in the intervals before, weighted by their age, by rank. */
   readonly #mix = new Map<number, number>();
 
   constructor(options: LoadShedderOptions) {
@@ -70,16 +71,20 @@
     return this.#accepted;
   }
 
-  /** Whether a request of a priority may be accepted; a lower number is more urgent. */
-  mayAccept(priority: number): boolean {
-    this.#arrivals.set(priority, (this.#arrivals.get(priority) ?? 0) + 1);
+  /**
+   * Whether a request of a priority may be accepted; a lower number is more urgent. `isForwarded` says whether another
+   * daemon has accepted it.
+   */
+  mayAccept(priority: number, options: { isForwarded?: boolean } = {}): boolean {
+    const rank = rankOf(priority, options);
+    this.#arrivals.set(rank, (this.#arrivals.get(rank) ?? 0) + 1);
     if (this.#accepted >= 1) {
       return true;
     }
     if (this.#elapsedMs >= IDLE_MS) {
       this.#update();
     }
-    return this.#options.random() < this.#acceptedOf(priority);
+    return this.#options.random() < this.#acceptedOf(rank);
   }
 
   /** Retry-after time of a rejected request, in milliseconds. */
@@ -88,26 +93,26 @@
     return RETRY_AFTER_MIN_MS + this.#options.random() * spreadMs;
   }
 
-  /** Returns the share of one priority's requests that are accepted; lower priorities lose theirs first. */
-  #acceptedOf(priority: number): number {
+  /** Returns the share of one rank's requests that are accepted; higher ranks lose theirs first. */
+  #acceptedOf(rank: number): number {
     const requests = sum(this.#mix.values());
     if (requests === 0) {
       return this.#accepted;
     }
-    const moreUrgent = [...this.#mix].filter(([other]) => other < priority);
-    const left = this.#accepted * requests - sum(moreUrgent.map(([, count]) => count));
-    const own = Math.max(1, this.#mix.get(priority) ?? 0);
+    const before = [...this.#mix].filter(([other]) => other < rank);
+    const left = this.#accepted * requests - sum(before.map(([, count]) => count));
+    const own = Math.max(1, this.#mix.get(rank) ?? 0);
     return Math.max(ACCEPTED_MIN, Math.min(1, left / own));
   }
 
   /** Adds the requests of the interval that ends to the mix. */
   #updateMix(elapsedMs: number): void {
     const factor = Math.exp(-elapsedMs / MIX_DECAY_MS);
-    for (const [priority, count] of this.#mix) {
-      this.#mix.set(priority, count * factor);
+    for (const [rank, count] of this.#mix) {
+      this.#mix.set(rank, count * factor);
     }
-    for (const [priority, count] of this.#arrivals) {
-      this.#mix.set(priority, (this.#mix.get(priority) ?? 0) + count);
+    for (const [rank, count] of this.#arrivals) {
+      this.#mix.set(rank, (this.#mix.get(rank) ?? 0) + count);
     }
     this.#arrivals.clear();
   }
@@ -139,6 +144,11 @@
   }
 }
 
+/** Order in which requests are accepted while processor time is short. */
+function rankOf(priority: number, { isForwarded = false }: { isForwarded?: boolean }): number {
+  return 2 * priority + (isForwarded ? 0 : 1);
+}
+
 function sum(values: Iterable<number>): number {
   return [...values].reduce((total, value) => total + value, 0);
 }
--- a/packages/admission/src/load_shedder_test.ts
+++ b/packages/admission/src/load_shedder_test.ts
@@ -119,6 +119,26 @@
     expect(all).to.be.within(acceptedShare - 0.05, acceptedShare + 0.05);
   });
 
+  // Guards against rejecting, after half the work, requests that another daemon has already accepted and sent on.
+  it("rejects callers' requests before forwarded ones of the same priority, and after less urgent ones", () => {
+    const scenario = new Scenario();
+    const accepted = () => {
+      const counts = { urgent: 0, forwarded: 0, other: 0 };
+      for (let round = 0; round < 1_000; round++) {
+        counts.urgent += Number(scenario.shedder.mayAccept(1));
+        counts.forwarded += Number(scenario.shedder.mayAccept(2, { isForwarded: true }));
+        counts.other += Number(scenario.shedder.mayAccept(2));
+      }
+      return counts;
+    };
+    accepted();
+    scenario.waits(60, 300);
+    expect(scenario.shedder.acceptedShare).to.be.within(0.7, 0.9);
+    const { urgent, forwarded, other } = accepted();
+    expect([urgent, forwarded]).to.deep.equal([1_000, 1_000]);
+    expect(other).to.be.within(300, 700);
+  });
+
   it("accepts all requests within some seconds after the load ended, also without work", () => {
     for (const pauseMs of [0, 3_000]) {
       const scenario = new Scenario();
--- a/packages/router/src/forwarded_requests.ts
+++ b/packages/router/src/forwarded_requests.ts
@@ -75,7 +75,7 @@
   async #serve(exchange: IncomingExchange): Promise<void> {
     const { shedder, bodyMemory, metrics } = this.#options;
     const { priority = 0 } = exchange.head;
-    if (!shedder.mayAccept(priority)) {
+    if (!shedder.mayAccept(priority, { isForwarded: true })) {
       metrics.recordShed(RequestOrigin.Peer, priority);
       const detail = "The daemon of the server lacks processor time";
       await sendResponse(exchange, notRun(Reason.Overloaded, detail, shedder.retryAfterMs));
