Look at the running requests of a server once for many decisions of its queue

Callers of daemons beside full servers waited for decisions that took ever more processor time: for each queued request that the gate compared, it looked at all running ones to see whether the server had become slow. The result is now reused until a request starts or ends, at most for 5 ms.

--- a/packages/admission/src/gate.ts
+++ b/packages/admission/src/gate.ts
@@ -20,6 +20,8 @@
 const MEAN_AGE_SHARE = 0.8;
 /** Upper bound on how many times older than expected a single running request counts. */
 const AGE_FACTOR_MAX = 8;
+/** Time for which the slowdown of the running requests is reused while none starts or ends, in milliseconds. */
+const SLOWDOWN_REUSE_MS = 5;
 /** Service time that is assumed until the first request ends, in milliseconds. */
 const ASSUMED_SERVICE_MS = 120;
 /** A queued request is rejected once its time left is below this share of its expected service time. */
@@ -86,6 +88,8 @@
   /** Mean service time of each class of work, in milliseconds. */
   readonly #serviceMsOf = new Map<string, number>();
   #serviceMs = 0;
+  /** Last slowdown, and when it was determined; in the past once a request has started or ended since. */
+  #slowdown = { factor: 1, at: Number.NEGATIVE_INFINITY };
   #expiryTimer: NodeJS.Timeout | undefined;
   /** Runs when the start rate allows the next queued request to start. */
   #startTimer: NodeJS.Timeout | undefined;
@@ -112,7 +116,7 @@
    * becomes slow ends no requests for a while, so the age of its running requests counts as well.
    */
   get serviceMs(): number {
-    return this.#serviceMs * this.#slowdown();
+    return this.#serviceMs * this.#slowdownFactor;
   }
 
   /**
@@ -120,16 +124,23 @@
    * count as requests of the expected age, so that one long request among few does not make the whole server
    * look slow.
    */
-  #slowdown(): number {
-    const { now, limit } = this.#options;
-    const at = now();
+  get #slowdownFactor(): number {
+    const at = this.#options.now();
+    if (at - this.#slowdown.at >= SLOWDOWN_REUSE_MS) {
+      this.#slowdown = { factor: this.#measureSlowdown(at), at };
+    }
+    return this.#slowdown.factor;
+  }
+
+  /** Determines the slowdown, which takes a look at each running request. */
+  #measureSlowdown(at: number): number {
     let sum = 0;
     for (const { workClass, startedAt } of this.#runs) {
       const usualMs = this.#serviceMsOf.get(workClass) ?? this.#serviceMs;
       const ageMs = (at - startedAt) / MEAN_AGE_SHARE;
       sum += usualMs > 0 ? Math.min(AGE_FACTOR_MAX, ageMs / usualMs) : 1;
     }
-    const slots = Math.max(1, limit());
+    const slots = Math.max(1, this.#options.limit());
     return Math.max(1, (sum + slots) / (this.running + slots));
   }
 
@@ -140,7 +151,7 @@
   /** Expected service time of a class; grows with that of all classes when the server becomes slow. */
   #serviceMsFor(workClass: string): number {
     const trackedMs = this.#serviceMsOf.get(workClass);
-    return trackedMs === undefined ? this.#meanServiceMs : trackedMs * this.#slowdown();
+    return trackedMs === undefined ? this.#meanServiceMs : trackedMs * this.#slowdownFactor;
   }
 
   /** Waits for a slot; rejects a request at once when it is not expected to be served in time. */
@@ -287,6 +298,7 @@
     this.#startRate.recordStart(rank);
     const run = { workClass, startedAt };
     this.#runs.add(run);
+    this.#slowdown.at = Number.NEGATIVE_INFINITY;
     const release = () => {
       if (!this.#runs.delete(run)) {
         return;
@@ -298,6 +310,7 @@
   }
 
   #recordServiceTime(workClass: string, ms: number): void {
+    this.#slowdown.at = Number.NEGATIVE_INFINITY;
     this.#serviceMs = movingMean(this.#serviceMs, ms);
     this.#serviceMsOf.set(workClass, movingMean(this.#serviceMsOf.get(workClass) ?? 0, ms));
     if (this.#serviceMsOf.size > TRACKED_CLASSES_MAX) {
--- a/packages/admission/src/gate_test.ts
+++ b/packages/admission/src/gate_test.ts
@@ -35,6 +35,8 @@
 const TARGET_MS = 400;
 const OVERLOAD_SERVICE_MS = 100;
 
+const QUEUE_LENGTH = 40;
+
 interface Entry {
   isServed: boolean;
   /** Time until the request started or was rejected. */
@@ -67,7 +69,35 @@
   return entries;
 }
 
+/** Time that a gate with a full queue takes to decide on requests, in milliseconds; the shortest of some rounds. */
+async function measureDecisions(slots: number): Promise<number> {
+  const clock = { now: 0 };
+  const gate = createGate(clock, slots);
+  await warmUp(gate, clock);
+  const times = { targetAt: clock.now + 100_000, deadline: clock.now + 100_000 };
+  for (let count = 0; count < slots + QUEUE_LENGTH; count++) {
+    gate.enter(createRequest({ ...times, signal: new AbortController().signal }));
+  }
+  const rounds = Array.from({ length: 7 }, () => {
+    const startedAt = now();
+    for (let count = 0; count < 50; count++) {
+      gate.enter(createRequest({ targetAt: clock.now, deadline: clock.now + 1 }));
+    }
+    return now() - startedAt;
+  });
+  expect([gate.running, gate.waiting]).to.deep.equal([slots, QUEUE_LENGTH]);
+  gate.close();
+  return Math.min(...rounds);
+}
+
 describe("gate", () => {
+  // Guards against decisions that look at each running request for each queued one, which made overloaded daemons slow.
+  it("decides on a request in about the same time however many requests run", async () => {
+    await measureDecisions(4);
+    const [fewMs, manyMs] = [await measureDecisions(4), await measureDecisions(256)];
+    expect(manyMs / fewMs).to.be.below(4);
+  });
+
   it("runs as many requests at once as the server may", async () => {
     const gate = createGate({ now: 0 }, 2);
     await gate.enter(createRequest());
