Send no heartbeats to voters for services without keys, and share their hubs' work

Calls of servers to a service without keys were late: its daemons lack processor time. All 49 daemons of the other service asked the same two for the status of all servers, and daemons of a service without keys sent heartbeats to eight voters that they have no tenure for.

Now each daemon asks two of the three hubs, by its own order, and only daemons of services with keys have voters.

--- a/packages/membership_beats/src/heartbeat_peers.ts
+++ b/packages/membership_beats/src/heartbeat_peers.ts
@@ -1,9 +1,9 @@
 /**
  * Chooses the peers that a daemon sends heartbeats to, so that their number stays bounded however many daemons
  * there are. In a small deployment these are all others. In a larger one their number is fixed: possible
- * voters, spread evenly over all daemons by a hash; hubs, which get heartbeats from every daemon of a service,
- * so that they have the status of all its servers; and the hubs of services without keys, which report the
- * status of those servers to every daemon. Hubs are the responsive daemons with the lowest addresses; the next
+ * voters, spread evenly over all daemons by a hash, where the service has keys; hubs, which get heartbeats from every
+ * daemon of a service, so that they have the status of all its servers; and two of the hubs of each service without
+ * keys, which report the status of those servers. Hubs are the responsive daemons with the lowest addresses; the next
  * one replaces a hub that becomes unresponsive.
  */
 import type { Address } from "@bulrushwood/types";
@@ -54,26 +54,28 @@
   const peers = new Map<Address, HeartbeatPeerRole>();
   const ranked = responsive.map(({ address }) => address)
     .sort((one, other) => rank(one) - rank(other));
-  for (const address of ranked.slice(0, VOTER_COUNT)) {
-    peers.set(address, HeartbeatPeerRole.Voter);
+  if (!unkeyedServices.has(service)) {
+    ranked.slice(0, VOTER_COUNT)
+      .forEach((address) => peers.set(address, HeartbeatPeerRole.Voter));
+    hubsOf(responsive, service)
+      .forEach((address) => peers.set(address, HeartbeatPeerRole.Hub));
   }
   for (const unkeyed of unkeyedServices) {
     const count = unkeyed === service ? OWN_HUB_COUNT : OTHER_HUB_COUNT;
-    hubsOf(responsive, unkeyed).slice(0, count)
+    hubsOf(responsive, unkeyed)
+      .sort((one, other) => rank(one) - rank(other))
+      .slice(0, count)
       .forEach((address) => peers.set(address, HeartbeatPeerRole.Source));
   }
-  if (!unkeyedServices.has(service)) {
-    hubsOf(responsive, service).slice(0, OWN_HUB_COUNT)
-      .forEach((address) => peers.set(address, HeartbeatPeerRole.Hub));
-  }
   return peers;
 }
 
-/** Returns the daemons of a service in the order in which they become hubs. */
+/** Returns the hubs of a service. */
 function hubsOf(members: Member[], service: string): Address[] {
   return members.filter((member) => member.service === service)
     .map(({ address }) => address)
-    .sort();
+    .sort()
+    .slice(0, OWN_HUB_COUNT);
 }
 
 /** Creates the order of one daemon, which computes the rank of each other daemon once. */
