Wait for the servers that are about to enter before the first keys are given out

The planner hears of all daemons long before they enter, so it now waits for them, at most 4 s after the last one entered.

--- a/packages/planner_ranges/src/range_planner.ts
+++ b/packages/planner_ranges/src/range_planner.ts
@@ -34,6 +34,8 @@
 const PLAN_INTERVAL_MS = 250;
 /** Time without a new daemon after which first owners are chosen, in milliseconds. */
 const SETTLE_MS = 1_000;
+/** Longest time without a new daemon for which first owners wait for those that have not entered, in milliseconds. */
+const SETTLE_MS_MAX = 4_000;
 /** Shortest time between moves, in milliseconds; reports show moved load after this time. */
 const COOL_DOWN_MS = 1_300;
 /** Time that moved keys keep their owner, in milliseconds; reports show their load by then. */
@@ -268,10 +270,21 @@
     return this.#options.candidates().filter(({ address }) => table.hosts[address] !== undefined);
   }
 
+  /** Whether no further daemons are expected to enter the table soon after the first start. */
+  #haveHostsSettled({ hosts }: OwnershipTable): boolean {
+    const { heartbeats, service } = this.#options;
+    const isMissing = [...heartbeats.peers].some(([address, { status }]) =>
+      status.service === service && !status.isLeaving && hosts[address] === undefined &&
+      heartbeats.isResponsive(address)
+    );
+    const settledMs = this.#options.now() - this.#hostsSince;
+    return settledMs >= (isMissing ? SETTLE_MS_MAX : SETTLE_MS);
+  }
+
   async #assignUnowned(): Promise<void> {
     const { table, onEvent } = this.#options;
     const isFirstStart = table.table.value.epoch === 0;
-    if (isFirstStart && this.#options.now() - this.#hostsSince < SETTLE_MS) {
+    if (isFirstStart && !this.#haveHostsSettled(table.table.value)) {
       return;
     }
     const free = rangesOf(table.table.value, null);
