Send two calls that a server makes at the same time to one server

Runs whose calls were late ended with 500 and held their slots: the daemons beside the called servers lack processor time. What costs time is each wake-up of a process rather than each request: an idle daemon uses some 0.6 ms for each message of a heartbeat. A run makes its two calls at the same time, and both went to different servers, so two daemons woke up. Two requests of one round of the event loop now go to the same server, if it has free slots, in one message. The new test fails with pairMs 0, the behaviour before.

--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -68,6 +68,8 @@
 
 /** Longest time for which the response to a report is held open, as a share of the report interval. */
 const REPORT_HOLD_SHARE = 0.8;
+/** Time within which two requests to a service without keys go to one server, in milliseconds: a round of the event loop. */
+const PAIR_MS = 5;
 /** Share of the process's memory that long bodies may take. */
 const BODY_MEMORY_SHARE = 0.4;
 /** Share of the process's memory that short bodies may take. */
@@ -163,6 +165,7 @@
     random: Math.random,
     loadOf: (server) => this.#view.loadOf(server),
     isLocal: (server) => this.#view.isLocal(server),
+    pairMs: PAIR_MS,
   });
   readonly #budgets = new Map<string, RetryBudget>();
   readonly #sideServers: SideServer[] = [];
--- a/packages/routing/src/two_choices.ts
+++ b/packages/routing/src/two_choices.ts
@@ -7,6 +7,9 @@
  * Traffic between data centres is expensive, so a server in this daemon's data centre is preferred while it has
  * spare slots. Under higher load, all servers share the requests, since reported loads are some tenths of a
  * second old. This suits a service whose servers and callers are both spread over data centres.
+ *
+ * A backend server often makes two calls at the same time. If both go to one server, they share the messages between the
+ * daemons, and each message takes a daemon about as long as a request in it.
  */
 import type { Address, Clock } from "@bulrushwood/types";
 
@@ -62,12 +65,16 @@
   loadOf?: (server: Address) => ServerLoad | undefined;
   /** Whether a server is in this daemon's data centre; where left out, all servers are. */
   isLocal?: (server: Address) => boolean;
+  /** Time within which a second request goes to the server of the first, in milliseconds; 0, also where left out, for never. */
+  pairMs?: number;
 }
 
 /** Load balancer for pools without keys, with what this daemon has observed of each server. */
 export class TwoChoices {
   readonly #options: TwoChoicesOptions;
   readonly #stats = new Map<Address, ServerStats>();
+  /** Server of the last request that may be the first of a pair, and when it was chosen. */
+  #first: { server: Address; at: number } | undefined;
 
   constructor(options: TwoChoicesOptions) {
     this.#options = options;
@@ -77,6 +84,30 @@
   choose(servers: Address[]): Address[] {
     const usable = servers.filter((server) => this.#isUsable(server));
     const pool = usable.length > 0 ? usable : servers;
+    const paired = this.#takePaired(pool);
+    if (paired !== undefined) {
+      return [paired, ...this.#chooseOfTwo(pool.filter((server) => server !== paired)).slice(0, 1)];
+    }
+    const chosen = this.#chooseAnew(pool);
+    this.#first = chosen.length > 0 ? { server: chosen[0], at: this.#options.now() } : undefined;
+    return chosen;
+  }
+
+  /** Returns the server of the request before if this one is the second of a pair and the server has slots for it. */
+  #takePaired(pool: Address[]): Address | undefined {
+    const { now, pairMs = 0, loadOf } = this.#options;
+    const first = this.#first;
+    this.#first = undefined;
+    if (first === undefined || now() - first.at >= pairMs || !pool.includes(first.server)) {
+      return undefined;
+    }
+    const load = loadOf?.(first.server);
+    const hasSlots = load === undefined ||
+      openRequests(load, this.#statsOf(first.server).inFlight) < concurrencyOf(load);
+    return hasSlots ? first.server : undefined;
+  }
+
+  #chooseAnew(pool: Address[]): Address[] {
     if (pool.length < 2) {
       return pool;
     }
--- a/packages/routing/src/two_choices_test.ts
+++ b/packages/routing/src/two_choices_test.ts
@@ -139,3 +139,49 @@
     expect(choices.choose(["a", "b"])).to.have.members(["a", "b"]);
   });
 });
+
+describe("choosing a server for two requests at the same time", () => {
+  const names = ["a", "b", "c", "d", "e", "f"];
+
+  function createChoices(clock: { now: number }, running = 0): TwoChoices {
+    return new TwoChoices({
+      now: () => clock.now,
+      random: createRandom(5),
+      loadOf: () => ({ running, waiting: 0, slots: SLOTS, serviceMs: 100 }),
+      pairMs: 5,
+    });
+  }
+
+  // Guards against two messages, which each take the called daemon as long as a request, for two calls of one server.
+  it("chooses the same one for both, and another one for the next", () => {
+    const clock = { now: 0 };
+    const choices = createChoices(clock);
+    const pairs = Array.from({ length: 60 }, () => {
+      clock.now += 50;
+      const first = choices.choose(names);
+      clock.now += 1;
+      const second = choices.choose(names);
+      expect(second[0]).to.equal(first[0]);
+      expect(second[1]).to.not.equal(first[0]);
+      return first[0];
+    });
+    expect(new Set(pairs)).to.have.lengthOf(names.length);
+  });
+
+  it("chooses anew while the server is full, excluded, or the second request comes later", () => {
+    for (const options of [{ running: SLOTS }, { isExcluded: true }, { pauseMs: 6 }]) {
+      const { running = 0, isExcluded = false, pauseMs = 1 } = options;
+      const clock = { now: 0 };
+      const choices = createChoices(clock, running);
+      let same = 0;
+      for (let round = 0; round < 200; round++) {
+        clock.now += 50;
+        const [first] = choices.choose(names);
+        clock.now += pauseMs;
+        const others = isExcluded ? names.filter((name) => name !== first) : names;
+        same += Number(choices.choose(others)[0] === first);
+      }
+      expect(same).to.be.below(80);
+    }
+  });
+});
