Begin with the most urgent work first while processor time is short

Runs ended with 500 after 562 ms and held slots of full servers that long, since the calls that they wait for were late. The event loop kept waiting work in order of arrival. It now begins with the most urgent, in the order in which the load shedder accepts. The shedder judges the wait of the oldest work instead of that which begins, since urgent work hardly waits now; with one rank both are the same. Two new tests failed before: work began in order of arrival, and the age of the oldest work was not reported.

--- a/packages/admission/src/load_shedder.ts
+++ b/packages/admission/src/load_shedder.ts
@@ -57,7 +57,10 @@
     this.#intervalStartedAt = options.now();
   }
 
-  /** Records the time for which a piece of work has waited until the daemon began with it, in milliseconds. */
+  /**
+   * Records the time for which the oldest work has waited when the daemon begins with the next, in milliseconds. Less urgent
+   * work may wait while other work begins at once.
+   */
   recordWait(ms: number): void {
     this.#shortestMs = Math.min(this.#shortestMs, ms);
     this.#waits++;
@@ -76,7 +79,7 @@
    * daemon has accepted it.
    */
   mayAccept(priority: number, options: { isForwarded?: boolean } = {}): boolean {
-    const rank = rankOf(priority, options);
+    const rank = urgencyRank(priority, options);
     this.#arrivals.set(rank, (this.#arrivals.get(rank) ?? 0) + 1);
     if (this.#accepted >= 1) {
       return true;
@@ -144,8 +147,11 @@
   }
 }
 
-/** Order in which requests are accepted while processor time is short. */
-function rankOf(priority: number, { isForwarded = false }: { isForwarded?: boolean }): number {
+/** Order in which requests are accepted and begun while processor time is short; those with a lower rank come first. */
+export function urgencyRank(
+  priority: number,
+  { isForwarded = false }: { isForwarded?: boolean } = {},
+): number {
   return 2 * priority + (isForwarded ? 0 : 1);
 }
 
--- a/packages/admission/src/mod.ts
+++ b/packages/admission/src/mod.ts
@@ -13,7 +13,7 @@
 export { DeadlineQueue } from "./deadline_queue.ts";
 export { AdmissionError, AdmissionErrorKind } from "./errors.ts";
 export { Gate, type GateOptions, type GateRequest } from "./gate.ts";
-export { LoadShedder, type LoadShedderOptions } from "./load_shedder.ts";
+export { LoadShedder, type LoadShedderOptions, urgencyRank } from "./load_shedder.ts";
 export { Quarantine, type ServerEnd, type SuspectRun } from "./quarantine.ts";
 export { StartRate, type StartRateOptions } from "./start_rate.ts";
 export { TimelyLimit } from "./timely_limit.ts";
--- a/packages/http_server/src/event_loop.ts
+++ b/packages/http_server/src/event_loop.ts
@@ -5,6 +5,9 @@
  * connections would wait for as many rounds as there are connections before them, and their callers would have left
  * once they are accepted. So each round does only a few milliseconds of work, and while rounds find connections to
  * accept, the loop takes turns: in one it only accepts connections, in the next it works as well.
+ *
+ * While work waits, the most urgent goes first: a late response to a call that a backend server waits for fails all the
+ * work that it has done until then.
  */
 import process from "node:process";
 import type { Clock } from "@bulrushwood/types";
@@ -16,13 +19,15 @@
 
 export interface EventLoopOptions {
   now: Clock;
-  /** Called with the time for which each piece of work has waited, in milliseconds. */
-  onRelease?: (waitMs: number) => void;
+  /** Called with the times for which each piece of work, and the oldest one that waits, have waited, in milliseconds. */
+  onRelease?: (waitMs: number, oldestMs: number) => void;
 }
 
 /** A piece of work that waits. */
 interface Waiting {
   joinedAt: number;
+  /** Work with a lower rank is more urgent. */
+  rank: number;
   release: () => void;
 }
 
@@ -37,8 +42,10 @@
   readonly #options: EventLoopOptions;
   /** Work that came since the last poll. */
   #joined: Waiting[] = [];
-  /** Work that came before the last poll, in order of its arrival. */
-  #due: Waiting[] = [];
+  /** Work that came before the last poll and after the one before it. */
+  #polled: Waiting[] = [];
+  /** Work that may go on, the most urgent first, and in order of its arrival. */
+  readonly #due: Waiting[] = [];
   #isScheduled = false;
   /** Whether a connection was accepted in this round. */
   #hasAccepted = false;
@@ -57,11 +64,12 @@
 
   /**
    * Resolves when the caller may work: after the event loop has polled all connections again, so that the end of a
-   * caller's connection or a cancellation that arrived up to then was handled.
+   * caller's connection or a cancellation that arrived up to then was handled. Work with a lower rank goes first.
    */
-  nextPoll(): Promise<void> {
+  nextPoll(rank = 0): Promise<void> {
     this.#schedule();
-    return new Promise((release) => this.#joined.push({ joinedAt: this.#options.now(), release }));
+    const joinedAt = this.#options.now();
+    return new Promise((release) => this.#joined.push({ joinedAt, rank, release }));
   }
 
   #schedule(): void {
@@ -78,29 +86,37 @@
     const hasAccepted = this.#hasAccepted;
     this.#hasAccepted = false;
     this.#turn = hasAccepted ? nextTurn(this.#turn, at) : undefined;
-    const releasable = this.#turn?.isForWork === false ? 0 : this.#due.length;
-    this.#due.push(...this.#joined);
+    this.#polled.forEach((waiting) => this.#addDue(waiting));
+    this.#polled = this.#joined;
     this.#joined = [];
-    if (hasAccepted || this.#due.length > 0) {
+    if (hasAccepted || this.#due.length + this.#polled.length > 0) {
       this.#schedule();
     }
-    this.#releaseNext(releasable, at + SLICE_MS);
+    if (this.#turn?.isForWork !== false) {
+      this.#releaseNext(at + SLICE_MS);
+    }
+  }
+
+  #addDue(waiting: Waiting): void {
+    const index = this.#due.findLastIndex(({ rank }) => rank <= waiting.rank);
+    this.#due.splice(index + 1, 0, waiting);
   }
 
   /** Releases work one after the other until a time, each when all that the one before set off has run. */
-  #releaseNext(releasable: number, until: number): void {
-    if (releasable === 0) {
+  #releaseNext(until: number): void {
+    if (this.#due.length === 0) {
       return;
     }
     const { now, onRelease } = this.#options;
+    const oldestAt = this.#due.reduce((least, { joinedAt }) => Math.min(least, joinedAt), Infinity);
     const { joinedAt, release } = this.#due.shift()!;
-    onRelease?.(now() - joinedAt);
+    onRelease?.(now() - joinedAt, now() - oldestAt);
     release();
     // A tick that is queued by a microtask runs after all other microtasks.
     queueMicrotask(() =>
       process.nextTick(() => {
         if (now() < until) {
-          this.#releaseNext(releasable - 1, until);
+          this.#releaseNext(until);
         }
       })
     );
--- a/packages/http_server/src/event_loop_test.ts
+++ b/packages/http_server/src/event_loop_test.ts
@@ -71,6 +71,31 @@
     expect(Math.max(...perRound)).to.be.at.most(2);
   });
 
+  // Guards against calls that wait behind less urgent requests until the runs that make them fail.
+  it("releases the most urgent work first, and equally urgent work in order of its arrival", async () => {
+    const loop = new EventLoop({ now });
+    const released: string[] = [];
+    await Promise.all(
+      [["a", 5], ["b", 2], ["c", 5], ["d", 2], ["e", 3]].map(async ([name, rank]) => {
+        await loop.nextPoll(rank as number);
+        released.push(name as string);
+        blockEventLoop(4);
+      }),
+    );
+    expect(released.join("")).to.equal("bdeac");
+  });
+
+  it("reports how long the oldest work has waited while more urgent work goes first", async () => {
+    const oldest: number[] = [];
+    const loop = new EventLoop({ now, onRelease: (_ms, oldestMs) => oldest.push(oldestMs) });
+    const other = loop.nextPoll(5);
+    blockEventLoop(20);
+    await Promise.all(Array.from({ length: 3 }, () => loop.nextPoll(2)));
+    await other;
+    expect(oldest).to.have.length(4);
+    oldest.forEach((ms) => expect(ms).to.be.at.least(19));
+  });
+
   it("reports how long work has waited", async () => {
     const waits: number[] = [];
     const loop = new EventLoop({ now, onRelease: (ms) => waits.push(ms) });
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -4,7 +4,13 @@
 import { Buffer } from "node:buffer";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import type { BodyMemory, LoadShedder, RequestMemory, Shutdown } from "@bulrushwood/admission";
+import {
+  type BodyMemory,
+  type LoadShedder,
+  type RequestMemory,
+  type Shutdown,
+  urgencyRank,
+} from "@bulrushwood/admission";
 import type { CallerWire, Endpoint, Manifest, Route } from "@bulrushwood/deployment";
 import { BodyFailure, collectBody, hasBody } from "@bulrushwood/http_client";
 import {
@@ -313,7 +319,7 @@
       memory,
       stage: RequestStage.Arrival,
     };
-    await this.#options.eventLoop.nextPoll();
+    await this.#options.eventLoop.nextPoll(urgencyRank(route.priority));
     const routed = await this.#dispatch(dispatched);
     this.#options.onResponse(route, routed, now() - arrivedAt);
     this.#logFailure(routed, dispatched, { ms: now() - arrivedAt });
--- a/packages/router/src/caller_server_fixture.ts
+++ b/packages/router/src/caller_server_fixture.ts
@@ -73,7 +73,7 @@
     dispatcher,
     log: () => {},
     shutdown,
-    eventLoop: new EventLoop({ now, onRelease: (waitMs) => shedder.recordWait(waitMs) }),
+    eventLoop: new EventLoop({ now, onRelease: (_ms, oldestMs) => shedder.recordWait(oldestMs) }),
     shedder,
     bodyMemory: new BodyMemory({ bytesMax: options.bodyMemoryBytes ?? 100e6 }),
     connectionLimit: { max: () => options.connectionsMax ?? 1_000, onClosed: () => {} },
--- a/packages/router/src/forwarded_requests.ts
+++ b/packages/router/src/forwarded_requests.ts
@@ -2,7 +2,12 @@
  * Requests that peers forwarded to this daemon: receives their bodies, runs them at the backend server and sends the
  * responses.
  */
-import type { BodyMemory, LoadShedder, RequestMemory } from "@bulrushwood/admission";
+import {
+  type BodyMemory,
+  type LoadShedder,
+  type RequestMemory,
+  urgencyRank,
+} from "@bulrushwood/admission";
 import type { EventLoop } from "@bulrushwood/http_server";
 import { type IncomingExchange, Reason, type RequestHead } from "@bulrushwood/protocol";
 import { notRun } from "@bulrushwood/routing";
@@ -96,8 +101,8 @@
       await sendResponse(exchange, received.rejection);
       return;
     }
-    await eventLoop.nextPoll();
     const { head, body } = received;
+    await eventLoop.nextPoll(urgencyRank(head.priority ?? 0, { isForwarded: true }));
     const { signal } = exchange;
     await sendResponse(exchange, await serve(head, body, { signal, memory }));
   }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -132,7 +132,7 @@
   readonly #stop = createStop();
   readonly #metrics = new Metrics();
   readonly #loopDelay: LoopDelayMonitor;
-  readonly #eventLoop = new EventLoop({ now, onRelease: (waitMs) => this.#recordWait(waitMs) });
+  readonly #eventLoop = new EventLoop({ now, onRelease: this.#recordWait.bind(this) });
   readonly #shedder = new LoadShedder({
     now,
     random: Math.random,
@@ -714,9 +714,9 @@
     }
   }
 
-  #recordWait(ms: number): void {
+  #recordWait(ms: number, oldestMs: number): void {
     this.#metrics.recordWait(ms);
-    this.#shedder.recordWait(ms);
+    this.#shedder.recordWait(oldestMs);
   }
 
   #addGauges(): void {
