Queue calls that are late on arrival rather than fail the runs that wait for them

A server does not repeat a call; it fails the run, which has held a slot for half a second. A request that would be late without any wait is now queued for up to a third of the time that it has left, which is what a rejected caller waits before it returns. Requests that a wait makes late are rejected as before. The new test failed before.

--- a/packages/admission/src/gate.ts
+++ b/packages/admission/src/gate.ts
@@ -35,6 +35,11 @@
 const LIMITED_MARGIN_SHARE = -0.5;
 /** Late requests are queued while their expected wait is at most this share of the service time. */
 const LATE_WAIT_SHARE = 1;
+/**
+ * Requests that would be late without a wait, too, are queued while it is at most this share of the time until their
+ * deadline, where that is more: a rejected caller waits about as long until it returns.
+ */
+const LATE_DEADLINE_SHARE = 1 / 3;
 /** Time between checks for queued requests that can no longer meet their deadline, in milliseconds. */
 const EXPIRY_CHECK_MS = 40;
 /** Shortest time after which a rejected caller is asked to retry, in milliseconds. */
@@ -182,7 +187,12 @@
     // Short requests delay others little, so the mean service time of all classes is the least margin.
     const usualMs = Math.max(serviceMs, this.#meanServiceMs);
     const isLate = respondedAt > request.targetAt + usualMs * options.marginShare;
-    return respondedAt <= request.deadline && !(isLate && waitMs > usualMs * LATE_WAIT_SHARE);
+    const leftMs = request.deadline - this.#options.now();
+    const isLateAnyway = respondedAt - waitMs > request.targetAt;
+    const lateWaitMsMax = isLateAnyway
+      ? Math.max(usualMs * LATE_WAIT_SHARE, leftMs * LATE_DEADLINE_SHARE)
+      : usualMs * LATE_WAIT_SHARE;
+    return respondedAt <= request.deadline && !(isLate && waitMs > lateWaitMsMax);
   }
 
   /** Expected time until a new request starts, in milliseconds. */
--- a/packages/admission/src/gate_test.ts
+++ b/packages/admission/src/gate_test.ts
@@ -211,6 +211,25 @@
     gate.close();
   });
 
+  // Guards against calls of backend servers that are rejected, so that the runs that make them fail, for a short wait.
+  it("queues a request that is late when it arrives while the wait is a small part of the time it has left", async () => {
+    const clock = { now: 0 };
+    const gate = createGate(clock);
+    await warmUp(gate, clock);
+    const deadline = clock.now + 900;
+    const late = { targetAt: clock.now + 50, deadline };
+    await gate.enter(createRequest(late));
+    gate.enter(createRequest({ ...late, signal: new AbortController().signal }));
+    let isRejected = false;
+    gate.enter(createRequest({ ...late, signal: new AbortController().signal }))
+      .then(({ isErr }) => isRejected = isErr);
+    await sleep(0);
+    expect([isRejected, gate.waiting]).to.deep.equal([false, 2]);
+    const rejected = await gate.enter(createRequest({ ...late, deadline: clock.now + 400 }));
+    expect(rejected.isErr).to.equal(true);
+    gate.close();
+  });
+
   it("rejects a request at once when it would miss its deadline, with a time to retry after", async () => {
     const clock = { now: 0 };
     const gate = createGate(clock);
