Let urgent work pass other work only for a bounded time

Found on reading the change: with strict priorities, requests of callers that the load shedder had accepted would have waited until their deadlines where more urgent work takes all processor time, instead of being rejected at once or served. Urgent work now passes other work that came up to 25 ms before it for each rank between them, at most 200 ms. The new test failed before: work that had waited for 400 ms came after urgent work that had just arrived.

--- a/packages/http_server/src/event_loop.ts
+++ b/packages/http_server/src/event_loop.ts
@@ -7,13 +7,17 @@
  * accept, the loop takes turns: in one it only accepts connections, in the next it works as well.
  *
  * While work waits, the most urgent goes first: a late response to a call that a backend server waits for fails all the
- * work that it has done until then.
+ * work that it has done until then. Urgent work passes other work only for some time, so that none waits for ever.
  */
 import process from "node:process";
 import type { Clock } from "@bulrushwood/types";
 
 /** Time for which work waits while connections are accepted, and then for which it goes on, in milliseconds. */
 const TURN_MS = 20;
+/** Time by which work may pass work of the next rank that came before it, in milliseconds. */
+const PASS_MS_PER_RANK = 25;
+/** Longest time by which work may pass other work, in milliseconds; most requests have a target of some hundred. */
+const PASS_MS_MAX = 200;
 /** Time of work in one round after which the rest waits for the next round, in milliseconds. */
 const SLICE_MS = 5;
 
@@ -26,8 +30,8 @@
 /** A piece of work that waits. */
 interface Waiting {
   joinedAt: number;
-  /** Work with a lower rank is more urgent. */
-  rank: number;
+  /** Position in the order of work: the time of its arrival, later by what more urgent work may pass it by. */
+  position: number;
   release: () => void;
 }
 
@@ -44,7 +48,7 @@
   #joined: Waiting[] = [];
   /** Work that came before the last poll and after the one before it. */
   #polled: Waiting[] = [];
-  /** Work that may go on, the most urgent first, and in order of its arrival. */
+  /** Work that may go on, in order of its position. */
   readonly #due: Waiting[] = [];
   #isScheduled = false;
   /** Whether a connection was accepted in this round. */
@@ -64,12 +68,14 @@
 
   /**
    * Resolves when the caller may work: after the event loop has polled all connections again, so that the end of a
-   * caller's connection or a cancellation that arrived up to then was handled. Work with a lower rank goes first.
+   * caller's connection or a cancellation that arrived up to then was handled. Work with a lower rank goes first, unless
+   * other work came long before it.
    */
   nextPoll(rank = 0): Promise<void> {
     this.#schedule();
     const joinedAt = this.#options.now();
-    return new Promise((release) => this.#joined.push({ joinedAt, rank, release }));
+    const position = joinedAt + Math.min(PASS_MS_MAX, rank * PASS_MS_PER_RANK);
+    return new Promise((release) => this.#joined.push({ joinedAt, position, release }));
   }
 
   #schedule(): void {
@@ -98,7 +104,7 @@
   }
 
   #addDue(waiting: Waiting): void {
-    const index = this.#due.findLastIndex(({ rank }) => rank <= waiting.rank);
+    const index = this.#due.findLastIndex(({ position }) => position <= waiting.position);
     this.#due.splice(index + 1, 0, waiting);
   }
 
--- a/packages/http_server/src/event_loop_test.ts
+++ b/packages/http_server/src/event_loop_test.ts
@@ -85,6 +85,21 @@
     expect(released.join("")).to.equal("bdeac");
   });
 
+  // Guards against less urgent work that waits until its caller leaves while urgent work takes all the time.
+  it("releases less urgent work that has waited long before urgent work that has just arrived", async () => {
+    const loop = new EventLoop({ now });
+    const released: string[] = [];
+    const wait = async (name: string, rank: number) => {
+      await loop.nextPoll(rank);
+      released.push(name);
+      blockEventLoop(4);
+    };
+    const other = wait("other", 5);
+    blockEventLoop(400);
+    await Promise.all([other, wait("urgent", 0)]);
+    expect(released).to.deep.equal(["other", "urgent"]);
+  });
+
   it("reports how long the oldest work has waited while more urgent work goes first", async () => {
     const oldest: number[] = [];
     const loop = new EventLoop({ now, onRelease: (_ms, oldestMs) => oldest.push(oldestMs) });
