Set up receivers and their order in one place each

Found on reading the change once more: the first assignment repeated how spread makes receivers of candidates, and the order by utilisation stood in two forms; so did the order of heartbeat peers by rank.

--- a/packages/membership_beats/src/heartbeat_peers.ts
+++ b/packages/membership_beats/src/heartbeat_peers.ts
@@ -52,8 +52,8 @@
   }
   const responsive = members.filter(({ address }) => !isUnresponsive(address));
   const peers = new Map<Address, HeartbeatPeerRole>();
-  const ranked = responsive.map(({ address }) => address)
-    .sort((one, other) => rank(one) - rank(other));
+  const byRank = (one: Address, other: Address) => rank(one) - rank(other);
+  const ranked = responsive.map(({ address }) => address).sort(byRank);
   if (!unkeyedServices.has(service)) {
     ranked.slice(0, VOTER_COUNT)
       .forEach((address) => peers.set(address, HeartbeatPeerRole.Voter));
@@ -63,7 +63,7 @@
   for (const unkeyed of unkeyedServices) {
     const count = unkeyed === service ? OWN_HUB_COUNT : OTHER_HUB_COUNT;
     hubsOf(responsive, unkeyed)
-      .sort((one, other) => rank(one) - rank(other))
+      .sort(byRank)
       .slice(0, count)
       .forEach((address) => peers.set(address, HeartbeatPeerRole.Source));
   }
--- a/packages/planner_ranges/src/spread.ts
+++ b/packages/planner_ranges/src/spread.ts
@@ -54,12 +54,7 @@
 ): Assignment[] {
   const { ownerOf = () => null } = options;
   const weighted = withAssumedLoad(pieces);
-  const capacity = capacities(candidates);
-  const receivers = candidates.map(({ address, rate }) => ({
-    address,
-    capacity: capacity.get(address) ?? 1,
-    load: rate,
-  }));
+  const receivers = toReceivers(candidates, ({ rate }) => rate);
   const level = commonUtilisation(receivers, weighted.reduce((sum, { rate }) => sum + rate, 0));
   const roomOf = ({ capacity: total, load }: Receiver) => level * total - load;
   let previous: Piece | undefined;
@@ -88,6 +83,19 @@
   return joinNeighbours(assignments);
 }
 
+/** Returns the candidates as receivers with an initial load, in requests a second. */
+function toReceivers(
+  candidates: Candidate[],
+  loadOf: (candidate: Candidate) => number,
+): Receiver[] {
+  const capacity = capacities(candidates);
+  return candidates.map((candidate) => ({
+    address: candidate.address,
+    capacity: capacity.get(candidate.address) ?? 1,
+    load: loadOf(candidate),
+  }));
+}
+
 /** Adds to the load of each piece its share of the assumed load, so that keys without requests are spread as well. */
 function withAssumedLoad(pieces: Piece[]): Piece[] {
   const total = countKeys(pieces);
@@ -100,9 +108,7 @@
 /** Returns the utilisation that receivers reach once they share a load; one that is busier already gets none of it. */
 function commonUtilisation(receivers: Receiver[], rate: number): number {
   let [load, capacity] = [rate, 0];
-  for (
-    const receiver of receivers.toSorted((one, other) => utilisation(one) - utilisation(other))
-  ) {
+  for (const receiver of byUtilisation(receivers)) {
     if (capacity > 0 && utilisation(receiver) >= load / capacity) {
       break;
     }
@@ -116,6 +122,11 @@
   return load / capacity;
 }
 
+/** Returns receivers with the least busy first, and equally busy ones in their order. */
+function byUtilisation(receivers: Receiver[]): Receiver[] {
+  return receivers.toSorted((one, other) => utilisation(one) - utilisation(other));
+}
+
 /** Chooses owners for spans whose load is unknown. */
 export function spreadEvenly(spans: KeySpan[], candidates: Candidate[]): Assignment[] {
   const count = Math.max(1, candidates.length * PIECES_PER_CANDIDATE);
@@ -127,19 +138,10 @@
  * servers, in proportion to their capacity.
  */
 export function interleave(spans: KeySpan[], candidates: Candidate[]): Assignment[] {
-  const capacity = capacities(candidates);
-  const receivers = candidates.map(({ address }) => ({
-    address,
-    capacity: capacity.get(address) ?? 1,
-    load: 0,
-  }));
+  const receivers = toReceivers(candidates, () => 0);
   const pieces = cutEvenly(spans, Math.max(1, candidates.length * FIRST_PIECES_PER_CANDIDATE));
   const assignments = pieces.map(({ first, last, rate }) => {
-    const receiver = receivers.reduce<Receiver | undefined>(
-      (least, other) =>
-        least === undefined || utilisation(other) < utilisation(least) ? other : least,
-      undefined,
-    );
+    const receiver = byUtilisation(receivers).at(0);
     if (receiver !== undefined) {
       receiver.load += rate;
     }
--- a/packages/routing/src/two_choices.ts
+++ b/packages/routing/src/two_choices.ts
@@ -107,6 +107,7 @@
     return hasSlots ? first.server : undefined;
   }
 
+  /** Chooses by the expected response times alone. */
   #chooseAnew(pool: Address[]): Address[] {
     if (pool.length < 2) {
       return pool;
