Run the tests in two processes at the same time

Most tests wait for time to pass, so two processes take little more processor time at once. No test, bound or time limit changes; a process that ends without results counts as a failure.

--- a/scripts/test.ts
+++ b/scripts/test.ts
@@ -1,20 +1,31 @@
 /**
- * Runs the tests. Failures listed in `KNOWN-RED.txt` are printed and do not fail the run; any other failure does. A
- * listed test that passes is printed too. Arguments are parts of the names of the files to run; `--grep=PATTERN`
- * runs only the tests whose titles match.
+ * Runs the tests, in two processes at the same time, since most tests wait for time to pass. Failures listed in
+ * `KNOWN-RED.txt` are printed and do not fail the run; any other failure does. A listed test that passes is printed too.
+ * Arguments are parts of the names of the files to run; `--grep=PATTERN` runs only the tests whose titles match.
  */
-import { existsSync, readdirSync, readFileSync } from "node:fs";
+import { fork } from "node:child_process";
+import { existsSync, readdirSync, readFileSync, statSync } from "node:fs";
+import type { Buffer } from "node:buffer";
 import process from "node:process";
 import Mocha from "mocha";
 
 const KNOWN_RED = "KNOWN-RED.txt";
 const GREP_OPTION = "--grep=";
+/** Runs the files that follow in this process. */
+const FILES_OPTION = "--files";
 const TEST_TIMEOUT_MS = 120_000;
+const PROCESSES = 2;
 
 /** Failed test with its full title. */
 interface Failure {
   title: string;
-  error: Error;
+  message: string;
+}
+
+/** Full titles of the tests that passed, and the failures. */
+interface Results {
+  passed: string[];
+  failures: Failure[];
 }
 
 function findTestFiles(nameParts: string[]): string[] {
@@ -38,31 +49,86 @@
   return new Set(entries.map((line) => line.slice("test: ".length).trim()));
 }
 
-function runMocha(mocha: Mocha): Promise<{ passed: string[]; failures: Failure[] }> {
+function runMocha(mocha: Mocha): Promise<Results> {
   const passed: string[] = [];
   const failures: Failure[] = [];
   return new Promise((resolve) => {
     const runner = mocha.run(() => resolve({ passed, failures }));
     runner.on("pass", (test) => passed.push(test.fullTitle()));
-    runner.on("fail", (test, error) => failures.push({ title: test.fullTitle(), error }));
+    runner.on("fail", (test, { message }) => failures.push({ title: test.fullTitle(), message }));
   });
 }
 
-async function main(): Promise<void> {
+/** Runs test files in this process and sends the results to the parent process. */
+async function runFiles(files: string[], pattern: string | undefined): Promise<void> {
   const mocha = new Mocha({ timeout: TEST_TIMEOUT_MS, reporter: "spec" });
+  if (pattern !== undefined) {
+    mocha.grep(new RegExp(pattern));
+  }
+  files.forEach((file) => mocha.addFile(file));
+  await mocha.loadFilesAsync();
+  const results = await runMocha(mocha);
+  process.send?.(results, () => process.exit());
+}
+
+/** Splits files into groups of about the same size in bytes. */
+function splitFiles(files: string[]): string[][] {
+  const sizes = new Map(files.map((file) => [file, statSync(file).size]));
+  const groups = Array.from({ length: PROCESSES }, () => ({ files: new Array<string>(), size: 0 }));
+  for (const [file, size] of [...sizes].sort(([, one], [, other]) => other - one)) {
+    const smallest = groups.reduce((least, group) => group.size < least.size ? group : least);
+    smallest.files.push(file);
+    smallest.size += size;
+  }
+  return groups.map((group) => group.files.sort()).filter((group) => group.length > 0);
+}
+
+/** Runs test files in a process of their own, whose output is printed once `previous` has ended. */
+async function runProcess(
+  files: string[],
+  options: { pattern: string | undefined; previous: Promise<unknown> },
+): Promise<Results> {
+  const { pattern, previous } = options;
+  const args = [FILES_OPTION, ...files, ...(pattern === undefined ? [] : [GREP_OPTION + pattern])];
+  const child = fork(process.argv[1], args, { stdio: ["ignore", "pipe", "pipe", "ipc"] });
+  let results: Results | undefined;
+  child.on("message", (message) => results = message as Results);
+  const exited = new Promise<number | null>((resolve) => child.once("exit", resolve));
+  const output: Buffer[] = [];
+  let print = (chunk: Buffer) => void output.push(chunk);
+  child.stdout?.on("data", (chunk) => print(chunk));
+  child.stderr?.on("data", (chunk) => print(chunk));
+  await previous;
+  print = (chunk) => void process.stdout.write(chunk);
+  output.forEach(print);
+  const code = await exited;
+  const message = `The process of the tests ended with code ${code}`;
+  return results ?? { passed: [], failures: [{ title: files.join(" "), message }] };
+}
+
+async function main(): Promise<void> {
   const args = process.argv.slice(2);
   const grep = args.find((arg) => arg.startsWith(GREP_OPTION));
-  if (grep !== undefined) {
-    mocha.grep(new RegExp(grep.slice(GREP_OPTION.length)));
+  const pattern = grep?.slice(GREP_OPTION.length);
+  const names = args.filter((arg) => arg !== grep);
+  if (names[0] === FILES_OPTION) {
+    await runFiles(names.slice(1), pattern);
+    return;
   }
-  findTestFiles(args.filter((arg) => arg !== grep)).forEach((file) => mocha.addFile(file));
-  await mocha.loadFilesAsync();
-  const { passed, failures } = await runMocha(mocha);
+  let previous: Promise<unknown> = Promise.resolve();
+  const running = splitFiles(findTestFiles(names)).map((files) => {
+    const results = runProcess(files, { pattern, previous });
+    previous = results;
+    return results;
+  });
+  const results = await Promise.all(running);
+  const passed = results.flatMap((result) => result.passed);
+  const failures = results.flatMap((result) => result.failures);
   const known = readKnownRed();
   const knownFailures = failures.filter((failure) => known.has(failure.title));
   const newFailures = failures.filter((failure) => !known.has(failure.title));
-  for (const failure of knownFailures) {
-    process.stdout.write(`known red: ${failure.title}: ${failure.error.message}\n`);
+  for (const { title, message } of knownFailures) {
+    process.stdout.write(`known red: ${title}: ${message}\n`);
   }
   const passing = passed.filter((title) => known.has(title));
   for (const title of passing) {
