Run fewer requests of a class at once while they fail late

Cause: a server began whatever fitted into its slots, however many of the class had just failed. Now each class has a limit on its share of the slots, which falls with each failure that takes longer than successes do and rises with successes. Failures that come early, and those of grants that ended, do not count.

--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -7,6 +7,7 @@
   type AdmissionError,
   AdmissionErrorKind,
   Gate,
+  type GateSlot,
   TimelyLimit,
   WorkTail,
 } from "@bulrushwood/admission";
@@ -190,14 +191,15 @@
     if (admitted.isErr) {
       return signal.aborted ? cancel(RequestStage.Slot) : toRejection(admitted.error);
     }
+    const slot = admitted.value;
     try {
-      const response = await this.#run(head, body, { deadline, keyUntil, signal, memory });
+      const response = await this.#run(head, body, { deadline, keyUntil, signal, memory, slot });
       if (signal.aborted) {
         cancel(RequestStage.Server);
       }
       return response;
     } finally {
-      admitted.value.release();
+      slot.release();
     }
   }
 
@@ -254,10 +256,10 @@
   async #run(
     head: RequestHead,
     body: Buffer | undefined,
-    options: ServeOptions & { deadline: number; keyUntil: number },
+    options: ServeOptions & { deadline: number; keyUntil: number; slot: GateSlot },
   ): Promise<RoutedResponse> {
     const { client, watch, grantManager, ends, wire, log, onResult, onOutlasted } = this.#options;
-    const { deadline, signal, memory } = options;
+    const { deadline, signal, memory, slot } = options;
     if (head.shard >= 0 && !await this.#awaitKey(head, { until: options.keyUntil, signal })) {
       return notRun(Reason.NotHolder, "The key changed its owner meanwhile", MOVE_RETRY_AFTER_MS);
     }
@@ -296,6 +298,9 @@
       onOutlasted(head);
     }
     this.#recordTimeliness(result, { server: incarnationName(report), startedAt, deadline });
+    if (result.outcome === ServerOutcome.Responded && !hasOutlasted) {
+      slot.recordResponse(result.status >= SERVER_FAILURE);
+    }
     if (head.shard >= 0 && result.outcome === ServerOutcome.Responded) {
       this.#workTail.record((hasOutlasted ? deadline : now()) - startedAt);
     }
