Spread the return of callers whose requests are held back

An ingress that holds requests back from an overloaded daemon told all of their callers to come back when it sends that daemon requests again, so they came back at the same moment (a spread of 0.1 ms in the new test, seen to fail before) and most were rejected once more.

Now the callers return within 300 ms after that. The earlier test allowed at most the time that the daemon had named; it now demands exactly this time where the daemon itself rejects, and the hold and the spread where the ingress does.

--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -47,6 +47,8 @@
 const OWNER_RETRY_AFTER_MS = 300;
 /** Shortest retry-after time for callers whose requests are held back, in milliseconds. */
 const BACKOFF_RETRY_AFTER_MIN_MS = 60;
+/** Time over which the return of callers whose requests are held back is spread, in milliseconds. */
+const BACKOFF_RETRY_SPREAD_MS = 300;
 /** Share of the route's target that must be left before the deadline for a request to be resent. */
 const RESEND_SHARE = 0.4;
 /** Extra time for a response that is sent at the deadline, in milliseconds. */
@@ -374,7 +376,9 @@
 }
 
 function overloaded(detail: string, backoffMs: number): RoutedResponse {
-  return notRun(Reason.Overloaded, detail, Math.max(BACKOFF_RETRY_AFTER_MIN_MS, backoffMs));
+  const spreadMs = BACKOFF_RETRY_SPREAD_MS * Math.random();
+  const retryAfterMs = Math.max(BACKOFF_RETRY_AFTER_MIN_MS, backoffMs) + spreadMs;
+  return notRun(Reason.Overloaded, detail, retryAfterMs);
 }
 
 /** Returns the head of a request with the time that is left for it now. */
--- a/packages/router/src/dispatcher_test.ts
+++ b/packages/router/src/dispatcher_test.ts
@@ -245,13 +245,28 @@
         responses.push((await dispatcher.dispatch(createRequest({ shard }))).head);
       }
       expect(heads).to.have.length(4);
-      for (const { outcome, reason, retryAfterMs } of responses) {
+      for (const { outcome, reason } of responses) {
         expect({ outcome, reason }).to.deep.equal({
           outcome: Outcome.NotRun,
           reason: Reason.Overloaded,
         });
-        expect(retryAfterMs).to.be.within(60, 500);
       }
+      const retryAfterMs = responses.map((head) => head.retryAfterMs);
+      expect(retryAfterMs.slice(0, 4)).to.deep.equal([500, 500, 500, 500]);
+      retryAfterMs.slice(4).forEach((ms) => expect(ms).to.be.within(400, 800));
     });
   }
+
+  // Guards against callers that come back all together when a daemon gets requests again, most to be rejected again.
+  it("spreads the return of the callers whose requests are held back", async () => {
+    const response = notRun(Reason.Overloaded, "full", 500);
+    const { dispatcher } = createPeerDispatcher({ response });
+    const returns: number[] = [];
+    for (let index = 0; index < 44; index++) {
+      const { head } = await dispatcher.dispatch(createRequest({ shard: 7 }));
+      returns.push(performance.now() + (head.retryAfterMs ?? 0));
+    }
+    const held = returns.slice(4);
+    expect(Math.max(...held) - Math.min(...held)).to.be.above(200);
+  });
 });
