End the limit on failing requests soon after its cause

Not seen by callers; found when the limit was read once more.

The limit now rises with the square of the successes in a row, falls by a third instead of a quarter with each failure, so that it bounds lasting failures as before, and keeps an eighth of the slots.

--- a/packages/admission/src/failure_limit.ts
+++ b/packages/admission/src/failure_limit.ts
@@ -11,13 +11,13 @@
 /** Weight of the newest success in the moving mean of the time that successes take. */
 const MEAN_WEIGHT = 0.1;
 /** Factor by which a failure changes the share of the slots. */
-const DECREASE = 0.75;
-/** Factor by which a success changes the share of the slots, less one, for each success since the last failure. */
-const INCREASE = 0.005;
-/** Largest number of successes in a row that make the share grow faster. */
-const STREAK_MAX = 10;
+const DECREASE = 0.65;
+/** Factor by which the first success after a failure changes the share of the slots, less one. */
+const INCREASE = 0.001;
+/** The same after many successes in a row: it grows with their square, so that a limit ends soon after its cause. */
+const INCREASE_MAX = 0.2;
 /** Least share of the slots. */
-const SHARE_MIN = 0.05;
+const SHARE_MIN = 0.125;
 /** Requests at once that show whether they still fail. */
 const PROBES = 1;
 
@@ -50,8 +50,8 @@
       ? this.#successMs + MEAN_WEIGHT * (ms - this.#successMs)
       : ms;
     this.#streak++;
-    this.#share *= 1 + INCREASE * Math.min(STREAK_MAX, this.#streak);
-    this.#share = Math.min(1, this.#share);
+    const increase = Math.min(INCREASE_MAX, INCREASE * this.#streak * this.#streak);
+    this.#share = Math.min(1, this.#share * (1 + increase));
   }
 
   #recordFailure(ms: number): void {
