Run test files one by one in two processes

Each file now has a process of its own, two at a time, the largest first, and its output is printed when it ends.

--- a/scripts/test.ts
+++ b/scripts/test.ts
@@ -1,18 +1,18 @@
 /**
- * Runs the tests, in two processes at the same time, since most tests wait for time to pass. Failures listed in
+ * Runs the tests, two files at a time, since most tests wait for time to pass. Failures listed in
  * `KNOWN-RED.txt` are printed and do not fail the run; any other failure does. A listed test that passes is printed too.
  * Arguments are parts of the names of the files to run; `--grep=PATTERN` runs only the tests whose titles match.
  */
 import { fork } from "node:child_process";
 import { existsSync, readdirSync, readFileSync, statSync } from "node:fs";
-import type { Buffer } from "node:buffer";
+import { Buffer } from "node:buffer";
 import process from "node:process";
 import Mocha from "mocha";
 
 const KNOWN_RED = "KNOWN-RED.txt";
 const GREP_OPTION = "--grep=";
-/** Runs the files that follow in this process. */
-const FILES_OPTION = "--files";
+/** Runs one file in this process. */
+const FILE_OPTION = "--file=";
 const TEST_TIMEOUT_MS = 120_000;
 const PROCESSES = 2;
 
@@ -59,71 +59,61 @@
   });
 }
 
-/** Runs test files in this process and sends the results to the parent process. */
-async function runFiles(files: string[], pattern: string | undefined): Promise<void> {
+/** Runs a test file in this process and sends the results to the parent process. */
+async function runFile(file: string, pattern: string | undefined): Promise<void> {
   const mocha = new Mocha({ timeout: TEST_TIMEOUT_MS, reporter: "spec" });
   if (pattern !== undefined) {
     mocha.grep(new RegExp(pattern));
   }
-  files.forEach((file) => mocha.addFile(file));
+  mocha.addFile(file);
   await mocha.loadFilesAsync();
   const results = await runMocha(mocha);
   process.send?.(results, () => process.exit());
 }
 
-/** Splits files into groups of about the same size in bytes. */
-function splitFiles(files: string[]): string[][] {
-  const sizes = new Map(files.map((file) => [file, statSync(file).size]));
-  const groups = Array.from({ length: PROCESSES }, () => ({ files: new Array<string>(), size: 0 }));
-  for (const [file, size] of [...sizes].sort(([, one], [, other]) => other - one)) {
-    const smallest = groups.reduce((least, group) => group.size < least.size ? group : least);
-    smallest.files.push(file);
-    smallest.size += size;
-  }
-  return groups.map((group) => group.files.sort()).filter((group) => group.length > 0);
-}
-
-/** Runs test files in a process of their own, whose output is printed once `previous` has ended. */
-async function runProcess(
-  files: string[],
-  options: { pattern: string | undefined; previous: Promise<unknown> },
-): Promise<Results> {
-  const { pattern, previous } = options;
-  const args = [FILES_OPTION, ...files, ...(pattern === undefined ? [] : [GREP_OPTION + pattern])];
+/** Runs a test file in a process of its own, and prints its output at the end. */
+async function runProcess(file: string, pattern: string | undefined): Promise<Results> {
+  const args = [FILE_OPTION + file, ...(pattern === undefined ? [] : [GREP_OPTION + pattern])];
   const child = fork(process.argv[1], args, { stdio: ["ignore", "pipe", "pipe", "ipc"] });
+  const output: Buffer[] = [];
+  child.stdout?.on("data", (chunk) => output.push(chunk));
+  child.stderr?.on("data", (chunk) => output.push(chunk));
   let results: Results | undefined;
   child.on("message", (message) => results = message as Results);
-  const exited = new Promise<number | null>((resolve) => child.once("exit", resolve));
-  const output: Buffer[] = [];
-  let print = (chunk: Buffer) => void output.push(chunk);
-  child.stdout?.on("data", (chunk) => print(chunk));
-  child.stderr?.on("data", (chunk) => print(chunk));
-  await previous;
-  print = (chunk) => void process.stdout.write(chunk);
-  output.forEach(print);
-  const code = await exited;
+  const code = await new Promise<number | null>((resolve) => child.once("close", resolve));
+  process.stdout.write(Buffer.concat(output));
   const message = `The process of the tests ended with code ${code}`;
-  return results ?? { passed: [], failures: [{ title: files.join(" "), message }] };
+  return results ?? { passed: [], failures: [{ title: file, message }] };
+}
+
+/** Runs test files, the largest first, since these mostly take the longest. */
+async function runAll(files: string[], pattern: string | undefined): Promise<Results> {
+  const sizes = new Map(files.map((file) => [file, statSync(file).size]));
+  const waiting = [...sizes].sort(([, one], [, other]) => other - one).map(([file]) => file);
+  const results: Results = { passed: [], failures: [] };
+  const runWaiting = async () => {
+    for (let file = waiting.shift(); file !== undefined; file = waiting.shift()) {
+      const { passed, failures } = await runProcess(file, pattern);
+      results.passed.push(...passed);
+      results.failures.push(...failures);
+    }
+  };
+  await Promise.all(Array.from({ length: PROCESSES }, runWaiting));
+  return results;
 }
 
 async function main(): Promise<void> {
   const args = process.argv.slice(2);
-  const grep = args.find((arg) => arg.startsWith(GREP_OPTION));
-  const pattern = grep?.slice(GREP_OPTION.length);
-  const names = args.filter((arg) => arg !== grep);
-  if (names[0] === FILES_OPTION) {
-    await runFiles(names.slice(1), pattern);
+  const valueOf = (option: string) =>
+    args.find((arg) => arg.startsWith(option))?.slice(option.length);
+  const pattern = valueOf(GREP_OPTION);
+  const file = valueOf(FILE_OPTION);
+  if (file !== undefined) {
+    await runFile(file, pattern);
     return;
   }
-  let previous: Promise<unknown> = Promise.resolve();
-  const running = splitFiles(findTestFiles(names)).map((files) => {
-    const results = runProcess(files, { pattern, previous });
-    previous = results;
-    return results;
-  });
-  const results = await Promise.all(running);
-  const passed = results.flatMap((result) => result.passed);
-  const failures = results.flatMap((result) => result.failures);
+  const nameParts = args.filter((arg) => !arg.startsWith(GREP_OPTION));
+  const { passed, failures } = await runAll(findTestFiles(nameParts), pattern);
   const known = readKnownRed();
   const knownFailures = failures.filter((failure) => known.has(failure.title));
   const newFailures = failures.filter((failure) => !known.has(failure.title));
