Take out the limit on requests that fail late

Cause: while a quarter of the runs fail, three quarters succeed. The limit took away more of the latter than of the former, since the calls are late for lack of processor time rather than of slots.

--- a/packages/admission/src/gate.ts
+++ b/packages/admission/src/gate.ts
@@ -3,20 +3,18 @@
  * not run in time. Under overload, more urgent work goes first, and the queue is kept short enough for queued
  * requests to meet their targets: retrying after an early rejection is better for a caller than a wait that
  * ends without a response. Requests that can no longer meet their target are queued while their wait is short.
- * A server that accepts only some requests a second gets no more than those, also while it has free slots. Requests of a
- * class that mostly fail after a long time get fewer slots, see `FailureLimit`.
+ * A server that accepts only some requests a second gets no more than those, also while it has free slots.
  */
 import { Result } from "true-myth";
 import type { Clock } from "@bulrushwood/types";
 import type { Slot } from "./admission.ts";
 import { AdmissionError, AdmissionErrorKind } from "./errors.ts";
-import { FailureLimit, type RequestEnd } from "./failure_limit.ts";
 import { RecentStarts } from "./recent_starts.ts";
 import { StartRate } from "./start_rate.ts";
 
 /** Weight of the newest service time in the moving means. */
 const SERVICE_WEIGHT = 0.08;
-/** Largest number of classes whose service time and failures are tracked; the class added first is dropped first. */
+/** Largest number of classes whose service time is tracked; the class added first is dropped first. */
 const TRACKED_CLASSES_MAX = 500;
 /** Expected mean age of running requests, as a share of their service time; more shows a slow server. */
 const MEAN_AGE_SHARE = 0.8;
@@ -61,12 +59,6 @@
   signal: AbortSignal;
 }
 
-/** A slot of the backend server for a request of a class whose failures count. */
-export interface GateSlot extends Slot {
-  /** Records that the backend server has responded, and whether the response reports a failure. */
-  recordResponse: (hasFailed: boolean) => void;
-}
-
 /** Options of `Gate`. */
 export interface GateOptions {
   now: Clock;
@@ -87,7 +79,7 @@
 interface QueuedRequest {
   request: GateRequest;
   since: number;
-  settle: (result: Result<GateSlot, AdmissionError>) => void;
+  settle: (result: Result<Slot, AdmissionError>) => void;
 }
 
 /** Admission control of one backend server, with one queue for all classes. */
@@ -95,15 +87,11 @@
   readonly #options: GateOptions;
   #queue: QueuedRequest[] = [];
   readonly #runs = new Set<Run>();
-  /** Number of running requests of each class that has some. */
-  readonly #runningByClass = new Map<string, number>();
   readonly #startRate: StartRate;
   /** Recent starts with their expected service times, in milliseconds. */
   readonly #recentWork: RecentStarts;
   /** Mean service time of each class of work, in milliseconds. */
   readonly #serviceMsOf = new Map<string, number>();
-  /** Limit on the requests of each class of work that has had a response. */
-  readonly #failureLimitOf = new Map<string, FailureLimit>();
   #serviceMs = 0;
   /** Last slowdown, and when it was determined; in the past once a request has started or ended since. */
   #slowdown = { factor: 1, at: Number.NEGATIVE_INFINITY };
@@ -172,13 +160,12 @@
   }
 
   /** Waits for a slot; rejects a request at once when it is not expected to be served in time. */
-  enter(request: GateRequest): Promise<Result<GateSlot, AdmissionError>> {
+  enter(request: GateRequest): Promise<Result<Slot, AdmissionError>> {
     const { now, limit } = this.#options;
     if (request.signal.aborted) {
       return Promise.resolve(cancelled());
     }
-    const mayStart = this.running < limit() && this.#startRate.nextMs === 0 &&
-      this.#hasRoomFor(request);
+    const mayStart = this.running < limit() && this.#startRate.nextMs === 0;
     if (mayStart && this.#queue.length === 0) {
       return Promise.resolve(Result.ok(this.#takeSlot(request, now())));
     }
@@ -208,39 +195,13 @@
     return respondedAt <= request.deadline && !(isLate && waitMs > lateWaitMsMax);
   }
 
-  /** Whether the limit on the requests of its class lets a request start. */
-  #hasRoomFor({ workClass }: GateRequest): boolean {
-    return this.#runningOf(workClass) < this.#limitOf(workClass);
-  }
-
-  /** Number of running requests of a class. */
-  #runningOf(workClass: string): number {
-    return this.#runningByClass.get(workClass) ?? 0;
-  }
-
-  /** Number of requests of a class that the backend server may run at once. */
-  #limitOf(workClass: string): number {
-    const slots = this.#options.limit();
-    return this.#failureLimitOf.get(workClass)?.limit(slots) ?? slots;
-  }
-
   /** Expected time until a new request starts, in milliseconds. */
   #expectedWaitMs(request: GateRequest): number {
     const at = this.#options.now();
     const ahead = this.#queue.filter((queued) => this.#precedes(queued.request, request, at));
     const waitMs = this.#waitBehindMs(ahead, this.#rankOf(request, at));
     // A request that becomes too late for its target while it waits has the rank of late requests from then on.
-    const lateWaitMs = this.#waitBehindMs(ahead, this.#rankOf(request, at + waitMs));
-    return Math.max(waitMs, lateWaitMs, this.#classWaitMs(request, ahead));
-  }
-
-  /** Expected time until the limit on its class lets a request behind queued ones start, in milliseconds. */
-  #classWaitMs({ workClass }: GateRequest, ahead: QueuedRequest[]): number {
-    const limit = Math.max(1, this.#limitOf(workClass));
-    const aheadOfClass = ahead.filter(({ request }) => request.workClass === workClass).length;
-    return this.#runningOf(workClass) + aheadOfClass < limit
-      ? 0
-      : (aheadOfClass + 1) * this.#serviceMsFor(workClass) / limit;
+    return Math.max(waitMs, this.#waitBehindMs(ahead, this.#rankOf(request, at + waitMs)));
   }
 
   /**
@@ -274,7 +235,7 @@
     return ranks[0] === ranks[1] ? one.targetAt <= other.targetAt : ranks[0] < ranks[1];
   }
 
-  #reject(waitMs: number): Result<GateSlot, AdmissionError> {
+  #reject(waitMs: number): Result<Slot, AdmissionError> {
     // Spreads the retries of rejected callers over time.
     const spreadMs = waitMs * this.#options.random();
     const retryAfterMs = Math.max(RETRY_AFTER_MIN_MS, waitMs / 2 + spreadMs);
@@ -284,14 +245,14 @@
     );
   }
 
-  #enqueue(request: GateRequest): Promise<Result<GateSlot, AdmissionError>> {
+  #enqueue(request: GateRequest): Promise<Result<Slot, AdmissionError>> {
     const { now } = this.#options;
     return new Promise((resolve) => {
       const cancel = () => {
         this.#remove(queued);
         queued.settle(cancelled());
       };
-      const settle = (result: Result<GateSlot, AdmissionError>) => {
+      const settle = (result: Result<Slot, AdmissionError>) => {
         request.signal.removeEventListener("abort", cancel);
         resolve(result);
       };
@@ -327,8 +288,7 @@
     );
     const ahead: QueuedRequest[] = [];
     for (const { queued, rank } of ranked) {
-      const classWaitMs = this.#classWaitMs(queued.request, ahead);
-      const waitMs = Math.max(classWaitMs, this.#waitBehindMs(ahead, rank));
+      const waitMs = this.#waitBehindMs(ahead, rank);
       const { deadline, workClass } = queued.request;
       if (at + waitMs + this.#serviceMsFor(workClass) * MIN_SERVICE_SHARE <= deadline) {
         ahead.push(queued);
@@ -339,7 +299,7 @@
     }
   }
 
-  #takeSlot(request: GateRequest, since: number): GateSlot {
+  #takeSlot(request: GateRequest, since: number): Slot {
     const { now } = this.#options;
     const { workClass } = request;
     const startedAt = now();
@@ -348,43 +308,25 @@
     this.#startRate.recordStart(rank);
     const run = { workClass, startedAt };
     this.#runs.add(run);
-    this.#runningByClass.set(workClass, this.#runningOf(workClass) + 1);
     this.#slowdown.at = Number.NEGATIVE_INFINITY;
     const release = () => {
       if (!this.#runs.delete(run)) {
         return;
       }
-      this.#recordLeft(workClass);
       this.#recordServiceTime(workClass, now() - startedAt);
       this.#dispatch();
     };
-    const recordResponse = (hasFailed: boolean) =>
-      this.#recordEnd(workClass, { ms: now() - startedAt, hasFailed });
-    return { waitedMs: startedAt - since, recordResponse, release };
-  }
-
-  /** Counts a request of a class that no longer runs. */
-  #recordLeft(workClass: string): void {
-    const running = this.#runningOf(workClass) - 1;
-    if (running > 0) {
-      this.#runningByClass.set(workClass, running);
-    } else {
-      this.#runningByClass.delete(workClass);
-    }
+    return { waitedMs: startedAt - since, release };
   }
 
   #recordServiceTime(workClass: string, ms: number): void {
     this.#slowdown.at = Number.NEGATIVE_INFINITY;
     this.#serviceMs = movingMean(this.#serviceMs, ms);
     this.#serviceMsOf.set(workClass, movingMean(this.#serviceMsOf.get(workClass) ?? 0, ms));
-    dropOldest(this.#serviceMsOf);
-  }
-
-  #recordEnd(workClass: string, end: RequestEnd): void {
-    const limit = this.#failureLimitOf.get(workClass) ?? new FailureLimit();
-    limit.record(end);
-    this.#failureLimitOf.set(workClass, limit);
-    dropOldest(this.#failureLimitOf);
+    if (this.#serviceMsOf.size > TRACKED_CLASSES_MAX) {
+      const [oldest] = this.#serviceMsOf.keys();
+      this.#serviceMsOf.delete(oldest);
+    }
   }
 
   /** Starts queued requests while slots are free and the start rate allows it. */
@@ -400,11 +342,7 @@
         return;
       }
       const at = now();
-      const startable = this.#queue.filter(({ request }) => this.#hasRoomFor(request));
-      if (startable.length === 0) {
-        return;
-      }
-      const next = startable.reduce((first, queued) =>
+      const next = this.#queue.reduce((first, queued) =>
         this.#precedes(first.request, queued.request, at) ? first : queued
       );
       this.#remove(next);
@@ -426,14 +364,6 @@
   return mean > 0 ? mean + SERVICE_WEIGHT * (value - mean) : value;
 }
 
-/** Drops the class that was added first once too many are tracked. */
-function dropOldest(tracked: Map<string, unknown>): void {
-  if (tracked.size > TRACKED_CLASSES_MAX) {
-    const [oldest] = tracked.keys();
-    tracked.delete(oldest);
-  }
-}
-
-function cancelled(): Result<GateSlot, AdmissionError> {
+function cancelled(): Result<Slot, AdmissionError> {
   return Result.err(new AdmissionError(AdmissionErrorKind.Cancelled, "The request was cancelled"));
 }
--- a/packages/admission/src/mod.ts
+++ b/packages/admission/src/mod.ts
@@ -12,8 +12,7 @@
 export { BodyMemory, type BodyMemoryOptions, RequestMemory } from "./body_memory.ts";
 export { DeadlineQueue } from "./deadline_queue.ts";
 export { AdmissionError, AdmissionErrorKind } from "./errors.ts";
-export { FailureLimit, type RequestEnd } from "./failure_limit.ts";
-export { Gate, type GateOptions, type GateRequest, type GateSlot } from "./gate.ts";
+export { Gate, type GateOptions, type GateRequest } from "./gate.ts";
 export { LoadShedder, type LoadShedderOptions, urgencyRank } from "./load_shedder.ts";
 export { Quarantine, type ServerEnd, type SuspectRun } from "./quarantine.ts";
 export { StartRate, type StartRateOptions } from "./start_rate.ts";
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -7,7 +7,6 @@
   type AdmissionError,
   AdmissionErrorKind,
   Gate,
-  type GateSlot,
   TimelyLimit,
   WorkTail,
 } from "@bulrushwood/admission";
@@ -191,15 +190,14 @@
     if (admitted.isErr) {
       return signal.aborted ? cancel(RequestStage.Slot) : toRejection(admitted.error);
     }
-    const slot = admitted.value;
     try {
-      const response = await this.#run(head, body, { deadline, keyUntil, signal, memory, slot });
+      const response = await this.#run(head, body, { deadline, keyUntil, signal, memory });
       if (signal.aborted) {
         cancel(RequestStage.Server);
       }
       return response;
     } finally {
-      slot.release();
+      admitted.value.release();
     }
   }
 
@@ -256,10 +254,10 @@
   async #run(
     head: RequestHead,
     body: Buffer | undefined,
-    options: ServeOptions & { deadline: number; keyUntil: number; slot: GateSlot },
+    options: ServeOptions & { deadline: number; keyUntil: number },
   ): Promise<RoutedResponse> {
     const { client, watch, grantManager, ends, wire, log, onResult, onOutlasted } = this.#options;
-    const { deadline, signal, memory, slot } = options;
+    const { deadline, signal, memory } = options;
     if (head.shard >= 0 && !await this.#awaitKey(head, { until: options.keyUntil, signal })) {
       return notRun(Reason.NotHolder, "The key changed its owner meanwhile", MOVE_RETRY_AFTER_MS);
     }
@@ -298,9 +296,6 @@
       onOutlasted(head);
     }
     this.#recordTimeliness(result, { server: incarnationName(report), startedAt, deadline });
-    if (result.outcome === ServerOutcome.Responded && !hasOutlasted) {
-      slot.recordResponse(result.status >= SERVER_FAILURE);
-    }
     if (head.shard >= 0 && result.outcome === ServerOutcome.Responded) {
       this.#workTail.record((hasOutlasted ? deadline : now()) - startedAt);
     }
