Look for the oldest work only where somebody asks, and at the clock once

The daemon's own caller server asks nobody how long work waits, and the gate read the clock twice for one decision and wrote the same bound in both branches. Behaviour as before.

--- a/packages/admission/src/gate.ts
+++ b/packages/admission/src/gate.ts
@@ -183,15 +183,14 @@
     options: { marginShare: number },
   ): boolean {
     const serviceMs = this.#serviceMsFor(request.workClass);
-    const respondedAt = this.#options.now() + waitMs + serviceMs;
+    const at = this.#options.now();
+    const respondedAt = at + waitMs + serviceMs;
     // Short requests delay others little, so the mean service time of all classes is the least margin.
     const usualMs = Math.max(serviceMs, this.#meanServiceMs);
     const isLate = respondedAt > request.targetAt + usualMs * options.marginShare;
-    const leftMs = request.deadline - this.#options.now();
-    const isLateAnyway = respondedAt - waitMs > request.targetAt;
-    const lateWaitMsMax = isLateAnyway
-      ? Math.max(usualMs * LATE_WAIT_SHARE, leftMs * LATE_DEADLINE_SHARE)
-      : usualMs * LATE_WAIT_SHARE;
+    const isLateAnyway = at + serviceMs > request.targetAt;
+    const leftMs = isLateAnyway ? request.deadline - at : 0;
+    const lateWaitMsMax = Math.max(usualMs * LATE_WAIT_SHARE, leftMs * LATE_DEADLINE_SHARE);
     return respondedAt <= request.deadline && !(isLate && waitMs > lateWaitMsMax);
   }
 
--- a/packages/http_server/src/event_loop.ts
+++ b/packages/http_server/src/event_loop.ts
@@ -114,9 +114,14 @@
       return;
     }
     const { now, onRelease } = this.#options;
-    const oldestAt = this.#due.reduce((least, { joinedAt }) => Math.min(least, joinedAt), Infinity);
     const { joinedAt, release } = this.#due.shift()!;
-    onRelease?.(now() - joinedAt, now() - oldestAt);
+    if (onRelease !== undefined) {
+      const oldestAt = this.#due.reduce(
+        (least, other) => Math.min(least, other.joinedAt),
+        joinedAt,
+      );
+      onRelease(now() - joinedAt, now() - oldestAt);
+    }
     release();
     // A tick that is queued by a microtask runs after all other microtasks.
     queueMicrotask(() =>
