Bound the memory that unfinished bodies take, and accept only whole responses with a valid status

Cause: each chunk of a body is a buffer of its own in Node.js, of several hundred bytes also for one byte, and the limits on bodies left too little for the process itself. A response without a length whose connection was reset while the request was being written counted as whole. Statuses outside 200 to 599 were passed on (600, 999, 101).

An unframed success that ends before its request was sent, and statuses outside 200 to 599, are an unknown outcome.

--- a/packages/admission/src/body_memory.ts
+++ b/packages/admission/src/body_memory.ts
@@ -6,6 +6,14 @@
 
 /** Bytes of the bodies of one request that do not count. */
 const SHORT_BYTES_MAX = 256 * 1024;
+/** Memory of a process without bodies under load, in bytes: its program, its heap and the buffers of its connections. */
+const PROCESS_BYTES = 120_000_000;
+/** Share of the other memory that bodies may take; the rest is for copies that have not been freed yet. */
+const BODIES_SHARE = 0.7;
+/** Share of the memory for bodies that is kept for short ones. */
+const SHORT_SHARE = 0.25;
+/** Smallest memory for bodies, in bytes, however little the process may take. */
+const BODY_BYTES_MIN = 8_000_000;
 
 /** Options of `BodyMemory`. */
 export interface BodyMemoryOptions {
@@ -13,6 +21,14 @@
   bytesMax: number;
   /** Bytes that the parts that do not count may take together; unlimited by default. */
   shortBytesMax?: number;
+  /** Called when bytes are refused, with the bytes that are counted then. */
+  onFull?: (bytes: number) => void;
+}
+
+/** Returns the limits for a process that may take a number of bytes. */
+export function bodyLimits(processBytesMax: number): { bytesMax: number; shortBytesMax: number } {
+  const bytes = Math.max(BODY_BYTES_MIN, (processBytesMax - PROCESS_BYTES) * BODIES_SHARE);
+  return { bytesMax: bytes * (1 - SHORT_SHARE), shortBytesMax: bytes * SHORT_SHARE };
 }
 
 /** The bytes of all bodies that one daemon holds. */
@@ -30,6 +46,11 @@
     return this.#bytes;
   }
 
+  /** Bytes of all bodies now. */
+  get totalBytes(): number {
+    return this.#bytes + this.#shortBytes;
+  }
+
   /** Starts to count the bodies of one request. */
   open(): RequestMemory {
     return new RequestMemory((bytes, shortBytes) => this.#change(bytes, shortBytes));
@@ -40,6 +61,7 @@
     const isLacking = bytes > 0 && this.#bytes + bytes > bytesMax ||
       shortBytes > 0 && this.#shortBytes + shortBytes > shortBytesMax;
     if (isLacking) {
+      this.#options.onFull?.(this.totalBytes);
       return false;
     }
     this.#bytes += bytes;
--- a/packages/admission/src/mod.ts
+++ b/packages/admission/src/mod.ts
@@ -9,7 +9,7 @@
   type Slot,
   type WorkTarget,
 } from "./admission.ts";
-export { BodyMemory, type BodyMemoryOptions, RequestMemory } from "./body_memory.ts";
+export { bodyLimits, BodyMemory, type BodyMemoryOptions, RequestMemory } from "./body_memory.ts";
 export { DeadlineQueue } from "./deadline_queue.ts";
 export { AdmissionError, AdmissionErrorKind } from "./errors.ts";
 export { Gate, type GateOptions, type GateRequest } from "./gate.ts";
--- a/packages/router/src/event_log.ts
+++ b/packages/router/src/event_log.ts
@@ -14,6 +14,7 @@
   SettingsReloaded = "settings-reloaded",
   ListenerFailed = "listener-failed",
   ConnectionsClosed = "connections-closed",
+  BodiesRefused = "bodies-refused",
   StoreReachable = "store-reachable",
   StoreRelayed = "store-relayed",
   StoreReconnected = "store-reconnected",
--- a/packages/router/src/metrics.ts
+++ b/packages/router/src/metrics.ts
@@ -35,6 +35,7 @@
   ownRanges: () => number;
   /** Share of callers' requests that are accepted for lack of processor time; 1 while there is enough. */
   acceptedShare: () => number;
+  bodyBytes: () => number;
   callerConnections: () => number;
   callerConnectionsMax: () => number;
   /** Time for which votes for the tenure are requested, in milliseconds. */
@@ -62,6 +63,7 @@
   readonly #unread: Counter;
   readonly #closedConnections: Counter;
   readonly #shed: Counter;
+  readonly #refusedBodies: Counter;
 
   constructor() {
     const registers = [this.registry];
@@ -148,6 +150,11 @@
       labelNames: ["listener", "closed"],
       registers,
     });
+    this.#refusedBodies = new Counter({
+      name: "bulrushwood_refused_bodies_total",
+      help: "Bodies of requests and responses that the daemon's memory for bodies had no room for",
+      registers,
+    });
     this.#shed = new Counter({
       name: "bulrushwood_shed_requests_total",
       help: "Requests that the daemon rejected for lack of processor time, by who sent them",
@@ -181,6 +188,11 @@
     this.#shed.inc({ origin, priority });
   }
 
+  /** Counts a body that was refused for lack of memory. */
+  recordRefusedBody(): void {
+    this.#refusedBodies.inc();
+  }
+
   /** Counts a request whose caller left while it waited here. */
   recordCancelled(stage: RequestStage): void {
     this.#cancelled.inc({ stage });
@@ -241,6 +253,7 @@
         "Share of requests that are not rejected for lack of processor time",
         sources.acceptedShare,
       ],
+      ["body_bytes", "Memory that the bodies of open requests take", sources.bodyBytes],
       ["caller_connections", "Open connections of callers", sources.callerConnections],
       [
         "caller_connections_max",
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -5,7 +5,7 @@
 import { randomUUID } from "node:crypto";
 import { skip } from "rxjs";
 import type { Result } from "true-myth";
-import { BodyMemory, LoadShedder, Quarantine, Shutdown } from "@bulrushwood/admission";
+import { bodyLimits, BodyMemory, LoadShedder, Quarantine, Shutdown } from "@bulrushwood/admission";
 import {
   type Adapter,
   type DeploymentSettings,
@@ -70,10 +70,8 @@
 const REPORT_HOLD_SHARE = 0.8;
 /** Time within which two requests to a service without keys go to one server, in milliseconds: a round of the event loop. */
 const PAIR_MS = 5;
-/** Share of the process's memory that long bodies may take. */
-const BODY_MEMORY_SHARE = 0.4;
-/** Share of the process's memory that short bodies may take. */
-const SHORT_BODY_MEMORY_SHARE = 0.2;
+/** Time without a refused body after which the next one is logged, in milliseconds. */
+const MEMORY_FULL_BURST_MS = 5_000;
 /** Limit of the connections of callers, as a share of all sockets. */
 const CALLER_SOCKETS: SocketShare = { share: 0.6, min: 16 };
 /** Limit of the connections of each other listener, as a share of all sockets. */
@@ -182,6 +180,8 @@
   /** Whether this daemon hands its keys over, at the end of a graceful stop. */
   #isHandingOver = false;
   #loggedServerState = "";
+  /** When a body was last refused for lack of memory. */
+  #memoryFullAt = Number.NEGATIVE_INFINITY;
 
   private constructor(options: RouterOptions) {
     const { settings, adapter, log } = options;
@@ -189,8 +189,8 @@
     this.#adapter = adapter;
     this.#log = log;
     this.#bodyMemory = new BodyMemory({
-      bytesMax: settings.memoryBytes * BODY_MEMORY_SHARE,
-      shortBytesMax: settings.memoryBytes * SHORT_BODY_MEMORY_SHARE,
+      ...bodyLimits(settings.memoryBytes),
+      onFull: (bytes) => this.#recordFullMemory(bytes),
     });
     this.#socketLimit = new SocketLimit({
       socketsMax: settings.socketsMax,
@@ -714,6 +714,16 @@
     }
   }
 
+  /** Counts a body that was refused, and logs the first of a burst. */
+  #recordFullMemory(bytes: number): void {
+    this.#metrics.recordRefusedBody();
+    const isFirst = now() - this.#memoryFullAt > MEMORY_FULL_BURST_MS;
+    this.#memoryFullAt = now();
+    if (isFirst) {
+      this.#log(Event.BodiesRefused, { bytes, ...bodyLimits(this.#settings.memoryBytes) });
+    }
+  }
+
   #recordWait(ms: number, oldestMs: number): void {
     this.#metrics.recordWait(ms);
     this.#shedder.recordWait(oldestMs);
@@ -728,6 +738,7 @@
       ownKeys: () => countKeys(this.#grantManager.ownRanges),
       ownRanges: () => this.#grantManager.ownRanges.length,
       acceptedShare: () => this.#shedder.acceptedShare,
+      bodyBytes: () => this.#bodyMemory.totalBytes,
       callerConnections: () => this.#callers.connections,
       callerConnectionsMax: () => this.#connectionsMax(CALLER_SOCKETS),
       supportMs: () => this.#tenure.supportMs,
--- a/packages/router/src/server_client.ts
+++ b/packages/router/src/server_client.ts
@@ -41,6 +41,8 @@
 const REFUSED_CODE = "ECONNREFUSED";
 /** Error codes of a connection that the server closed or reset; Node.js reports a close as a reset. */
 const LOST_CODES = new Set(["ECONNRESET", "EPIPE"]);
+/** Statuses of a response that ends a request; others are no final response of any server that works. */
+const FINAL_STATUS = { least: 200, most: 599 };
 /** Statuses that suggest that a request was not run; they count only with the server's own guarantee. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 
@@ -232,10 +234,20 @@
       const reset = new Promise<never>((_, reject) => outgoing.on("error", reject));
       const whole = await Promise.race([readBody(message, { take: call.memory?.take }), reset]);
       const result = this.#classify(message, whole, { id: call.head.id, responseHead });
-      if (!outgoing.writableFinished) {
-        usedSocket?.destroy();
+      if (outgoing.writableFinished) {
+        return result;
       }
-      return result;
+      usedSocket?.destroy();
+      // Node.js may report the reset of such a connection as its end, since it was writing at that time.
+      return result.isUnframed
+        ? {
+          ...noResponse(
+            ServerOutcome.Unknown,
+            "a response without a length that ended before the request was sent",
+          ),
+          notice,
+        }
+        : result;
     } catch (error) {
       const { message, code } = error as NodeJS.ErrnoException;
       const outcome = isConnected ? ServerOutcome.Unknown : ServerOutcome.NotRun;
@@ -308,6 +320,9 @@
   status: number,
   options: { responseHead: ServerResponseHead; isFirstOnConnection: boolean },
 ): ServerResult | undefined {
+  if (status < FINAL_STATUS.least || status > FINAL_STATUS.most) {
+    return noResponse(ServerOutcome.Unknown, `status ${status}, which ends no request`);
+  }
   const { responseHead, isFirstOnConnection } = options;
   const isRejection = responseHead.isMisdirected || responseHead.isNotRun;
   // A late response to an earlier request, also a rejection, may arrive in place of this request's response. Without
--- a/packages/router/src/server_client_test.ts
+++ b/packages/router/src/server_client_test.ts
@@ -199,6 +199,39 @@
     });
   }
 
+  const EARLY = "HTTP/1.1 200 OK\r\nid: r1\r\nmark: m\r\n\r\npart of the body";
+  /** Ends of the connection after an early response, while the request is still being written. */
+  const earlyEnds: [string, (socket: Socket) => void][] = [
+    ["is reset", (socket) => socket.resetAndDestroy()],
+    ["ends", (socket) => socket.end()],
+  ];
+  for (const [name, end] of earlyEnds) {
+    // Guards against a part of a response that is passed on as a whole one.
+    it(`accepts no early success without a length if its connection ${name} while a long request is written`, async () => {
+      const scripts = Array.from({ length: EARLY.length }, (_, length): Script => (socket) => {
+        socket.pause();
+        socket.write(EARLY.slice(0, length + 1), () => end(socket));
+      });
+      const outcomes = await withServer(scripts, async (client) => {
+        const results = [];
+        for (let length = 1; length <= EARLY.length; length++) {
+          results.push((await send(client, { body: Buffer.alloc(8_000_000) })).outcome);
+        }
+        return results;
+      });
+      expect(outcomes).to.deep.equal(outcomes.map(() => ServerOutcome.Unknown));
+    });
+  }
+
+  for (const status of ["000", "099", "101", "199", "600", "999"]) {
+    // Guards against a status that callers cannot read, and that the HTTP server here cannot send.
+    it(`reports an unknown outcome after a response with the status ${status}`, async () => {
+      const response = `HTTP/1.1 ${status} No\r\nid: r1\r\nmark: m\r\ncontent-length: 2\r\n\r\nno`;
+      const result = await withServer([(socket) => socket.end(response)], send);
+      expect([result.outcome, result.status]).to.deep.equal([ServerOutcome.Unknown, 0]);
+    });
+  }
+
   const NOTICE = "limit: 20\r\nleaving: 1\r\n";
   const noticeResponses: [string, Script][] = [
     [
--- a/packages/soak/src/deployment.ts
+++ b/packages/soak/src/deployment.ts
@@ -37,6 +37,12 @@
   outside: Outside;
   /** Whether proxies are on the daemons' connections to the store and to their backend servers. */
   hasProxies: boolean;
+  /** Memory that the settings allow each daemon, in bytes; that of a usual machine where left out. */
+  memoryBytes?: number;
+  /** Sockets that the settings allow each daemon; those of a usual machine where left out. */
+  socketsMax?: number;
+  /** Largest body that the manifest allows, in bytes; the usual one where left out. */
+  bodyBytesMax?: number;
 }
 
 /** A machine with its processes. */
@@ -66,7 +72,7 @@
     this.#options = options;
     this.#storeServer = createServer(options.outside.storeListener(this.store.connect()));
     this.requests = new Requests(options.seed * IDS_PER_SEED);
-    this.operator = new Operator(this.store, options.outside);
+    this.operator = new Operator(this.store, options);
     this.#ownership = new Ownership({
       sharedMsMax: BOUNDS.sharedKeyMs,
       report: (detail) => this.history.report(Rule.Owner, this.names, detail),
@@ -82,10 +88,11 @@
     const store = { host: STORE_HOST, port };
     const network = 1 + options.seed % NETWORKS;
     const random = createRandom(options.seed);
-    const { hasProxies } = options;
+    const { hasProxies, memoryBytes, socketsMax } = options;
+    const machineOptions = { network, store, hasProxies, memoryBytes, socketsMax };
     const indices = Array.from({ length: options.daemons }, (_, index) => index);
     deployment.nodes = await Promise.all(indices.map(async (index) => {
-      const machine = await createMachine(index, { network, store, hasProxies });
+      const machine = await createMachine(index, machineOptions);
       return await deployment.#startNode(machine, index, random);
     }));
     const isReady = await Promise.all(
--- a/packages/soak/src/faults/resources.ts
+++ b/packages/soak/src/faults/resources.ts
@@ -7,7 +7,10 @@
 import { promisify } from "node:util";
 import type { Endpoint } from "@bulrushwood/deployment";
 import { type Random, sleep } from "@bulrushwood/types";
+import { Crowd } from "../crowd.ts";
 import type { Deployment, Node } from "../deployment.ts";
+import { RoutePrefix } from "../manifests.ts";
+import type { Outside } from "../outside.ts";
 import { pick, pickNumber } from "../random.ts";
 import type { Fault } from "./fault.ts";
 
@@ -54,6 +57,7 @@
   random: Random;
   /** Path of the status reports of a server. */
   reportPath: string;
+  outside: Outside;
 }
 
 /** Plays a fault at a random node. */
@@ -66,7 +70,8 @@
     const node = deployment.pickNode(random);
     if (node !== undefined) {
       const end = deployment.history.begin(what, node.machine.name);
-      await play(node, { ms, random, reportPath: deployment.outside.farewell("x").path });
+      const { outside } = deployment;
+      await play(node, { ms, random, reportPath: outside.farewell("x").path, outside });
       end();
     }
   };
@@ -134,6 +139,31 @@
     }),
 );
 
+/** Crowds send bodies without their end, in parts of these lengths, in bytes. */
+const CROWD_PART_BYTES = [1, 1_000, 250_000];
+const CROWD_CALLERS = 12;
+const CROWD_BODY_BYTES = { least: 50_000, most: 1_000_000 };
+
+/** Sends bodies, chunked or with a length, of which most stop before their end. */
+const sendUnfinishedBodies = atNode(
+  "unfinished bodies",
+  async ({ machine }, { ms, random, outside }) => {
+    const sentBytes = pickNumber(CROWD_BODY_BYTES.least, CROWD_BODY_BYTES.most, random);
+    const partBytes = pick(CROWD_PART_BYTES, random);
+    const crowd = new Crowd({
+      endpoint: machine.settings.listen.callers,
+      outside,
+      path: `${RoutePrefix.Orders}sized`,
+      callers: CROWD_CALLERS,
+      // Beyond the ids of all other requests.
+      name: `crowd-${Math.floor(random() * 2 ** 31)}`,
+      body: { sentBytes, partBytes, announcedBytes: random() < 0.5 ? sentBytes + 1 : undefined },
+    });
+    await Promise.all([crowd.send(), sleep(ms)]);
+    crowd.close();
+  },
+);
+
 function createGarbage({ random, reportPath }: PlayOptions): Buffer {
   const length = pickNumber(1, GARBAGE_BYTES_MAX, random);
   const sample = Array.from({ length: GARBAGE_SAMPLE_BYTES }, () => Math.floor(random() * 256));
@@ -170,4 +200,5 @@
   { name: "slow-readers", weight: 1, play: readNothing },
   { name: "endless-bodies", weight: 1, play: sendEndlessBodies },
   { name: "garbage", weight: 2, play: sendGarbage },
+  { name: "unfinished-bodies", weight: 1, play: sendUnfinishedBodies },
 ];
--- a/packages/soak/src/machine.ts
+++ b/packages/soak/src/machine.ts
@@ -53,7 +53,13 @@
 /** Reserves addresses for a machine; `network` is the second number of its loopback address. */
 export async function createMachine(
   index: number,
-  options: { network: number; store: Endpoint; hasProxies: boolean },
+  options: {
+    network: number;
+    store: Endpoint;
+    hasProxies: boolean;
+    memoryBytes?: number;
+    socketsMax?: number;
+  },
 ): Promise<Machine> {
   const subnet = Math.floor(index / HOSTS_PER_NETWORK);
   const host = `127.${options.network}.${subnet}.${FIRST_HOST + index % HOSTS_PER_NETWORK}`;
@@ -76,8 +82,8 @@
     listen: { callers, ready, reports, peers },
     metrics,
     store: { endpoint: paths === undefined ? options.store : storePath, recordBytes: RECORD_BYTES },
-    memoryBytes: MEMORY_BYTES,
-    socketsMax: SOCKETS_MAX,
+    memoryBytes: options.memoryBytes ?? MEMORY_BYTES,
+    socketsMax: options.socketsMax ?? SOCKETS_MAX,
     grantDelivery: GrantDelivery.Orders,
     reportEveryMs: REPORT_EVERY_MS,
     bounds: {
--- a/packages/soak/src/manifests.ts
+++ b/packages/soak/src/manifests.ts
@@ -17,6 +17,8 @@
 /** Largest number of connections to a server in every third version. */
 const CONNECTIONS_FEW = 30;
 const STORE_TIMEOUT_MS = 5_000;
+/** Largest body of a request, in bytes. */
+const BODY_BYTES_MAX = 67_108_864;
 
 /** Services of a soak. */
 export enum ServiceName {
@@ -71,7 +73,7 @@
   };
 }
 
-function createManifest(version: number): Manifest {
+function createManifest(version: number, bodyBytes: number): Manifest {
   const connectionsMax = version % 3 === 0 ? CONNECTIONS_FEW : CONNECTIONS_MAX;
   const routes = Object.values(RoutePrefix).map((prefix) => {
     const kind = ONCE_PREFIXES.includes(prefix) ? RouteKind.Once : RouteKind.Idempotent;
@@ -89,7 +91,7 @@
     ),
     limits: {
       headerBytes: 16_384,
-      bodyBytes: 67_108_864,
+      bodyBytes,
       headerTimeoutMs: 3_000,
       idleTimeoutMs: 15_000,
     },
@@ -108,12 +110,17 @@
 export class Operator {
   readonly #store: KeyedStoreService;
   readonly #outside: Outside;
+  readonly #bodyBytesMax: number;
   /** All versions, oldest first. */
   readonly versions: WrittenVersion[] = [];
 
-  constructor(store: KeyedStoreService, outside: Outside) {
+  constructor(
+    store: KeyedStoreService,
+    { outside, bodyBytesMax = BODY_BYTES_MAX }: { outside: Outside; bodyBytesMax?: number },
+  ) {
     this.#store = store;
     this.#outside = outside;
+    this.#bodyBytesMax = bodyBytesMax;
   }
 
   get newest(): number {
@@ -126,7 +133,7 @@
     const written = { version, writtenAt: now(), ackedAt: Infinity };
     this.versions.push(written);
     const { topic, key } = this.#outside.manifestLocation;
-    const value = this.#outside.encodeManifest(createManifest(version));
+    const value = this.#outside.encodeManifest(createManifest(version, this.#bodyBytesMax));
     const limits = { timeoutMs: STORE_TIMEOUT_MS };
     const result = await this.#store.connect().append(topic, { key, value }, limits);
     if (result.isOk) {
