Limit requests to cold servers, follow evacuations and use the slowness that servers tell

Change: the daemon beside a server, the only one that sends to it, spaces out the starts of its requests at what it tolerates while cold, and announces that as its capacity. Evacuated data centres get no keys and no requests; their daemons hand all keys over at once and reject requests after 0.3 of the bound. The fourth figure of the load scales expected service times, decays within tenths of a second and is taken out of what is learned. A key that is gone from the store when all newest records are read again counts as deleted.

--- a/packages/admission/src/gate.ts
+++ b/packages/admission/src/gate.ts
@@ -66,6 +66,8 @@
   limit: () => number;
   /** Returns the requests a second that the backend server accepts; undefined, also where left out, for no limit. */
   perSecond?: () => number | undefined;
+  /** Returns how much longer than usual work takes at the server now; by default as long as usual. */
+  slowness?: () => number;
   /** Returns a random number from 0 to 1. */
   random: () => number;
 }
@@ -74,6 +76,8 @@
 interface Run {
   workClass: string;
   startedAt: number;
+  /** Slowness of the server at that time. */
+  slowness: number;
 }
 
 interface QueuedRequest {
@@ -121,7 +125,11 @@
    * becomes slow ends no requests for a while, so the age of its running requests counts as well.
    */
   get serviceMs(): number {
-    return this.#serviceMs * this.#slowdownFactor;
+    return this.#serviceMs * this.#slowness * this.#slowdownFactor;
+  }
+
+  get #slowness(): number {
+    return this.#options.slowness?.() ?? 1;
   }
 
   /**
@@ -140,8 +148,9 @@
   /** Determines the slowdown, which takes a look at each running request. */
   #measureSlowdown(at: number): number {
     let sum = 0;
-    for (const { workClass, startedAt } of this.#runs) {
-      const usualMs = this.#serviceMsOf.get(workClass) ?? this.#serviceMs;
+    for (const { workClass, startedAt, slowness } of this.#runs) {
+      const slownessNow = Math.max(slowness, this.#slowness);
+      const usualMs = (this.#serviceMsOf.get(workClass) ?? this.#serviceMs) * slownessNow;
       const ageMs = (at - startedAt) / MEAN_AGE_SHARE;
       sum += usualMs > 0 ? Math.min(AGE_FACTOR_MAX, ageMs / usualMs) : 1;
     }
@@ -156,7 +165,9 @@
   /** Expected service time of a class; grows with that of all classes when the server becomes slow. */
   #serviceMsFor(workClass: string): number {
     const trackedMs = this.#serviceMsOf.get(workClass);
-    return trackedMs === undefined ? this.#meanServiceMs : trackedMs * this.#slowdownFactor;
+    return trackedMs === undefined
+      ? this.#meanServiceMs
+      : trackedMs * this.#slowness * this.#slowdownFactor;
   }
 
   /** Waits for a slot; rejects a request at once when it is not expected to be served in time. */
@@ -305,14 +316,15 @@
     const rank = this.#rankOf(request, startedAt);
     this.#recentWork.record(rank, this.#serviceMsFor(workClass));
     this.#startRate.recordStart(rank);
-    const run = { workClass, startedAt };
+    const run = { workClass, startedAt, slowness: this.#slowness };
     this.#runs.add(run);
     this.#slowdown.at = Number.NEGATIVE_INFINITY;
     const release = () => {
       if (!this.#runs.delete(run)) {
         return;
       }
-      this.#recordServiceTime(workClass, now() - startedAt);
+      const slowness = (run.slowness + this.#slowness) / 2;
+      this.#recordServiceTime(workClass, (now() - startedAt) / slowness);
       this.#dispatch();
     };
     return { waitedMs: startedAt - since, release };
--- a/packages/admission/src/gate_test.ts
+++ b/packages/admission/src/gate_test.ts
@@ -21,6 +21,24 @@
   };
 }
 
+/** Expected wait behind a full server, by which a request is rejected, in milliseconds. */
+async function rejectedWaitMs(slowness: number): Promise<number> {
+  const clock = { now: 0 };
+  let current = 1;
+  const gate = new Gate({
+    now: () => clock.now,
+    limit: () => 1,
+    random: () => 0.5,
+    slowness: () => current,
+  });
+  await warmUp(gate, clock);
+  await gate.enter(createRequest({ deadline: clock.now + 10_000 }));
+  current = slowness;
+  const late = createRequest({ targetAt: clock.now + 10, deadline: clock.now + 50 });
+  const rejected = await gate.enter(late);
+  return rejected.isErr ? Number(/(\d+) ms/.exec(rejected.error.message)![1]) : 0;
+}
+
 /** Sets a gate's mean service time to 100 ms by running requests through it. */
 async function warmUp(gate: Gate, clock: { now: number }): Promise<void> {
   for (let count = 0; count < 60; count++) {
@@ -91,6 +109,32 @@
 }
 
 describe("gate", () => {
+  it("expects longer waits at once when the server says that its work takes longer", async () => {
+    const [usualMs, slowMs] = [await rejectedWaitMs(1), await rejectedWaitMs(3)];
+    expect(usualMs).to.be.within(90, 110);
+    expect(slowMs / usualMs).to.be.within(2.5, 3.5);
+  });
+
+  // Guards against work that is taken for long later because the server was slow for a moment.
+  it("learns the usual service time from work that ran while the server was slow", async () => {
+    const clock = { now: 0 };
+    let slowness = 4;
+    const gate = new Gate({
+      now: () => clock.now,
+      limit: () => 1,
+      random: () => 0.5,
+      slowness: () => slowness,
+    });
+    for (let count = 0; count < 60; count++) {
+      const slot = await gate.enter(createRequest({ deadline: clock.now + 10_000 }));
+      clock.now += 400;
+      slot.unwrapOr(undefined!).release();
+    }
+    expect(gate.serviceMs).to.be.within(390, 410);
+    slowness = 1;
+    expect(gate.serviceMs).to.be.within(95, 105);
+  });
+
   // Guards against decisions that look at each running request for each queued one, which made overloaded daemons slow.
   it("decides on a request in about the same time however many requests run", async () => {
     await measureDecisions(4);
--- a/packages/admission/src/mod.ts
+++ b/packages/admission/src/mod.ts
@@ -15,6 +15,7 @@
 export { Gate, type GateOptions, type GateRequest } from "./gate.ts";
 export { LoadShedder, type LoadShedderOptions, urgencyRank } from "./load_shedder.ts";
 export { Quarantine, type ServerEnd, type SuspectRun } from "./quarantine.ts";
+export { agedSlowness, Slowness } from "./slowness.ts";
 export { StartRate, type StartRateOptions } from "./start_rate.ts";
 export { TimelyLimit } from "./timely_limit.ts";
 export { WorkTail } from "./work_tail.ts";
--- a/packages/deployment/src/adapter.ts
+++ b/packages/deployment/src/adapter.ts
@@ -7,7 +7,13 @@
 import type { Manifest } from "./manifest.ts";
 import type { ServerWire } from "./server_wire.ts";
 import type { DeploymentSettings } from "./settings.ts";
-import type { Store } from "./store.ts";
+import type { Item, Store } from "./store.ts";
+
+/** Whether nothing may be sent to the backend servers of a data centre. */
+export interface EvacuationOrder {
+  dataCentre: string;
+  isEvacuated: boolean;
+}
 
 /** The formats and protocols of one kind of deployment. */
 export interface Adapter {
@@ -20,6 +26,8 @@
   manifestLocation: { topic: string; key: string };
   /** Decodes a manifest; the error names the invalid field and the expected value. */
   readManifest(value: Buffer): Result<Manifest, Error>;
+  /** Decodes a record of the topic of the manifest that evacuates a data centre or ends its evacuation; undefined for others. */
+  readEvacuation?(item: Pick<Item, "key" | "value">): EvacuationOrder | undefined;
   callers: CallerWire;
   servers: ServerWire;
 }
--- a/packages/deployment/src/manifest.ts
+++ b/packages/deployment/src/manifest.ts
@@ -45,6 +45,8 @@
   connectionsMax: number;
   /** Whether each key is owned by exactly one backend server. */
   isKeyed: boolean;
+  /** Requests a second that a server tolerates while it is cold; undefined for any number. */
+  coldPerSecond?: number;
 }
 
 /** One version of the operators' declaration. */
--- a/packages/deployment/src/mod.ts
+++ b/packages/deployment/src/mod.ts
@@ -26,7 +26,12 @@
   ServerState,
   type StatusReport,
 } from "./server_report.ts";
-export { type DeploymentSettings, type Endpoint, GrantDelivery } from "./settings.ts";
+export {
+  type ColdRequests,
+  type DeploymentSettings,
+  type Endpoint,
+  GrantDelivery,
+} from "./settings.ts";
 export {
   type Appended,
   type Item,
@@ -36,4 +41,4 @@
   StoreError,
   StoreErrorKind,
 } from "./store.ts";
-export type { Adapter } from "./adapter.ts";
+export type { Adapter, EvacuationOrder } from "./adapter.ts";
--- a/packages/deployment/src/server_wire.ts
+++ b/packages/deployment/src/server_wire.ts
@@ -23,6 +23,8 @@
   running: number;
   waiting: number;
   slots: number;
+  /** Time that work takes at this moment, as a multiple of the usual; undefined where the server does not say. */
+  slowness?: number;
 }
 
 /** Metadata in the head of a server's response. */
@@ -36,6 +38,8 @@
   /** Whether the response has the origin marker; a success without it did not come from the server. */
   hasOriginMarker: boolean;
   load: ServerLoad | undefined;
+  /** Why the load that the server names is invalid; undefined otherwise. */
+  loadError?: string;
   notice: ServerNotice;
 }
 
@@ -96,6 +100,8 @@
   isOutdated(status: number): boolean;
   /** Returns the id of the server that responded to a health check. */
   readHealth(headers: IncomingHttpHeaders): string | undefined;
+  /** Returns how long the server that responded to a health check stays cold, in milliseconds; undefined if it does not say. */
+  readColdMs?(headers: IncomingHttpHeaders): number | undefined;
   /** Decodes a status report; the error names the invalid field and the expected value. */
   readReport(
     method: string,
--- a/packages/deployment/src/settings.ts
+++ b/packages/deployment/src/settings.ts
@@ -17,11 +17,19 @@
   Reports = "reports",
 }
 
+/** Bound on the requests that a cold server gets in one second, as a multiple of what it tolerates and a constant. */
+export interface ColdRequests {
+  factor: number;
+  extra: number;
+}
+
 /** The settings of one daemon on a deployment. Times are in milliseconds. */
 export interface DeploymentSettings {
   /** Name of the instance in logs. */
   instance: string;
   dataCentre: string;
+  /** Names of all data centres; where left out, any name counts as one. */
+  dataCentres?: string[];
   /** Service of the backend server on this instance. */
   service: string;
   /** Address of the backend server on this instance. */
@@ -62,5 +70,9 @@
     /** Additional retries that are allowed over all daemons in each window. */
     retryExtra: number;
     retryWindowMs: number;
+    /** Requests that a cold server may get in one second; undefined where there is no such bound. */
+    coldRequests?: ColdRequests;
+    /** Time after the acknowledgement of an evacuation from which no request may reach a server there. */
+    evacuationMs?: number;
   };
 }
--- a/packages/ledger_store/src/keyed_follower.ts
+++ b/packages/ledger_store/src/keyed_follower.ts
@@ -1,8 +1,10 @@
 /**
  * Follows one keyed topic of the store: reads the newest record of each key, then waits for later records.
  * When the store has dropped records in between, the newest records are read again. A key's record is only
- * replaced by one with a higher offset, so inconsistent pages and stale reads are harmless.
+ * replaced by one with a higher offset, so inconsistent pages and stale reads are harmless. A key that is not on any of
+ * the pages was deleted in records that were dropped.
  */
+import { Buffer } from "node:buffer";
 import { Subject } from "rxjs";
 import { type Item, type Store, type StoreError, StoreErrorKind } from "@bulrushwood/deployment";
 import { type Clock, createStop, type Offset, type Sleep } from "@bulrushwood/types";
@@ -34,6 +36,7 @@
   readonly #options: KeyedFollowerOptions;
   readonly #items = new Map<string, Item>();
   readonly #changes = new Subject<Item>();
+  readonly #removals = new Subject<Item>();
   readonly #stop = createStop();
   #end: Offset = 0;
   #confirmedAt = Number.NEGATIVE_INFINITY;
@@ -52,6 +55,11 @@
     return this.#changes;
   }
 
+  /** Emits a record without a value for each key that is no longer in the store, though no record deleted it here. */
+  get removals(): Subject<Item> {
+    return this.#removals;
+  }
+
   /** Returns the newest record of a key; undefined when there is none. */
   get(key: string): Item | undefined {
     return this.#items.get(key);
@@ -151,6 +159,7 @@
   /** Reads all pages. Following continues from the end in the first page, so no later record is missed. */
   async #readPages(): Promise<StoreError | undefined> {
     const { store, topic } = this.#options;
+    const read = new Set<string>();
     let after: string | undefined;
     let end: Offset | undefined;
     do {
@@ -158,14 +167,30 @@
       if (page.isErr) {
         return page.error;
       }
-      page.value.items.forEach((item) => this.apply(item));
+      page.value.items.forEach((item) => {
+        read.add(item.key);
+        this.apply(item);
+      });
       after = page.value.after;
       end ??= page.value.end;
     } while (after !== undefined);
     this.#end = Math.max(this.#end, end);
+    this.#removeUnread(read, end);
     return undefined;
   }
 
+  /** Removes the keys that were not read and whose record here is older than the first page. */
+  #removeUnread(read: ReadonlySet<string>, end: Offset): void {
+    for (const { key, offset, value } of [...this.#items.values()]) {
+      if (!read.has(key) && offset < end) {
+        this.#items.delete(key);
+        if (value.length > 0) {
+          this.#removals.next({ key, value: Buffer.alloc(0), offset });
+        }
+      }
+    }
+  }
+
   /** Applies a record that is in the store, unless a newer one of its key is here. */
   apply(item: Item): void {
     const existing = this.#items.get(item.key);
@@ -217,5 +242,6 @@
     this.#interrupt.abort();
     await this.#task;
     this.#changes.complete();
+    this.#removals.complete();
   }
 }
--- a/packages/membership_beats/src/messages.ts
+++ b/packages/membership_beats/src/messages.ts
@@ -20,6 +20,8 @@
   workMs: z.number().nonnegative().optional(),
   running: z.number(),
   waiting: z.number(),
+  /** How much longer than usual work took when the load was measured; left out where the server does not say. */
+  slowness: z.number().positive().optional(),
   /** The server's own keys, as spans of about equal load with the requests per second for each. */
   pieces: z.array(keySpanSchema.extend({ rate: z.number() })).max(400),
 });
--- a/packages/router/src/event_log.ts
+++ b/packages/router/src/event_log.ts
@@ -21,6 +21,8 @@
   StoreLost = "store-lost",
   ManifestApplied = "manifest-applied",
   ManifestRejected = "manifest-refused",
+  EvacuationChanged = "evacuation-changed",
+  EvacuationIgnored = "evacuation-ignored",
   ServerReported = "server-reported",
   ServerLost = "server-lost",
   ServerBack = "server-back",
--- a/packages/router/src/key_transfers.ts
+++ b/packages/router/src/key_transfers.ts
@@ -15,6 +15,9 @@
 /** Pause between transfers while a stopping daemon still owns keys, in milliseconds. */
 const TRANSFER_RETRY_MS = 50;
 
+/** Range of the random factors on the room that one of several donors sees at a server. */
+const SHARE_RANGE = { least: 0.7, most: 1.3 };
+
 /** Schema of a planner's request to transfer keys of the daemon that it calls. */
 const movesSchema = z.object({
   service: z.string(),
@@ -35,6 +38,10 @@
   probe: () => Promise<string | undefined>;
   /** Sends the changed state to peers at once. */
   notifyPeers: () => void;
+  /** Whether the server must get nothing, as operators ask for its data centre. */
+  isEvacuated: () => boolean;
+  /** Returns the own part of the load of all servers that are evacuated, from 0 to 1. */
+  evacuatedShare: () => number;
   /** Whether the daemon hands all keys over because it stops. */
   isHandingOver: () => boolean;
   /** Whether the store responds, so that released keys can be assigned to other servers. */
@@ -71,7 +78,7 @@
   }
 
   async #checkServer(): Promise<void> {
-    const { watch, isHandingOver, log } = this.#options;
+    const { watch, isHandingOver, isEvacuated, log } = this.#options;
     const { report, leavingSince } = watch;
     if (report === undefined || this.#isTransferring || isHandingOver()) {
       return;
@@ -80,6 +87,11 @@
       await this.#transferAll("the server leaves", { isServerLost: false });
       return;
     }
+    if (isEvacuated()) {
+      const share = this.#options.evacuatedShare();
+      await this.#transferAll("the data centre is evacuated", { isServerLost: false, share });
+      return;
+    }
     const isReachable = watch.isReachable || await this.#probe(report.id);
     if (isReachable !== this.#isReachable) {
       this.#isReachable = isReachable;
@@ -100,7 +112,11 @@
   }
 
   /** Transfers all keys to servers with spare capacity, and leaves the ownership table. */
-  async #transferAll(cause: string, options: { isServerLost: boolean }): Promise<void> {
+  async #transferAll(
+    cause: string,
+    options: { isServerLost: boolean; share?: number },
+  ): Promise<void> {
+    const { isServerLost, share = 1 } = options;
     const { self, grantManager, meter, candidates, notifyPeers, log } = this.#options;
     const table = this.#options.table();
     if (table.hosts[self] === undefined && grantManager.ownRanges.length === 0) {
@@ -110,11 +126,11 @@
     notifyPeers();
     const others = candidates().filter(({ address }) =>
       address !== self && table.hosts[address] !== undefined
-    );
+    ).map((candidate) => takeShare(candidate, share));
     const pieces = meter.cut(grantManager.ownRanges);
     const ownerOf = (key: number) => rangeOf(table, key).owner;
     const assignments = spread(pieces, others, { ownerOf });
-    const outcome = await grantManager.transfer(() => assignments, { ...options, leave: true });
+    const outcome = await grantManager.transfer(() => assignments, { isServerLost, leave: true });
     log(Event.KeysTransferred, { cause, outcome });
     this.#isTransferring = false;
   }
@@ -159,3 +175,21 @@
     this.#stop.abort();
   }
 }
+
+/**
+ * Returns the part of a server's room that one of several donors takes up. Without it, all servers of a data centre
+ * would give their keys to the same few others at the same time. The parts differ at random for the same reason.
+ */
+function takeShare(candidate: Candidate, share: number): Candidate {
+  if (share >= 1) {
+    return candidate;
+  }
+  const { slots, rate, requestsPerSecond } = candidate;
+  const part = share * (SHARE_RANGE.least + (SHARE_RANGE.most - SHARE_RANGE.least) * Math.random());
+  return {
+    ...candidate,
+    slots: slots * part,
+    rate: rate * part,
+    requestsPerSecond: requestsPerSecond === undefined ? undefined : requestsPerSecond * part,
+  };
+}
--- a/packages/router/src/key_transfers_test.ts
+++ b/packages/router/src/key_transfers_test.ts
@@ -27,6 +27,8 @@
     candidates: () => [],
     probe: () => Promise.resolve(undefined),
     notifyPeers: () => {},
+    isEvacuated: () => false,
+    evacuatedShare: () => 1,
     isHandingOver: () => false,
     hasStore: () => true,
     log: () => {},
--- a/packages/router/src/metrics.ts
+++ b/packages/router/src/metrics.ts
@@ -36,6 +36,7 @@
   /** Share of callers' requests that are accepted for lack of processor time; 1 while there is enough. */
   acceptedShare: () => number;
   bodyBytes: () => number;
+  evacuatedMs: () => number;
   callerConnections: () => number;
   callerConnectionsMax: () => number;
   /** Time for which votes for the tenure are requested, in milliseconds. */
@@ -64,6 +65,7 @@
   readonly #closedConnections: Counter;
   readonly #shed: Counter;
   readonly #refusedBodies: Counter;
+  readonly #malformedNotices: Counter;
 
   constructor() {
     const registers = [this.registry];
@@ -150,6 +152,11 @@
       labelNames: ["listener", "closed"],
       registers,
     });
+    this.#malformedNotices = new Counter({
+      name: "bulrushwood_malformed_notices_total",
+      help: "Responses of the backend server whose load or request limit cannot be read",
+      registers,
+    });
     this.#refusedBodies = new Counter({
       name: "bulrushwood_refused_bodies_total",
       help: "Bodies of requests and responses that the daemon's memory for bodies had no room for",
@@ -188,6 +195,11 @@
     this.#shed.inc({ origin, priority });
   }
 
+  /** Counts a response of the backend server whose load or request limit cannot be read. */
+  recordMalformedNotice(): void {
+    this.#malformedNotices.inc();
+  }
+
   /** Counts a body that was refused for lack of memory. */
   recordRefusedBody(): void {
     this.#refusedBodies.inc();
@@ -253,6 +265,11 @@
         "Share of requests that are not rejected for lack of processor time",
         sources.acceptedShare,
       ],
+      [
+        "evacuated_milliseconds",
+        "Time for which the data centre has been evacuated; 0 if it is not",
+        sources.evacuatedMs,
+      ],
       ["body_bytes", "Memory that the bodies of open requests take", sources.bodyBytes],
       ["caller_connections", "Open connections of callers", sources.callerConnections],
       [
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -51,6 +51,7 @@
 import { Event, type EventLog, logListenerErrors } from "./event_log.ts";
 import { ForwardedRequests } from "./forwarded_requests.ts";
 import { readHeaders } from "./headers.ts";
+import { Evacuations } from "./evacuations.ts";
 import { CurrentManifest } from "./current_manifest.ts";
 import { KeyTransfers } from "./key_transfers.ts";
 import { LoopDelayMonitor } from "./loop_delay.ts";
@@ -72,6 +73,11 @@
 const PAIR_MS = 5;
 /** Time without a refused body after which the next one is logged, in milliseconds. */
 const MEMORY_FULL_BURST_MS = 5_000;
+/**
+ * Share of the time for an evacuation after which the server gets nothing more; the rest is for the time until this daemon
+ * has read of it.
+ */
+const EVACUATION_GRACE_SHARE = 0.3;
 /** Limit of the connections of callers, as a share of all sockets. */
 const CALLER_SOCKETS: SocketShare = { share: 0.6, min: 16 };
 /** Limit of the connections of each other listener, as a share of all sockets. */
@@ -138,6 +144,7 @@
   });
   readonly #storeAccess: StoreAccess;
   readonly #currentManifest: CurrentManifest;
+  readonly #evacuations: Evacuations;
   readonly #relay: Relay;
   readonly #watch: ServerWatch;
   readonly #departures: Departures;
@@ -226,9 +233,16 @@
     });
     const { store, manifests, system } = this.#storeAccess;
     this.#currentManifest = new CurrentManifest({ follower: manifests, adapter, log });
+    this.#evacuations = new Evacuations({
+      follower: manifests,
+      readEvacuation: adapter.readEvacuation?.bind(adapter),
+      dataCentres: settings.dataCentres,
+      now,
+      log,
+    });
     const followers = [manifests, system];
     this.#relay = new Relay({ followers, call });
-    this.#watch = new ServerWatch({ ...settings, now });
+    this.#watch = new ServerWatch({ ...settings, now, coldPerSecond: () => this.#coldPerSecond });
     this.#departures = new Departures({
       self: this.#self,
       store,
@@ -340,11 +354,13 @@
       wire: adapter.servers,
       grantManager: this.#grantManager,
       grantLeftMs: () => this.#supportTime.grantLeftMs(this.#tenure.votedMs),
+      isEvacuated: () => this.#mustReceiveNothing,
       ends: this.#ends,
       drainMs: settings.bounds.drainMs,
       log,
       onResult: (head, result, ms) => this.#metrics.recordServerResult(head, result, ms),
       onOutlasted: (head) => this.#metrics.recordOutlasted(head),
+      onMalformedNotice: () => this.#metrics.recordMalformedNotice(),
       onCancelled: (head, stage, ms) => this.#forwarded.recordCancelled(head, stage, ms),
     });
     this.#forwarded = new ForwardedRequests({
@@ -366,6 +382,7 @@
       table: () => table.table.value,
       isKeyed: () => this.#isKeyed,
       isEnding: () => this.#shutdown.isEnding,
+      isEvacuated: (dataCentre) => this.#evacuations.has(dataCentre),
     });
     this.#keyTransfers = new KeyTransfers({
       self,
@@ -377,6 +394,8 @@
       candidates: () => this.#view.candidates(),
       probe: () => this.#probe(),
       notifyPeers: () => this.#heartbeats.sendNow(),
+      isEvacuated: () => this.#evacuations.has(settings.dataCentre),
+      evacuatedShare: () => this.#view.evacuatedShare,
       isHandingOver: () => this.#isHandingOver,
       hasStore: () => this.#storeAccess.isReachable,
       log,
@@ -476,6 +495,7 @@
     });
     this.#storeAccess.system.changes.subscribe((item) => this.#addMember(item));
     this.#watch.changes.subscribe(() => this.#logServerState());
+    this.#evacuations.changes.subscribe(() => this.#heartbeats.sendNow());
     this.#addGauges();
     const member = {
       address: this.#self,
@@ -596,6 +616,12 @@
     return this.#currentManifest.manifest?.services.get(this.#settings.service);
   }
 
+  /** Requests a second that the own server may get while it is cold; undefined where the deployment has no such bound. */
+  get #coldPerSecond(): number | undefined {
+    const { coldRequests } = this.#settings.bounds;
+    return coldRequests === undefined ? undefined : this.#ownService?.coldPerSecond;
+  }
+
   get #isKeyed(): boolean {
     return this.#ownService?.isKeyed ?? false;
   }
@@ -606,10 +632,21 @@
     return !isConnected() && !(await this.#client.isListening()) && !isConnected();
   }
 
+  /**
+   * Whether the server must get nothing more since its data centre is evacuated. Until then requests go on that other
+   * daemons sent before they knew, and those for keys that are being transferred.
+   */
+  get #mustReceiveNothing(): boolean {
+    const { bounds, dataCentre } = this.#settings;
+    const graceMs = (bounds.evacuationMs ?? 0) * EVACUATION_GRACE_SHARE;
+    return this.#evacuations.has(dataCentre) && this.#evacuations.elapsedMs(dataCentre) >= graceMs;
+  }
+
   /** Returns the backend server if it may be entered as an owner of keys. */
   #ownServer(): OwnServer | undefined {
     const mayNotOwn = this.#shutdown.isEnding || this.#keyTransfers.isTransferring ||
-      !this.#isKeyed || !this.#storeAccess.hasReadAll;
+      !this.#isKeyed || !this.#storeAccess.hasReadAll ||
+      this.#evacuations.has(this.#settings.dataCentre);
     return mayNotOwn ? undefined : this.#watch.ready;
   }
 
@@ -645,11 +682,10 @@
 
   /** Logs each new incarnation, state or request limit of the backend server. */
   #logServerState(): void {
-    const { report, leavingSince, limit } = this.#watch;
+    const { report, leavingSince, allowedPerSecond: requestsPerSecond } = this.#watch;
     if (report === undefined) {
       return;
     }
-    const { requestsPerSecond } = limit;
     const state = leavingSince === undefined ? ServerState.Ready : ServerState.Draining;
     const name = `${report.id}@${report.bornMs} ${state} ${requestsPerSecond}`;
     if (name !== this.#loggedServerState) {
@@ -670,7 +706,11 @@
   /** Checks the health of the backend server; returns its id if it is healthy. */
   async #probe(): Promise<string | undefined> {
     const service = this.#ownService;
-    return service === undefined ? undefined : await this.#client.check(service.healthPath);
+    const checked = service && await this.#client.check(service.healthPath);
+    if (checked?.coldMs !== undefined) {
+      this.#watch.recordCold(checked.id, checked.coldMs);
+    }
+    return checked?.id;
   }
 
   /** Forgets what was observed of the daemon at an address, and of its server, once another one has the address. */
@@ -734,10 +774,11 @@
       running: () => this.#view.measuredLoad.running,
       waiting: () => this.#view.measuredLoad.waiting,
       serviceMs: () => this.#view.measuredLoad.serviceMs,
-      requestLimit: () => this.#watch.limit.requestsPerSecond ?? Infinity,
+      requestLimit: () => this.#watch.allowedPerSecond ?? Infinity,
       ownKeys: () => countKeys(this.#grantManager.ownRanges),
       ownRanges: () => this.#grantManager.ownRanges.length,
       acceptedShare: () => this.#shedder.acceptedShare,
+      evacuatedMs: () => this.#evacuations.elapsedMs(this.#settings.dataCentre),
       bodyBytes: () => this.#bodyMemory.totalBytes,
       callerConnections: () => this.#callers.connections,
       callerConnectionsMax: () => this.#connectionsMax(CALLER_SOCKETS),
@@ -810,6 +851,7 @@
     this.#departures.close();
     this.#ends.close();
     this.#currentManifest.close();
+    this.#evacuations.close();
     this.#client.close();
     this.#grantConnections.close();
     this.#storeAccess.close();
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -7,6 +7,7 @@
   type AdmissionError,
   AdmissionErrorKind,
   Gate,
+  Slowness,
   TimelyLimit,
   WorkTail,
 } from "@bulrushwood/admission";
@@ -50,12 +51,16 @@
   grantManager: GrantManager;
   /** Returns the time that a grant must have left for work to begin, in milliseconds. */
   grantLeftMs: () => number;
+  /** Returns whether the server must get nothing, as operators ask for its data centre. */
+  isEvacuated?: () => boolean;
   ends: Pick<ServerEnds, "quarantinedMs" | "recordLost" | "recordCompleted">;
   drainMs: number;
   log: EventLog;
   onResult: (head: RequestHead, result: ServerResult, ms: number) => void;
   /** Called with each request that the server failed when the grant under which it began had ended. */
   onOutlasted: (head: RequestHead) => void;
+  /** Called with each response that names a load or a request limit which cannot be read. */
+  onMalformedNotice: () => void;
   /** Called with each request whose caller left before its response, and where it waited. */
   onCancelled: (head: RequestHead, stage: RequestStage, ms: number) => void;
 }
@@ -68,6 +73,8 @@
   workMs?: number;
   running: number;
   waiting: number;
+  /** How much longer than usual work takes now. */
+  slowness: number;
 }
 
 /** Runs requests at this daemon's backend server, within its slots. */
@@ -75,6 +82,7 @@
   readonly #options: RunnerOptions;
   readonly #gate: Gate;
   readonly #meter = new LoadMeter(now);
+  readonly #slowness = new Slowness(now);
   #timelyLimit = new TimelyLimit();
   #workTail = new WorkTail();
   /** Incarnation of the server that the limit is for. */
@@ -93,7 +101,8 @@
       now,
       random: Math.random,
       limit: () => this.#concurrencyMax(),
-      perSecond: () => watch.limit.allowedPerSecond,
+      perSecond: () => watch.allowedPerSecond,
+      slowness: () => this.#slowness.value,
     });
   }
 
@@ -135,7 +144,8 @@
     this.#arrivals = 0;
     this.#rateUpdatedAt = now();
     const { running, waiting, serviceMs } = this.#gate;
-    return { rate: this.#rate, serviceMs, workMs: this.workMs, running, waiting };
+    const { value: slowness } = this.#slowness;
+    return { rate: this.#rate, serviceMs, workMs: this.workMs, running, waiting, slowness };
   }
 
   /** Runs a request that this daemon or a peer received from a caller. */
@@ -241,7 +251,8 @@
   #mayStart({ excludedServer }: RequestHead): boolean {
     const { watch, drainMs } = this.#options;
     const { report } = watch;
-    if (report === undefined || !watch.isReachable || this.#isClosed) {
+    const isEvacuated = this.#options.isEvacuated?.() ?? false;
+    if (report === undefined || !watch.isReachable || this.#isClosed || isEvacuated) {
       return false;
     }
     if (incarnationName(report) === excludedServer) {
@@ -256,7 +267,8 @@
     body: Buffer | undefined,
     options: ServeOptions & { deadline: number; keyUntil: number },
   ): Promise<RoutedResponse> {
-    const { client, watch, grantManager, ends, wire, log, onResult, onOutlasted } = this.#options;
+    const { client, watch, grantManager, ends, wire, log } = this.#options;
+    const { onResult, onOutlasted, onMalformedNotice } = this.#options;
     const { deadline, signal, memory } = options;
     if (head.shard >= 0 && !await this.#awaitKey(head, { until: options.keyUntil, signal })) {
       return notRun(Reason.NotHolder, "The key changed its owner meanwhile", MOVE_RETRY_AFTER_MS);
@@ -309,9 +321,14 @@
     } else if (result.outcome === ServerOutcome.Unknown) {
       limit.recordUnanswered();
     }
-    if (result.notice?.limitError !== undefined) {
-      const reason = result.notice.limitError;
-      log(Event.NoticeMalformed, { id: head.id, server: report.id, reason });
+    if (result.load?.slowness !== undefined) {
+      this.#slowness.record(result.load.slowness);
+    }
+    for (const reason of [result.notice?.limitError, result.loadError]) {
+      if (reason !== undefined) {
+        onMalformedNotice();
+        log(Event.NoticeMalformed, { id: head.id, server: report.id, reason });
+      }
     }
     const response = this.#toResponse(head, result, options);
     if (result.notice?.isLeaving) {
--- a/packages/router/src/runner_test.ts
+++ b/packages/router/src/runner_test.ts
@@ -36,6 +36,8 @@
 const TARGET_MS = 400;
 /** Time for which a request waits for a slot, in milliseconds. */
 const SLOT_WAIT_MS = 200;
+const COLD_PER_SECOND = 12;
+const COLD_MS = 2_000;
 /** Time that a grant must have left, in milliseconds. */
 const GRANT_LEFT_MS = 800;
 
@@ -66,6 +68,8 @@
     grantLeftMs?: number;
     grantedUntil?: () => number;
     onOutlasted?: () => void;
+    coldPerSecond?: number;
+    isEvacuated?: () => boolean;
     changeMs?: number;
     reachedAt?: number[];
     respond?: (count: number) => ServerResult;
@@ -73,7 +77,12 @@
 ) {
   const { workMs = 0, state = () => KeyState.Granted, changeMs = 20, reachedAt = [] } = options;
   const { respond = () => RESPONDED } = options;
-  const watch = new ServerWatch({ service: SERVICE, now, reportEveryMs: 60_000 });
+  const watch = new ServerWatch({
+    service: SERVICE,
+    now,
+    reportEveryMs: 60_000,
+    coldPerSecond: () => options.coldPerSecond,
+  });
   const stages: RequestStage[] = [];
   const client = {
     send: async () => {
@@ -94,11 +103,13 @@
       waitForChange: ({ ms, signal }: WaitOptions) => sleep(Math.min(ms, changeMs), signal),
     } as unknown as GrantManager,
     grantLeftMs: () => options.grantLeftMs ?? 0,
+    isEvacuated: options.isEvacuated,
     ends: { quarantinedMs: () => 0, recordLost: () => {}, recordCompleted: () => {} },
     drainMs: DRAIN_MS,
     log: () => {},
     onResult: () => {},
     onOutlasted: options.onOutlasted ?? (() => {}),
+    onMalformedNotice: () => {},
     onCancelled: (_head, stage) => stages.push(stage),
   });
   return { runner, watch, reachedAt, stages };
@@ -225,6 +236,34 @@
     expect((await runner.serve(HEAD, undefined, { signal: NEVER })).head.status).to.equal(200);
   });
 
+  // Guards against cold servers that fall over under the requests of all daemons together.
+  it("sends a cold server no more requests in any second than it tolerates and a quarter", async () => {
+    const { runner, watch, reachedAt } = createRunner({
+      workMs: 1,
+      coldPerSecond: COLD_PER_SECOND,
+    });
+    watch.apply(report({ slots: 50, coldMs: COLD_MS }));
+    await load(runner, { perSecond: 200, forMs: COLD_MS });
+    const inSecondFrom = (at: number) =>
+      reachedAt.filter((reached) => reached >= at && reached < at + 1_000).length;
+    expect(reachedAt.length).to.be.above(COLD_PER_SECOND * COLD_MS / 1_000 / 2);
+    expect(Math.max(...reachedAt.map(inSecondFrom))).to.be.at.most(COLD_PER_SECOND * 1.25 + 1);
+    const before = reachedAt.length;
+    await load(runner, { perSecond: 200, forMs: 500 });
+    expect(reachedAt.length - before).to.be.above(60);
+  });
+
+  it("sends nothing to a server whose data centre is evacuated", async () => {
+    let isEvacuated = true;
+    const { runner, watch, reachedAt } = createRunner({ isEvacuated: () => isEvacuated });
+    watch.apply(report());
+    const { head } = await runner.serve(HEAD, undefined, { signal: NEVER });
+    expect(head).to.include({ outcome: Outcome.NotRun, reason: Reason.Draining });
+    expect(reachedAt).to.deep.equal([]);
+    isEvacuated = false;
+    expect((await runner.serve(HEAD, undefined, { signal: NEVER })).head.status).to.equal(200);
+  });
+
   // Guards against work that outlasts the grant under which it begins.
   it("runs a request only once the grant for its key lasts long enough for the work", async () => {
     const renewedAt = now() + 100;
--- a/packages/router/src/server_client.ts
+++ b/packages/router/src/server_client.ts
@@ -66,6 +66,8 @@
   headers: Header[];
   body: Buffer | undefined;
   load: ServerLoad | undefined;
+  /** Why the load that the response names is invalid; undefined otherwise. */
+  loadError?: string;
   /** What the response says of the server; undefined without a response that certainly is the server's. */
   notice: ServerNotice | undefined;
   /** Whether the server refused the connection. */
@@ -130,8 +132,8 @@
     });
   }
 
-  /** Checks the server's health; returns the id of the server that responded as healthy. */
-  async check(path: string): Promise<string | undefined> {
+  /** Checks the server's health; returns the server that responded as healthy, and how long it stays cold if it says so. */
+  async check(path: string): Promise<{ id: string; coldMs?: number } | undefined> {
     const { endpoint, wire } = this.#options;
     const called = await callHttp({
       agent: this.#healthAgent,
@@ -141,9 +143,12 @@
       timeoutMs: HEALTH_TIMEOUT_MS,
       bodyBytesMax: CONTROL_BODY_BYTES_MAX,
     });
-    return called.isOk && called.value.status === STATUS_OK
-      ? wire.readHealth(called.value.headers)
-      : undefined;
+    if (called.isErr || called.value.status !== STATUS_OK) {
+      return undefined;
+    }
+    const { headers } = called.value;
+    const id = wire.readHealth(headers);
+    return id === undefined ? undefined : { id, coldMs: wire.readColdMs?.(headers) };
   }
 
   /** Returns whether the server's address does not refuse connections. */
@@ -265,7 +270,7 @@
     const { readHeaders } = this.#options;
     const status = message.statusCode ?? 0;
     const { responseHead } = options;
-    const { load, notice } = responseHead;
+    const { load, loadError, notice } = responseHead;
     if (responseHead.isMisdirected || responseHead.isNotRun) {
       this.#recordRejected(options.id);
     }
@@ -286,6 +291,7 @@
       headers,
       body,
       load,
+      loadError,
       notice,
       isConnectionRefused: false,
       isConnectionLost: false,
--- a/packages/router/src/server_view.ts
+++ b/packages/router/src/server_view.ts
@@ -2,6 +2,7 @@
  * One daemon's view of the deployment's backend servers: its own server from local measurements, the others
  * from the heartbeats of their daemons.
  */
+import { agedSlowness } from "@bulrushwood/admission";
 import { type DeploymentSettings, ServerState } from "@bulrushwood/deployment";
 import { countKeys, type OwnershipTable, rangesOf } from "@bulrushwood/ledger_store";
 import type { GrantManager } from "@bulrushwood/lease_ranges";
@@ -32,13 +33,21 @@
   /** Whether this daemon's service has keys. */
   isKeyed: () => boolean;
   isEnding: () => boolean;
+  /** Whether the servers of a data centre must get nothing. */
+  isEvacuated: (dataCentre: string) => boolean;
 }
 
 /** The backend servers of a deployment and their load, as tracked by one daemon. */
 export class ServerView {
   readonly #options: ServerViewOptions;
   #measuredAt = Number.NEGATIVE_INFINITY;
-  #measuredLoad: MeasuredLoad = { rate: 0, serviceMs: 0, running: 0, waiting: 0 };
+  #measuredLoad: MeasuredLoad = {
+    rate: 0,
+    serviceMs: 0,
+    running: 0,
+    waiting: 0,
+    slowness: 1,
+  };
   #cutAt = Number.NEGATIVE_INFINITY;
   #pieces: Piece[] = [];
 
@@ -53,16 +62,17 @@
 
   /** Returns the daemons whose servers of a service accept requests now. */
   serversOf(service: string): Address[] {
-    const { self, settings, heartbeats, watch } = this.#options;
+    const { self, settings, heartbeats, watch, isEvacuated } = this.#options;
     const servers: Address[] = [];
     for (const [address, { status }] of heartbeats.peers) {
       const isUsable = status.service === service && status.isServing && mayOwn(status.server) &&
-        heartbeats.isResponsive(address);
+        heartbeats.isResponsive(address) && !isEvacuated(status.dataCentre);
       if (isUsable) {
         servers.push(address);
       }
     }
-    if (service === settings.service && watch.ready !== undefined) {
+    const isOwnUsable = watch.ready !== undefined && !isEvacuated(settings.dataCentre);
+    if (service === settings.service && isOwnUsable) {
       servers.push(self);
     }
     return servers;
@@ -80,8 +90,11 @@
     }
     // The local queue is read directly; that of peers comes with each heartbeat.
     const { running, waiting } = isOwn ? runner : status.load;
-    const { slots, requestsPerSecond, load: { serviceMs } } = status;
-    return { running, waiting, slots, requestsPerSecond, serviceMs };
+    const { slots, requestsPerSecond, load } = status;
+    const { serviceMs, slowness = 1 } = load;
+    const ageMs = isOwn ? 0 : now() - (heartbeats.peers.get(address)?.receivedAt ?? now());
+    const agedMs = serviceMs / slowness * agedSlowness(slowness, ageMs);
+    return { running, waiting, slots, requestsPerSecond, serviceMs: agedMs };
   }
 
   /**
@@ -161,21 +174,29 @@
   /** Returns the status of this daemon's server that is sent to peers; null before its first report. */
   status(options: { withPieces: boolean }): ServerStatus | null {
     const { watch } = this.#options;
-    const { report, leavingSince, isReachable, isCold, limit } = watch;
+    const { report, leavingSince, isReachable, isCold, recentPerSecond } = watch;
     if (report === undefined) {
       return null;
     }
-    const { rate, serviceMs, workMs, running, waiting } = this.#measure();
+    const { rate, serviceMs, workMs, running, waiting, slowness } = this.#measure();
     const pieces = options.withPieces ? this.#cutPieces() : [];
     return {
       id: report.id,
       bornMs: report.bornMs,
       slots: report.slots,
-      requestsPerSecond: limit.recentRequestsPerSecond,
+      requestsPerSecond: recentPerSecond,
       state: leavingSince === undefined ? ServerState.Ready : ServerState.Draining,
       isCold,
       isReachable,
-      load: { rate, serviceMs, workMs, running, waiting, pieces },
+      load: {
+        rate,
+        serviceMs,
+        workMs,
+        running,
+        waiting,
+        slowness: slowness === 1 ? undefined : slowness,
+        pieces,
+      },
     };
   }
 
@@ -199,10 +220,21 @@
     return this.#pieces;
   }
 
+  /** Own part of the load of all servers of the service that are evacuated, from 0 to 1. */
+  get evacuatedShare(): number {
+    const { settings, heartbeats, isEvacuated } = this.#options;
+    const own = this.#measuredLoad.rate;
+    const others = [...heartbeats.peers.values()].filter(({ status }) =>
+      status.service === settings.service && isEvacuated(status.dataCentre)
+    );
+    const total = others.reduce((sum, { status }) => sum + (status.server?.load.rate ?? 0), own);
+    return total > 0 ? own / total : 1 / (others.length + 1);
+  }
+
   /** Returns the servers of this daemon's service that may own keys. */
   candidates(): Candidate[] {
-    const { self, settings, heartbeats, watch, isEnding } = this.#options;
-    const own = isEnding() || watch.ready === undefined
+    const { self, settings, heartbeats, watch, isEnding, isEvacuated } = this.#options;
+    const own = isEnding() || watch.ready === undefined || isEvacuated(settings.dataCentre)
       ? []
       : [this.#toCandidate(self, this.status({ withPieces: true })!)];
     const others = this.serversOf(settings.service).filter((address) =>
@@ -217,7 +249,9 @@
 
   #toCandidate(address: Address, status: ServerStatus): Candidate {
     const { slots, requestsPerSecond, isCold, load } = status;
-    const { serviceMs, waiting, pieces } = load;
+    const { waiting, pieces, slowness = 1 } = load;
+    // Slowness passes within tenths of a second, before moved keys would be served.
+    const serviceMs = load.serviceMs / slowness;
     // The rate of the pieces follows a load spike sooner than the moving average.
     const rate = pieces.length > 0 ? pieces.reduce((sum, piece) => sum + piece.rate, 0) : load.rate;
     const keys = countKeys(rangesOf(this.#options.table(), address));
--- a/packages/router/src/server_view_test.ts
+++ b/packages/router/src/server_view_test.ts
@@ -24,11 +24,11 @@
       report: REPORT,
       isReachable: true,
       isCold: false,
-      limit: { recentRequestsPerSecond: requestsPerSecond },
+      recentPerSecond: requestsPerSecond,
     } as ServerWatch,
     runner: {
       meter,
-      measure: () => ({ rate: 5, serviceMs: 20, running: 1, waiting: 2 }),
+      measure: () => ({ rate: 5, serviceMs: 20, running: 1, waiting: 2, slowness: 1 }),
     } as Runner,
     grantManager: {
       ownRanges: [{ first: 0, last: 99, owner: "d1", epoch: 1, handover: null }],
@@ -37,6 +37,7 @@
     table: emptyTable,
     isKeyed: () => true,
     isEnding: () => false,
+    isEvacuated: () => false,
   });
 }
 
--- a/packages/router/src/server_watch.ts
+++ b/packages/router/src/server_watch.ts
@@ -38,6 +38,8 @@
   /** Returns Unix time in milliseconds. */
   wallClock?: () => number;
   reportEveryMs: number;
+  /** Returns the requests a second that a cold server may get; undefined, also where left out, for any number. */
+  coldPerSecond?: () => number | undefined;
 }
 
 /** State of one daemon's backend server. */
@@ -110,6 +112,27 @@
     return this.#options.now() < this.#coldUntil;
   }
 
+  /** Requests a second that the server may get now; undefined for any number. */
+  get allowedPerSecond(): number | undefined {
+    return least(this.#limit.allowedPerSecond, this.#coldPerSecond);
+  }
+
+  /** The same, without a limit that the server has not named for a while. */
+  get recentPerSecond(): number | undefined {
+    return least(this.#limit.recentRequestsPerSecond, this.#coldPerSecond);
+  }
+
+  get #coldPerSecond(): number | undefined {
+    return this.isCold ? this.#options.coldPerSecond?.() : undefined;
+  }
+
+  /** Records that a server said how long it stays cold; a server may become cold again at any moment. */
+  recordCold(id: string, coldMs: number): void {
+    if (this.#report?.id === id) {
+      this.#coldUntil = this.#options.now() + coldMs;
+    }
+  }
+
   /** Whether a report or response was received within the silence timeout. */
   get isReachable(): boolean {
     const { now, reportEveryMs } = this.#options;
@@ -242,6 +265,10 @@
   }
 }
 
+function least(one: number | undefined, other: number | undefined): number | undefined {
+  return one === undefined || other === undefined ? one ?? other : Math.min(one, other);
+}
+
 /** Returns whether a report is of a server that left; false if either is undefined. */
 function isCovered(report: ServerReport | undefined, departure: Departure | undefined): boolean {
   if (report === undefined || departure === undefined) {
--- a/packages/stand_ins/src/keyed_store.ts
+++ b/packages/stand_ins/src/keyed_store.ts
@@ -111,6 +111,12 @@
     this.#wakeReaders(topic);
   }
 
+  /** Removes all records of a key, as if its deletion had been dropped from the history. */
+  forget(name: string, key: string): void {
+    const topic = this.#topicOf(name);
+    topic.items = topic.items.map((item) => item.key === key ? { ...item, key: "" } : item);
+  }
+
   /** Returns the number of records ever appended to a topic. */
   endOf(name: string): Offset {
     return this.#topicOf(name).items.length;
@@ -207,7 +213,7 @@
       return fail(StoreErrorKind.Unavailable);
     }
     const { items } = this.#topicOf(name);
-    const newest = new Map(items.map((item) => [item.key, item]));
+    const newest = new Map(items.filter(({ key }) => key !== "").map((item) => [item.key, item]));
     return Result.ok({ items: [...newest.values()], after: undefined, end: items.length });
   }
 }
