Wake up, send and read less for control in large deployments

Some 45 timers, 50 messages of heartbeats and 2 reads of the store a second woke up each of them; the status of all servers went to each daemon from two or three others, mostly of other data centres, every 600 ms.

Change: periodic tasks wake up together, at ticks of 100 ms. Heartbeats to voters go out every 600 ms where votes last long. Hubs are in different data centres, and the status of servers comes from the one in the own data centre; the second source is asked every 1.8 s. Tables are read every 2 s; their writers pass them on to the daemons that got keys, and a daemon that lacks a key names its owner. Work that is read when an idle event loop wakes up starts at once. A daemon prefers the server beside it, and local ones that are expected to respond within half of the target.

--- a/packages/http_server/src/event_loop.ts
+++ b/packages/http_server/src/event_loop.ts
@@ -23,10 +23,15 @@
 
 export interface EventLoopOptions {
   now: Clock;
+  /** Returns for how long the event loop has been idle in all, in milliseconds; undefined where that is not known. */
+  idleMs?: () => number;
   /** Called with the times for which each piece of work, and the oldest one that waits, have waited, in milliseconds. */
   onRelease?: (waitMs: number, oldestMs: number) => void;
 }
 
+/** Time after an idle event loop has woken up in which what it reads has just arrived, in milliseconds. */
+const FRESH_MS = 1;
+
 /** A piece of work that waits. */
 interface Waiting {
   joinedAt: number;
@@ -51,6 +56,9 @@
   /** Work that may go on, in order of its position. */
   readonly #due: Waiting[] = [];
   #isScheduled = false;
+  /** Time for which the event loop had been idle when work last came, and when that was. */
+  #idleMs = 0;
+  #wokeAt = Number.NEGATIVE_INFINITY;
   /** Whether a connection was accepted in this round. */
   #hasAccepted = false;
   /** The turn while connections are accepted; undefined while none waits to be accepted. */
@@ -72,12 +80,31 @@
    * other work came long before it.
    */
   nextPoll(rank = 0): Promise<void> {
-    this.#schedule();
     const joinedAt = this.#options.now();
+    if (this.#isFresh(joinedAt)) {
+      this.#options.onRelease?.(0, 0);
+      return Promise.resolve();
+    }
+    this.#schedule();
     const position = joinedAt + Math.min(PASS_MS_MAX, rank * PASS_MS_PER_RANK);
     return new Promise((release) => this.#joined.push({ joinedAt, position, release }));
   }
 
+  /** Whether the event loop was idle until a moment ago, so that nothing waits and no end of a connection is unread. */
+  #isFresh(at: number): boolean {
+    const { idleMs } = this.#options;
+    if (idleMs === undefined) {
+      return false;
+    }
+    const idle = idleMs();
+    if (idle > this.#idleMs) {
+      this.#idleMs = idle;
+      this.#wokeAt = at;
+    }
+    const isWaiting = this.#isScheduled || this.#due.length > 0;
+    return !isWaiting && at - this.#wokeAt < FRESH_MS;
+  }
+
   #schedule(): void {
     if (!this.#isScheduled) {
       this.#isScheduled = true;
--- a/packages/lease_ranges/src/grant_manager.ts
+++ b/packages/lease_ranges/src/grant_manager.ts
@@ -41,7 +41,7 @@
 import type { TenureManager } from "./tenure_manager.ts";
 
 /** Longest time between renewals, in milliseconds; grants are also renewed with each vote. */
-const RENEW_INTERVAL_MS = 350;
+const RENEW_INTERVAL_MS = 300;
 
 /**
  * Time between writes of transferred keys, in milliseconds for each host: all hosts read each change of the table, so the
@@ -75,6 +75,8 @@
   self: Address;
   now: Clock;
   sleep: Sleep;
+  /** Sleeps between rounds; by default as `sleep`. */
+  pause?: Sleep;
   table: TableStore;
   tenure: TenureManager;
   suspension: SuspensionDetector;
@@ -182,10 +184,11 @@
   }
 
   async #run(): Promise<void> {
+    const { sleep, pause = sleep } = this.#options;
     while (!this.#stop.signal.aborted) {
       this.renew();
       this.#mergeOwnRanges();
-      await this.#options.sleep(RENEW_INTERVAL_MS, this.#stop.signal);
+      await pause(RENEW_INTERVAL_MS, this.#stop.signal);
     }
   }
 
--- a/packages/lease_ranges/src/tenure_manager.ts
+++ b/packages/lease_ranges/src/tenure_manager.ts
@@ -17,7 +17,7 @@
 import { endOfGrant } from "./grant_channel.ts";
 
 /** Time between checks of the tenure, in milliseconds. */
-const CHECK_INTERVAL_MS = 150;
+const CHECK_INTERVAL_MS = 200;
 /** Time without support after which a voter is replaced, in milliseconds; longer than a restart takes. */
 const VOTER_TIMEOUT_MS = 1_600;
 /** Timeout of a new tenure's wait for enough voters, in milliseconds; after it the tenure starts with fewer. */
@@ -60,6 +60,8 @@
   incarnation: string;
   now: Clock;
   sleep: Sleep;
+  /** Sleeps between rounds; by default as `sleep`. */
+  pause?: Sleep;
   table: TableStore;
   /** Returns the daemons that could vote, the best first. */
   candidates: () => Voter[];
@@ -193,12 +195,13 @@
   }
 
   async #run(): Promise<void> {
+    const { sleep, pause = sleep } = this.#options;
     while (!this.#stop.signal.aborted) {
       const server = this.#options.server();
       if (server !== undefined && this.#mustEnter(server)) {
         await this.#enter(server);
       }
-      await this.#options.sleep(CHECK_INTERVAL_MS, this.#stop.signal);
+      await pause(CHECK_INTERVAL_MS, this.#stop.signal);
     }
   }
 
--- a/packages/ledger_store/src/mod.ts
+++ b/packages/ledger_store/src/mod.ts
@@ -5,6 +5,7 @@
 export {
   assign,
   type Assignment,
+  changedHosts,
   countKeys,
   emptyTable,
   encloses,
--- a/packages/ledger_store/src/ownership_table.ts
+++ b/packages/ledger_store/src/ownership_table.ts
@@ -219,3 +219,13 @@
   }
   return assign(rest, own.map(({ first, last }) => ({ first, last, to: null, handover: null })));
 }
+
+/** Returns the hosts that a change entered anew or gave keys. */
+export function changedHosts(
+  { before, after }: { before: OwnershipTable; after: OwnershipTable },
+): Address[] {
+  const isNew = (address: Address) => after.hosts[address].tenure !== before.hosts[address]?.tenure;
+  const owners = after.ranges.filter(({ epoch }) => epoch > before.epoch)
+    .flatMap(({ owner }) => owner ?? []);
+  return [...new Set([...Object.keys(after.hosts).filter(isNew), ...owners])];
+}
--- a/packages/ledger_store/src/table_store.ts
+++ b/packages/ledger_store/src/table_store.ts
@@ -5,7 +5,7 @@
  */
 import { randomUUID } from "node:crypto";
 import { BehaviorSubject } from "rxjs";
-import { type Store, StoreErrorKind } from "@bulrushwood/deployment";
+import { type Item, type Store, StoreErrorKind } from "@bulrushwood/deployment";
 import type { Clock, Offset, Sleep } from "@bulrushwood/types";
 import type { KeyedFollower } from "./keyed_follower.ts";
 import { emptyTable, type OwnershipTable } from "./ownership_table.ts";
@@ -37,6 +37,8 @@
   sleep: Sleep;
   service: string;
   onCorrupt: (reason: string) => void;
+  /** Called with each record of a change that this process wrote, and the tables before and after it. */
+  onWritten?: (item: Item, tables: { before: OwnershipTable; after: OwnershipTable }) => void;
   /** Returns a random number from 0 to 1. */
   random: () => number;
 }
@@ -141,7 +143,10 @@
         timeoutMs: APPEND_TIMEOUT_MS,
       });
       if (appended.isOk) {
-        follower.applyAppended({ ...item, offset: appended.value.offset });
+        const before = this.#table.value;
+        const written = { ...item, offset: appended.value.offset };
+        follower.applyAppended(written);
+        this.#options.onWritten?.(written, { before, after: table });
         return true;
       }
       if (appended.error.kind === StoreErrorKind.Conflict) {
--- a/packages/membership_beats/src/heartbeat_peers.ts
+++ b/packages/membership_beats/src/heartbeat_peers.ts
@@ -3,8 +3,8 @@
  * there are. In a small deployment these are all others. In a larger one their number is fixed: possible
  * voters, spread evenly over all daemons by a hash, where the service has keys; hubs, which get heartbeats from every
  * daemon of a service, so that they have the status of all its servers; and two of the hubs of each service without
- * keys, which report the status of those servers. Hubs are the responsive daemons with the lowest addresses; the next
- * one replaces a hub that becomes unresponsive.
+ * keys, which report the status of those servers, one of them in the daemon's own data centre. Hubs are the responsive
+ * daemons with the lowest addresses in different data centres; the next one replaces a hub that becomes unresponsive.
  */
 import type { Address } from "@bulrushwood/types";
 import type { Member } from "./members.ts";
@@ -13,8 +13,8 @@
 export const FULL_MESH_LIMIT = 30;
 /** Number of hubs in a daemon's own service; all but one may be lost at once. */
 const OWN_HUB_COUNT = 3;
-/** Number of hubs of another service from which a daemon gets the status of that service's servers. */
-const OTHER_HUB_COUNT = 2;
+/** Number of hubs of a service without keys from which a daemon gets the status of that service's servers. */
+const SOURCE_COUNT = 2;
 /** Number of daemons chosen as possible voters; a tenure names these and the daemon itself. */
 const VOTER_COUNT = 8;
 
@@ -32,6 +32,7 @@
 /** Options of `chooseHeartbeatPeers`. */
 export interface HeartbeatPeerOptions {
   service: string;
+  dataCentre?: string;
   /** All members of the deployment, without this daemon. */
   members: readonly Member[];
   /** This daemon's order of the others. */
@@ -46,7 +47,7 @@
 export function chooseHeartbeatPeers(
   options: HeartbeatPeerOptions,
 ): Map<Address, HeartbeatPeerRole> {
-  const { service, members, rank, isUnresponsive, unkeyedServices } = options;
+  const { service, dataCentre, members, rank, isUnresponsive, unkeyedServices } = options;
   if (members.length < FULL_MESH_LIMIT) {
     return new Map(members.map(({ address }) => [address, HeartbeatPeerRole.All]));
   }
@@ -60,22 +61,31 @@
     hubsOf(responsive, service)
       .forEach((address) => peers.set(address, HeartbeatPeerRole.Hub));
   }
+  const dataCentreOf = new Map(members.map((member) => [member.address, member.dataCentre]));
+  const isLocal = (address: Address) => dataCentreOf.get(address) === dataCentre;
   for (const unkeyed of unkeyedServices) {
-    const count = unkeyed === service ? OWN_HUB_COUNT : OTHER_HUB_COUNT;
-    hubsOf(responsive, unkeyed)
-      .sort(byRank)
-      .slice(0, count)
+    const hubs = hubsOf(responsive, unkeyed).sort((one, other) =>
+      Number(isLocal(other)) - Number(isLocal(one)) || byRank(one, other)
+    );
+    hubs.slice(0, SOURCE_COUNT)
       .forEach((address) => peers.set(address, HeartbeatPeerRole.Source));
+    if (unkeyed === service) {
+      hubs.slice(SOURCE_COUNT).forEach((address) => peers.set(address, HeartbeatPeerRole.Hub));
+    }
   }
   return peers;
 }
 
-/** Returns the hubs of a service. */
+/** Returns the hubs of a service: the first daemons of its data centres, as far as these suffice. */
 function hubsOf(members: Member[], service: string): Address[] {
-  return members.filter((member) => member.service === service)
-    .map(({ address }) => address)
-    .sort()
-    .slice(0, OWN_HUB_COUNT);
+  const ordered = members.filter((member) => member.service === service)
+    .sort((one, other) => one.address < other.address ? -1 : 1);
+  const isFirst = (member: Member) =>
+    ordered.find(({ dataCentre }) => dataCentre === member.dataCentre) === member;
+  const firsts = ordered.filter(isFirst);
+  return [...firsts, ...ordered.filter((member) => !firsts.includes(member))]
+    .slice(0, OWN_HUB_COUNT)
+    .map(({ address }) => address);
 }
 
 /** Creates the order of one daemon, which computes the rank of each other daemon once. */
--- a/packages/membership_beats/src/heartbeat_peers_test.ts
+++ b/packages/membership_beats/src/heartbeat_peers_test.ts
@@ -22,6 +22,7 @@
   return chooseHeartbeatPeers({
     rank: createRank(self.address),
     service: self.service,
+    dataCentre: self.dataCentre,
     members: members.filter((member) => member !== self),
     isUnresponsive: (address) => unresponsive.has(address),
     unkeyedServices: new Set([UNKEYED]),
@@ -80,6 +81,17 @@
     }
   });
 
+  // Guards against the status of all servers being sent between data centres several times a second to each daemon.
+  it("takes one source of each service without keys from the daemon's own data centre", () => {
+    const members = createMembers(61);
+    const dataCentreOf = new Map(members.map(({ address, dataCentre }) => [address, dataCentre]));
+    for (const self of members) {
+      const sources = withRole(choose(members, self), HeartbeatPeerRole.Source);
+      const local = sources.filter((address) => dataCentreOf.get(address) === self.dataCentre);
+      expect(local.length, self.address).to.be.at.least(self === members[4] ? 0 : 1);
+    }
+  });
+
   // Guards against two daemons that report to all others, beside servers that get as many requests as the rest.
   it("shares the daemons that ask for the status of a service among its hubs", () => {
     const members = createMembers(61);
--- a/packages/membership_beats/src/heartbeats.ts
+++ b/packages/membership_beats/src/heartbeats.ts
@@ -36,6 +36,8 @@
 
 /** Time between heartbeats to a peer, in milliseconds; a quarter of the time for which a vote lasts. */
 export const HEARTBEAT_MS = 300;
+/** The same in a large deployment for votes that last long, in milliseconds. */
+export const LONG_HEARTBEAT_MS = 600;
 /** Time between heartbeats to a peer that has been unresponsive for long, in milliseconds. */
 const SLOW_HEARTBEAT_MS = 1_500;
 /** Time without a heartbeat after which a peer counts as unresponsive, in milliseconds; three were lost. */
@@ -44,6 +46,12 @@
 const LARGE_SILENCE_TIMEOUT_MS = 1_800;
 /** Time between heartbeats to a hub or source in a large deployment, in milliseconds. */
 const HUB_HEARTBEAT_MS = 600;
+/** Time between heartbeats to a source in another data centre while that in the own one responds, in milliseconds. */
+const SPARE_SOURCE_HEARTBEAT_MS = 1_800;
+/** Silence from which on a source no longer counts as responding, in milliseconds; two heartbeats were lost. */
+const SOURCE_SILENCE_MS = 1_300;
+/** Time without any update after which a peer that gets no heartbeats from here counts as unresponsive, in milliseconds. */
+const INDIRECT_SILENCE_TIMEOUT_MS = 2_400;
 /** Time for which an unresponsive heartbeat peer is left out of the choice, in milliseconds. */
 const UNRESPONSIVE_RETRY_MS = 8_000;
 /** Silence after which a peer gets heartbeats less often, in milliseconds. */
@@ -68,13 +76,18 @@
 export interface HeartbeatsOptions {
   self: Address;
   service: string;
+  dataCentre?: string;
   incarnation: string;
   now: Clock;
   sleep: Sleep;
+  /** Sleeps between rounds; by default as `sleep`. */
+  pause?: Sleep;
   call: CallPeer;
   voteManager: VoteManager;
   /** How long a vote lasts that names no time, in milliseconds. */
   supportMs: number;
+  /** Returns the time between heartbeats to voters, in milliseconds; by default a quarter of the shortest vote. */
+  intervalMs?: () => number;
   /** Returns the services without keys, whose servers every daemon must have the status of. */
   unkeyedServices: () => ReadonlySet<string>;
   /** Returns the daemons that are always heartbeat peers, such as the voters of a running tenure. */
@@ -153,7 +166,9 @@
   /** Whether a heartbeat, reply or update of a peer was received within the silence timeout. */
   isResponsive(peer: Address): boolean {
     const receivedAt = this.#receivedAt.get(peer) ?? Number.NEGATIVE_INFINITY;
-    return this.#options.now() - receivedAt < this.silenceTimeoutMs;
+    const isIndirect = !this.isFullMesh && !this.#heartbeatPeers.has(peer);
+    const timeoutMs = isIndirect ? INDIRECT_SILENCE_TIMEOUT_MS : this.silenceTimeoutMs;
+    return this.#options.now() - receivedAt < timeoutMs;
   }
 
   /** Addresses of the peers that are responsive. */
@@ -203,8 +218,9 @@
 
   async #run(): Promise<void> {
     const { signal } = this.#stop;
+    const { sleep, pause = sleep } = this.#options;
     while (!signal.aborted) {
-      await this.#options.sleep(HEARTBEAT_MS, signal);
+      await pause(HEARTBEAT_MS, signal);
       if (!signal.aborted) {
         this.#selectPeers();
         this.#sendDue();
@@ -224,7 +240,7 @@
   }
 
   #selectPeers(): void {
-    const { self, service, unkeyedServices, requiredPeers, now } = this.#options;
+    const { self, service, dataCentre, unkeyedServices, requiredPeers, now } = this.#options;
     for (const [address, { since }] of this.#heartbeatPeers) {
       if (!this.isResponsive(address) && now() - since > SILENCE_TIMEOUT_MS) {
         this.#markUnresponsive(address);
@@ -232,6 +248,7 @@
     }
     const chosen = chooseHeartbeatPeers({
       service,
+      dataCentre,
       members: [...this.#members.values()],
       unkeyedServices: unkeyedServices(),
       rank: this.rank,
@@ -281,9 +298,23 @@
       return SLOW_HEARTBEAT_MS;
     }
     const isInfrequent = role === HeartbeatPeerRole.Hub || role === HeartbeatPeerRole.Source;
-    return isInfrequent && !this.#options.requiredPeers().includes(peer)
-      ? HUB_HEARTBEAT_MS
-      : HEARTBEAT_MS;
+    if (isInfrequent && !this.#options.requiredPeers().includes(peer)) {
+      return this.#isSpareSource(peer, role) ? SPARE_SOURCE_HEARTBEAT_MS : HUB_HEARTBEAT_MS;
+    }
+    return this.#options.intervalMs?.() ?? HEARTBEAT_MS;
+  }
+
+  /** Whether a source in the own data centre reports the same servers, so that this one is only asked now and then. */
+  #isSpareSource(peer: Address, role: HeartbeatPeerRole): boolean {
+    const { service, dataCentre } = this.#options;
+    const member = this.#members.get(peer);
+    const isOther = role === HeartbeatPeerRole.Source && member !== undefined &&
+      member.service !== service && member.dataCentre !== dataCentre;
+    return isOther && [...this.#heartbeatPeers].some(([address, other]) => {
+      const source = this.#members.get(address);
+      return other.role === HeartbeatPeerRole.Source && source?.service === member.service &&
+        source.dataCentre === dataCentre && this.silenceMs(address) < SOURCE_SILENCE_MS;
+    });
   }
 
   async #sendHeartbeat(peer: Address, role: HeartbeatPeerRole): Promise<void> {
--- a/packages/membership_beats/src/mod.ts
+++ b/packages/membership_beats/src/mod.ts
@@ -11,7 +11,13 @@
   type ServerStatus,
   type StatusUpdate,
 } from "./messages.ts";
-export { HEARTBEAT_MS, Heartbeats, type HeartbeatsOptions, type Peer } from "./heartbeats.ts";
+export {
+  HEARTBEAT_MS,
+  Heartbeats,
+  type HeartbeatsOptions,
+  LONG_HEARTBEAT_MS,
+  type Peer,
+} from "./heartbeats.ts";
 export { addMember, type Member, parseMember, readMember } from "./members.ts";
 export {
   chooseHeartbeatPeers,
--- a/packages/planner_ranges/src/range_planner.ts
+++ b/packages/planner_ranges/src/range_planner.ts
@@ -31,7 +31,7 @@
 } from "@bulrushwood/types";
 
 /** Time between planning rounds, in milliseconds. */
-const PLAN_INTERVAL_MS = 250;
+const PLAN_INTERVAL_MS = 300;
 /** Time without a new daemon after which first owners are chosen, in milliseconds. */
 const SETTLE_MS = 1_000;
 /** Longest time without a new daemon for which first owners wait for those that have not entered, in milliseconds. */
@@ -61,6 +61,8 @@
   service: string;
   now: Clock;
   sleep: Sleep;
+  /** Sleeps between rounds; by default as `sleep`. */
+  pause?: Sleep;
   table: TableStore;
   heartbeats: Heartbeats;
   /** Returns whether the service has keys and this daemon reaches the store. */
@@ -100,6 +102,7 @@
   }
 
   async #run(): Promise<void> {
+    const { sleep, pause = sleep } = this.#options;
     while (!this.#stop.signal.aborted) {
       try {
         await this.#plan();
@@ -107,7 +110,7 @@
         const { message } = error as Error;
         this.#options.onEvent(PlannerEvent.Failed, { reason: message });
       }
-      await this.#options.sleep(PLAN_INTERVAL_MS, this.#stop.signal);
+      await pause(PLAN_INTERVAL_MS, this.#stop.signal);
     }
   }
 
--- a/packages/protocol/src/frames.ts
+++ b/packages/protocol/src/frames.ts
@@ -111,6 +111,8 @@
   isUnframed?: boolean;
   /** Length of a body that follows in parts, in bytes; absent for others, and in heads of older daemons. */
   bodyBytes?: number;
+  /** Owner of the key of a request that the daemon does not hold, as far as it knows. */
+  owner?: string;
   /** Name of the server incarnation that announced with this response that it leaves. */
   leavingServer?: string;
 }
--- a/packages/protocol/src/link.ts
+++ b/packages/protocol/src/link.ts
@@ -33,7 +33,7 @@
 /** Timeout of that check, in milliseconds; longer than a round trip between data centres. */
 const IDLE_CHECK_TIMEOUT_MS = 300;
 /** Time between two calls of `checkSilence`, in milliseconds. */
-export const SILENCE_CHECK_MS = 250;
+export const SILENCE_CHECK_MS = 300;
 
 /** Handlers for what the peer sends on a link. */
 export interface LinkHandlers {
--- a/packages/protocol/src/links.ts
+++ b/packages/protocol/src/links.ts
@@ -6,7 +6,7 @@
 import { WebSocket, WebSocketServer } from "ws";
 import { Result } from "true-myth";
 import { type ConnectionLimitOptions, limitConnections, listen } from "@bulrushwood/http_server";
-import type { Address } from "@bulrushwood/types";
+import { type Address, createStop, everyTicks } from "@bulrushwood/types";
 import { MESSAGE_BYTES_MAX } from "./codec.ts";
 import { LinkError, LinkErrorKind } from "./errors.ts";
 import { Link, type LinkHandlers, SILENCE_CHECK_MS } from "./link.ts";
@@ -48,7 +48,8 @@
   readonly #http: Server;
   readonly #server: WebSocketServer;
   /** One timer for all links, so that idle links cost no wake-ups; undefined while there are none. */
-  #silenceTimer: NodeJS.Timeout | undefined;
+  /** Ends the checks for silence; undefined while there is no link. */
+  #silenceChecks: AbortController | undefined;
   #isClosed = false;
   /** Bytes sent and received on closed links. */
   #closedBytes = 0;
@@ -120,12 +121,12 @@
       return link;
     }
     this.#all.add(link);
-    this.#silenceTimer ??= setInterval(() => this.#checkSilence(), SILENCE_CHECK_MS);
+    this.#startSilenceChecks();
     link.closed.then(() => {
       this.#all.delete(link);
       if (this.#all.size === 0) {
-        clearInterval(this.#silenceTimer);
-        this.#silenceTimer = undefined;
+        this.#silenceChecks?.abort();
+        this.#silenceChecks = undefined;
       }
       this.#closedBytes += link.bytesSent + link.bytesReceived;
       if (this.#links.get(link.peer) === link) {
@@ -135,6 +136,14 @@
     return link;
   }
 
+  #startSilenceChecks(): void {
+    if (this.#silenceChecks === undefined) {
+      const checks = createStop();
+      this.#silenceChecks = checks;
+      everyTicks(SILENCE_CHECK_MS, () => this.#checkSilence(), checks.signal);
+    }
+  }
+
   #checkSilence(): void {
     this.#all.forEach((link) => link.checkSilence());
   }
--- a/packages/router/src/acceptance_probe.ts
+++ b/packages/router/src/acceptance_probe.ts
@@ -4,7 +4,7 @@
  */
 import { connect, type Socket } from "node:net";
 import type { Endpoint } from "@bulrushwood/deployment";
-import type { Clock } from "@bulrushwood/types";
+import { type Clock, createStop, everyTicks } from "@bulrushwood/types";
 
 /** Time between probes, in milliseconds. */
 const INTERVAL_MS = 500;
@@ -20,7 +20,7 @@
 /** Probes of the listener for callers. */
 export class AcceptanceProbe {
   readonly #options: AcceptanceProbeOptions;
-  #timer: NodeJS.Timeout | undefined;
+  readonly #stop = createStop();
   #socket: Socket | undefined;
   /** Since when a probe waits to be accepted; undefined while none waits. */
   #waitsSince: number | undefined;
@@ -31,7 +31,7 @@
 
   /** Starts to probe periodically. */
   start(): void {
-    this.#timer = setInterval(() => this.#probe(), INTERVAL_MS).unref();
+    everyTicks(INTERVAL_MS, () => this.#probe(), this.#stop.signal);
   }
 
   /** Whether new callers are accepted in time. */
@@ -73,7 +73,7 @@
 
   /** Ends all probes. */
   close(): void {
-    clearInterval(this.#timer);
+    this.#stop.abort();
     this.#socket?.destroy();
   }
 }
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -77,6 +77,8 @@
   waitForChange: (service: string, options: WaitOptions) => Promise<void>;
   /** Returns the time for which a daemon has been unreachable, in milliseconds. */
   unreachableMs: (address: Address) => number;
+  /** Records that a daemon knows newer owners than this one. */
+  recordOutdated: (address: Address) => void;
   /** Records whether a daemon could be reached. */
   recordReachability: (address: Address, isReached: boolean) => void;
 }
@@ -84,7 +86,11 @@
 /** Load balancing among the servers of a service without keys. */
 export interface ServerChoice {
   /** Returns the servers that may be used, in order of preference. */
-  choose: (service: string, mayUse: (address: Address) => boolean) => Address[];
+  choose: (
+    service: string,
+    mayUse: (address: Address) => boolean,
+    options: { targetMs: number },
+  ) => Address[];
   /** Records that a request was sent to a server; the returned function is called once, when it has ended. */
   begin: (address: Address) => (succeeded: boolean) => void;
 }
@@ -173,8 +179,10 @@
     const waitUntil = now() + Math.min(OWNER_WAIT_MS, ownerWaitMs);
     let response = notRun(Reason.NoHolder, "Nobody owns the key now", OWNER_RETRY_AFTER_MS);
     let attempts = 0;
+    let named: Address | undefined;
     while (attempts < OWNER_ATTEMPTS_MAX && !request.signal.aborted) {
-      const owner = owners.ownerOf(pool, shard);
+      const owner: Address | null = named ?? owners.ownerOf(pool, shard);
+      named = undefined;
       const unreachableMs = owner === null || owner === this.#options.self
         ? 0
         : owners.unreachableMs(owner);
@@ -195,6 +203,12 @@
           return response;
         }
         attempts++;
+        if (response.head.owner !== undefined && response.head.owner !== owner) {
+          // The table here is older than that of the daemon that rejected the request.
+          named = response.head.owner;
+          owners.recordOutdated(owner);
+          continue;
+        }
       }
       if (now() >= waitUntil) {
         return response;
@@ -248,7 +262,7 @@
     while (tried.size < request.route.attemptsMax && !request.signal.aborted) {
       const mayUse = (address: Address) =>
         !tried.has(address) && this.#backoffMs(request, address) === 0;
-      const [server] = choice.choose(pool, mayUse);
+      const [server] = choice.choose(pool, mayUse, { targetMs: request.targetAt - now() });
       if (server === undefined) {
         return tried.size > 0 ? response : this.#withoutServer(request, response);
       }
@@ -278,7 +292,7 @@
 
   /** Response to a request for which no server may be used: each is unreachable or overloaded. */
   #withoutServer(request: DispatchRequest, unreachable: RoutedResponse): RoutedResponse {
-    const servers = this.#options.choice.choose(request.head.pool, () => true);
+    const servers = this.#options.choice.choose(request.head.pool, () => true, { targetMs: 0 });
     return servers.length === 0 ? unreachable : overloaded(
       "All servers of the service are overloaded",
       Math.min(...servers.map((address) => this.#backoffMs(request, address))),
--- a/packages/router/src/dispatcher_test.ts
+++ b/packages/router/src/dispatcher_test.ts
@@ -47,6 +47,7 @@
       waitForChange: () => new Promise((resolve) => setTimeout(resolve, 20)),
       unreachableMs: () => 60_000,
       recordReachability: () => {},
+      recordOutdated: () => {},
     },
     choice: { choose: (_service, mayUse) => [SELF].filter(mayUse), begin: () => () => {} },
     quarantinedMs: () => 0,
@@ -185,6 +186,7 @@
     owners: {
       ownerOf: () => owner,
       waitForChange: (_service, { ms, signal }) => sleep(ms, signal),
+      recordOutdated: () => {},
       unreachableMs: () => 0,
       recordReachability: () => {},
     },
--- a/packages/router/src/key_transfers.ts
+++ b/packages/router/src/key_transfers.ts
@@ -6,12 +6,12 @@
 import { type OwnershipTable, rangeOf } from "@bulrushwood/ledger_store";
 import type { GrantManager } from "@bulrushwood/lease_ranges";
 import { type Candidate, type LoadMeter, spread } from "@bulrushwood/planner_ranges";
-import { type Address, createStop, sleep } from "@bulrushwood/types";
+import { type Address, createStop, pause, sleep } from "@bulrushwood/types";
 import { Event, type EventLog } from "./event_log.ts";
 import type { ServerWatch } from "./server_watch.ts";
 
 /** Interval between checks of the backend server, in milliseconds. */
-const SERVER_CHECK_INTERVAL_MS = 120;
+const SERVER_CHECK_INTERVAL_MS = 100;
 /** Pause between transfers while a stopping daemon still owns keys, in milliseconds. */
 const TRANSFER_RETRY_MS = 50;
 
@@ -73,7 +73,7 @@
   async #run(): Promise<void> {
     while (!this.#stop.signal.aborted) {
       await this.#checkServer();
-      await sleep(SERVER_CHECK_INTERVAL_MS, this.#stop.signal);
+      await pause(SERVER_CHECK_INTERVAL_MS, this.#stop.signal);
     }
   }
 
--- a/packages/router/src/loop_delay.ts
+++ b/packages/router/src/loop_delay.ts
@@ -3,10 +3,10 @@
  * detects that the instance was suspended.
  */
 import type { SuspensionDetector } from "@bulrushwood/lease_votes";
-import type { Clock } from "@bulrushwood/types";
+import { type Clock, createStop, everyTicks } from "@bulrushwood/types";
 
 /** Time between measurements, in milliseconds. */
-const INTERVAL_MS = 250;
+const INTERVAL_MS = 300;
 /** Shortest delay that is reported, in milliseconds. */
 const REPORTED_MS = 250;
 
@@ -22,13 +22,13 @@
 /** Monitor of the event loop's delay. */
 export class LoopDelayMonitor {
   readonly #options: LoopDelayOptions;
-  readonly #timer: NodeJS.Timeout;
+  readonly #stop = createStop();
   #measuredAt: number;
 
   constructor(options: LoopDelayOptions) {
     this.#options = options;
     this.#measuredAt = options.now();
-    this.#timer = setInterval(() => this.#measure(), INTERVAL_MS).unref();
+    everyTicks(INTERVAL_MS, () => this.#measure(), this.#stop.signal);
   }
 
   #measure(): void {
@@ -46,6 +46,6 @@
 
   /** Stops measuring. */
   close(): void {
-    clearInterval(this.#timer);
+    this.#stop.abort();
   }
 }
--- a/packages/router/src/metrics.ts
+++ b/packages/router/src/metrics.ts
@@ -12,7 +12,7 @@
 
 const LATENCY_BUCKETS_MS = [5, 10, 25, 50, 100, 200, 300, 400, 500, 700, 1_000, 1_500, 2_500];
 /** Time between measurements of the event loop's delay, in milliseconds; each one wakes the process. */
-const LOOP_DELAY_INTERVAL_MS = 250;
+const LOOP_DELAY_INTERVAL_MS = 300;
 /** Outcome label of requests that a backend server responded to. */
 const RESPONDED = "answered";
 
--- a/packages/router/src/relay.ts
+++ b/packages/router/src/relay.ts
@@ -2,12 +2,17 @@
  * Exchanges records of the store between daemons, for those that cannot reach the store themselves.
  */
 import { z } from "zod";
+import type { Item } from "@bulrushwood/deployment";
 import { itemSchema, type KeyedFollower } from "@bulrushwood/ledger_store";
 import type { Address, CallPeer } from "@bulrushwood/types";
 
 /** Method name of the call that requests records. */
 export const RECORDS_METHOD = "store.records";
+/** Method name of the call that passes on one record. */
+export const RECORD_METHOD = "store.record";
 const TIMEOUT_MS = 800;
+/** Largest number of daemons that a record is passed on to; more learn of it from the store. */
+const RECEIVERS_MAX = 60;
 
 const offset = z.number().int().nonnegative();
 /** Request payload: end offsets of the requesting daemon's followers. */
@@ -18,6 +23,9 @@
   end: offset,
 }));
 
+/** Payload of a call that passes on a record: the index of its follower, and the record. */
+const recordSchema = z.tuple([offset, itemSchema]);
+
 export interface RelayOptions {
   /** Followers, in the same order at all daemons. */
   followers: KeyedFollower[];
@@ -47,6 +55,23 @@
     }));
   }
 
+  /** Passes a record that is in the store on to the daemons that it concerns most, which need not wait for their next read. */
+  pass(item: Item, options: { follower: KeyedFollower; receivers: Address[] }): void {
+    const { call, followers } = this.#options;
+    const { follower, receivers } = options;
+    if (receivers.length <= RECEIVERS_MAX) {
+      const payload = [followers.indexOf(follower), item];
+      receivers.forEach((peer) => call(peer, RECORD_METHOD, payload, { timeoutMs: TIMEOUT_MS }));
+    }
+  }
+
+  /** Applies a record that a peer passed on. */
+  handleRecord(payload: unknown): null {
+    const [index, item] = recordSchema.parse(payload);
+    this.#options.followers[index]?.apply(item);
+    return null;
+  }
+
   /** Requests missing records from a peer and adopts them; one request runs at a time. */
   async requestRecords(peer: Address): Promise<void> {
     if (this.#isRequesting) {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -21,7 +21,7 @@
   openDescriptorsMax,
   SocketLimit,
 } from "@bulrushwood/http_server";
-import { countKeys, rangeOf } from "@bulrushwood/ledger_store";
+import { changedHosts, countKeys, rangeOf } from "@bulrushwood/ledger_store";
 import {
   type GrantContext,
   GrantManager,
@@ -42,7 +42,7 @@
 import { PlannerEvent, RangePlanner, TRANSFER_METHOD } from "@bulrushwood/planner_ranges";
 import { type LinkError, Links } from "@bulrushwood/protocol";
 import { RetryBudget, TwoChoices } from "@bulrushwood/routing";
-import { type Address, createStop, now, sleep, waitForChange } from "@bulrushwood/types";
+import { type Address, createStop, now, pause, sleep, waitForChange } from "@bulrushwood/types";
 import { AcceptanceProbe } from "./acceptance_probe.ts";
 import { CallerServer } from "./caller_server.ts";
 import { Departures } from "./departures.ts";
@@ -57,7 +57,7 @@
 import { LoopDelayMonitor } from "./loop_delay.ts";
 import { Metrics, RequestOrigin } from "./metrics.ts";
 import { mayGoOut } from "./readiness.ts";
-import { RECORDS_METHOD, Relay } from "./relay.ts";
+import { RECORD_METHOD, RECORDS_METHOD, Relay } from "./relay.ts";
 import { Runner } from "./runner.ts";
 import { ServerClient } from "./server_client.ts";
 import { ServerEnds } from "./server_ends.ts";
@@ -136,7 +136,11 @@
   readonly #stop = createStop();
   readonly #metrics = new Metrics();
   readonly #loopDelay: LoopDelayMonitor;
-  readonly #eventLoop = new EventLoop({ now, onRelease: this.#recordWait.bind(this) });
+  readonly #eventLoop = new EventLoop({
+    now,
+    idleMs: () => performance.nodeTiming.idleTime,
+    onRelease: this.#recordWait.bind(this),
+  });
   readonly #shedder = new LoadShedder({
     now,
     random: Math.random,
@@ -165,13 +169,7 @@
   readonly #view: ServerView;
   readonly #keyTransfers: KeyTransfers;
   readonly #planner: RangePlanner;
-  readonly #choices = new TwoChoices({
-    now,
-    random: Math.random,
-    loadOf: (server) => this.#view.loadOf(server),
-    isLocal: (server) => this.#view.isLocal(server),
-    pairMs: PAIR_MS,
-  });
+  readonly #choices: TwoChoices;
   readonly #budgets = new Map<string, RetryBudget>();
   readonly #sideServers: SideServer[] = [];
   readonly #acceptance: AcceptanceProbe;
@@ -214,6 +212,14 @@
     this.#acceptance = new AcceptanceProbe({ endpoint: settings.listen.callers, now });
     const { peers } = settings.listen;
     this.#self = `${peers.host}:${peers.port}`;
+    this.#choices = new TwoChoices({
+      now,
+      random: Math.random,
+      loadOf: (server) => this.#view.loadOf(server),
+      isLocal: (server) => this.#view.isLocal(server),
+      self: this.#self,
+      pairMs: PAIR_MS,
+    });
     const call = this.#callPeer.bind(this);
     this.#loopDelay = new LoopDelayMonitor({
       now,
@@ -228,6 +234,11 @@
       call,
       isFullMesh: () => this.#heartbeats.isFullMesh,
       isReader: () => this.#view.isReader,
+      isPlanner: () => this.#planner.isPlanner,
+      onWritten: (item, tables) => {
+        const receivers = changedHosts(tables).filter((address) => address !== this.#self);
+        this.#relay.pass(item, { follower: this.#storeAccess.system, receivers });
+      },
       onCall: (call) => this.#metrics.recordStoreCall(call),
       log,
     });
@@ -288,12 +299,14 @@
       grantMsMax: settings.bounds.grantMsMax,
       workMs: () => this.#runner.workMs ?? this.#view.peerWorkMs,
       timeoutMsMax: () => this.#timeoutMsMax,
+      isLarge: () => !this.#heartbeats.isFullMesh,
     });
     this.#tenure = new TenureManager({
       self,
       incarnation,
       now,
       sleep,
+      pause,
       table,
       supportMs: () => this.#supportTime.ms,
       supportMsMax: () => this.#supportTime.msMax,
@@ -306,6 +319,7 @@
       self,
       now,
       sleep,
+      pause,
       table,
       tenure: this.#tenure,
       suspension: new SuspensionDetector(now),
@@ -328,12 +342,15 @@
     this.#heartbeats = new Heartbeats({
       self,
       service: settings.service,
+      dataCentre: settings.dataCentre,
       incarnation,
       now,
       sleep,
+      pause,
       call,
       voteManager: this.#voteManager,
       supportMs: this.#supportTime.msMin,
+      intervalMs: () => this.#supportTime.heartbeatMs,
       unkeyedServices: () => this.#unkeyedServices,
       requiredPeers: () => this.#tenure.voters,
       status: () => this.#status({ withPieces: false }),
@@ -353,6 +370,10 @@
       client: this.#client,
       wire: adapter.servers,
       grantManager: this.#grantManager,
+      ownerOf: (key) => {
+        const { owner } = rangeOf(table.table.value, key);
+        return owner === self ? null : owner;
+      },
       grantLeftMs: () => this.#supportTime.grantLeftMs(this.#tenure.votedMs),
       isEvacuated: () => this.#mustReceiveNothing,
       ends: this.#ends,
@@ -405,6 +426,7 @@
       service: settings.service,
       now,
       sleep,
+      pause,
       table,
       heartbeats: this.#heartbeats,
       mayPlan: () =>
@@ -586,13 +608,18 @@
         },
         waitForChange: (service, options) =>
           waitForChange(this.#storeAccess.tableOf(service).table.pipe(skip(1)), options),
+        recordOutdated: (address) => {
+          if (address !== this.#self) {
+            this.#relay.requestRecords(address);
+          }
+        },
         unreachableMs: (address) => this.#heartbeats.unreachableMs(address),
         recordReachability: (address, isReached) =>
           this.#heartbeats.recordReachability(address, isReached),
       },
       choice: {
-        choose: (service, mayUse) =>
-          this.#choices.choose(this.#view.serversOf(service).filter(mayUse)),
+        choose: (service, mayUse, options) =>
+          this.#choices.choose(this.#view.serversOf(service).filter(mayUse), options),
         begin: (address) => this.#choices.begin(address),
       },
       quarantinedMs: (head, body) => this.#ends.quarantinedMs(head, body),
@@ -737,6 +764,8 @@
         case TRANSFER_METHOD:
           this.#keyTransfers.handleMoves(payload);
           return Promise.resolve(null);
+        case RECORD_METHOD:
+          return Promise.resolve(this.#relay.handleRecord(payload));
         case RECORDS_METHOD:
           return Promise.resolve(this.#relay.handleCall(payload));
         default: {
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -16,7 +16,7 @@
 import { LoadMeter } from "@bulrushwood/planner_ranges";
 import { Reason, type RequestHead } from "@bulrushwood/protocol";
 import { notRun, type RoutedResponse, unknown, waitLimitMs } from "@bulrushwood/routing";
-import { now } from "@bulrushwood/types";
+import { type Address, now } from "@bulrushwood/types";
 import type { ServeOptions } from "./dispatcher.ts";
 import { Event, type EventLog } from "./event_log.ts";
 import { toFlatHeaders } from "./headers.ts";
@@ -49,6 +49,8 @@
   client: ServerClient;
   wire: ServerWire;
   grantManager: GrantManager;
+  /** Returns the owner of a key in the newest table here; null if there is none or it is this daemon. */
+  ownerOf: (key: number) => Address | null;
   /** Returns the time that a grant must have left for work to begin, in milliseconds. */
   grantLeftMs: () => number;
   /** Returns whether the server must get nothing, as operators ask for its data centre. */
@@ -180,7 +182,7 @@
         return cancel(RequestStage.Key);
       }
       if (!isGranted) {
-        return notRun(Reason.NotHolder, "This daemon does not hold the key", MOVE_RETRY_AFTER_MS);
+        return this.#toOwner(head);
       }
     }
     if (!this.#mayStart(head)) {
@@ -211,6 +213,14 @@
     }
   }
 
+  /** Rejects a request whose key this daemon does not hold, and names the owner. */
+  #toOwner({ shard }: RequestHead): RoutedResponse {
+    const detail = "This daemon does not hold the key";
+    const rejected = notRun(Reason.NotHolder, detail, MOVE_RETRY_AFTER_MS);
+    const owner = this.#options.ownerOf(shard);
+    return owner === null ? rejected : { ...rejected, head: { ...rejected.head, owner } };
+  }
+
   /** Longest time that a request waits here for its key, in milliseconds. */
   #keyWaitMs({ remainingMs, targetMs = remainingMs }: RequestHead): number {
     const { serviceMs } = this.#gate;
--- a/packages/router/src/runner_test.ts
+++ b/packages/router/src/runner_test.ts
@@ -38,6 +38,7 @@
 const SLOT_WAIT_MS = 200;
 const COLD_PER_SECOND = 12;
 const COLD_MS = 2_000;
+const OWNER = "10.0.0.9:7000";
 /** Time that a grant must have left, in milliseconds. */
 const GRANT_LEFT_MS = 800;
 
@@ -102,6 +103,7 @@
       grantedUntil: options.grantedUntil ?? (() => Infinity),
       waitForChange: ({ ms, signal }: WaitOptions) => sleep(Math.min(ms, changeMs), signal),
     } as unknown as GrantManager,
+    ownerOf: () => OWNER,
     grantLeftMs: () => options.grantLeftMs ?? 0,
     isEvacuated: options.isEvacuated,
     ends: { quarantinedMs: () => 0, recordLost: () => {}, recordCompleted: () => {} },
@@ -264,6 +266,13 @@
     expect((await runner.serve(HEAD, undefined, { signal: NEVER })).head.status).to.equal(200);
   });
 
+  it("names the owner of a key that this daemon does not hold", async () => {
+    const { runner, watch } = createRunner({ state: () => KeyState.Elsewhere });
+    watch.apply(report());
+    const { head } = await runner.serve({ ...HEAD, shard: 7 }, undefined, { signal: NEVER });
+    expect(head).to.include({ reason: Reason.NotHolder, owner: OWNER });
+  });
+
   // Guards against work that outlasts the grant under which it begins.
   it("runs a request only once the grant for its key lasts long enough for the work", async () => {
     const renewedAt = now() + 100;
--- a/packages/router/src/store_access.ts
+++ b/packages/router/src/store_access.ts
@@ -2,10 +2,11 @@
  * One daemon's access to the store: the client, which goes through peers while the store is out of reach, the followers
  * of the topics, and the ownership tables of all services.
  */
-import type { Adapter, DeploymentSettings, Store } from "@bulrushwood/deployment";
+import type { Adapter, DeploymentSettings, Item, Store } from "@bulrushwood/deployment";
 import {
   handleStoreCall,
   KeyedFollower,
+  type OwnershipTable,
   READ_OVERDUE_MS,
   RelayedStore,
   SYSTEM_TOPIC,
@@ -26,8 +27,21 @@
  * silent, but stop to vote some time after their last read.
  */
 const READ_WAIT_MS = 4_000;
-/** Time between reads of the system topic in a large deployment, in milliseconds. */
-const READ_PACE_MS = 500;
+/**
+ * Time between reads of the system topic in a large deployment, in milliseconds. Each read costs the store and a small
+ * machine time. New owners of keys get the record from its writer, and callers' daemons learn of them from the old owner.
+ */
+const READ_PACE_MS = 2_000;
+/** The same at the daemon that plans. */
+const PLANNER_READ_PACE_MS = 500;
+/**
+ * Time after the start in which the system topic is read at intervals also while only few daemons are known, and that
+ * interval, in milliseconds: daemons mostly start together, and each of their records would end the reads of all.
+ */
+const START_MS = 3_000;
+const START_READ_PACE_MS = 300;
+/** Longest wait of a read of manifests in a large deployment, where peers pass on what a silent connection does not bring. */
+const LARGE_READ_WAIT_MS = 10_000;
 /** Margin beyond the time of an overdue read after which the store counts as unreachable, in milliseconds. */
 const STORE_MARGIN_MS = 700;
 
@@ -43,6 +57,10 @@
   isReader: () => boolean;
   /** Called before each direct call to the store. */
   onCall: (call: StoreCall) => void;
+  /** Whether this daemon plans, so that its view of the owners should be new. */
+  isPlanner: () => boolean;
+  /** Called with each record of an ownership table that this daemon wrote, and the tables before and after it. */
+  onWritten: (item: Item, tables: { before: OwnershipTable; after: OwnershipTable }) => void;
   log: EventLog;
 }
 
@@ -57,6 +75,7 @@
   /** Follower of the topic that contains the ownership tables and the records of all daemons. */
   readonly system: KeyedFollower;
   readonly #tables = new Map<string, TableStore>();
+  readonly #startedAt = now();
 
   constructor(options: StoreAccessOptions) {
     this.#options = options;
@@ -81,7 +100,7 @@
       topic,
       now,
       sleep,
-      waitMs: () => this.#options.isReader() ? READER_WAIT_MS : READ_WAIT_MS,
+      waitMs: () => this.#readWaitMs(topic),
       paceMs: () => this.#readPaceMs(topic),
       onReachable: (isReachable, reason) => {
         log(isReachable ? Event.StoreReachable : Event.StoreLost, { topic, reason });
@@ -89,9 +108,25 @@
     });
   }
 
+  /** Returns the longest wait of the next read. */
+  #readWaitMs(topic: string): number {
+    const { isFullMesh, isReader } = this.#options;
+    if (isReader()) {
+      return READER_WAIT_MS;
+    }
+    return topic === SYSTEM_TOPIC || isFullMesh() ? READ_WAIT_MS : LARGE_READ_WAIT_MS;
+  }
+
   /** Returns the time between reads; large deployments read changes in batches, a few times a second. */
   #readPaceMs(topic: string): number {
-    return topic === SYSTEM_TOPIC && !this.#options.isFullMesh() ? READ_PACE_MS : 0;
+    const { isFullMesh, isPlanner } = this.#options;
+    if (topic !== SYSTEM_TOPIC) {
+      return 0;
+    }
+    if (isFullMesh()) {
+      return now() - this.#startedAt < START_MS ? START_READ_PACE_MS : 0;
+    }
+    return isPlanner() ? PLANNER_READ_PACE_MS : READ_PACE_MS;
   }
 
   /** Returns the ownership table of a service. */
@@ -107,6 +142,7 @@
       sleep,
       service,
       random: Math.random,
+      onWritten: this.#options.onWritten,
       onCorrupt: (reason) => this.#options.log(Event.TableCorrupt, { service, reason }),
     });
     this.#tables.set(service, table);
--- a/packages/router/src/support_time_test.ts
+++ b/packages/router/src/support_time_test.ts
@@ -7,13 +7,18 @@
 const TIMEOUT_MS = 2_500;
 const GRANT_MS_MAX = 10_000;
 
-function createSupportTime(workMs: number | undefined, options = { timeoutMs: TIMEOUT_MS }) {
+function createSupportTime(
+  workMs: number | undefined,
+  options: { timeoutMs?: number; isLarge?: boolean } = {},
+) {
+  const { timeoutMs = TIMEOUT_MS, isLarge = false } = options;
   return new SupportTime({
     grantDelivery: GrantDelivery.Orders,
     reportEveryMs: 870,
     grantMsMax: GRANT_MS_MAX,
     workMs: () => workMs,
-    timeoutMsMax: () => options.timeoutMs,
+    timeoutMsMax: () => timeoutMs,
+    isLarge: () => isLarge,
   });
 }
 
@@ -35,6 +40,17 @@
     expect(createSupportTime(60_000, { timeoutMs: 60_000 }).msMax).to.equal(GRANT_MS_MAX);
   });
 
+  // Guards against heartbeats that take up the time of the small machines of a large deployment.
+  it("lets a large deployment with long work send half as many heartbeats, of which two may be lost", () => {
+    const large = createSupportTime(1_500, { isLarge: true, timeoutMs: 5_000 });
+    expect(large.heartbeatMs).to.equal(2 * HEARTBEAT_MS);
+    expect(large.ms).to.be.above(3 * large.heartbeatMs);
+    expect(large.ms).to.be.at.most(large.msMax);
+    expect(large.grantLeftMs(large.ms)).to.equal(1_500);
+    expect(createSupportTime(400, { isLarge: true }).heartbeatMs).to.equal(HEARTBEAT_MS);
+    expect(createSupportTime(1_500).heartbeatMs).to.equal(HEARTBEAT_MS);
+  });
+
   it("lets short work begin under a grant that is about to be renewed", () => {
     expect(createSupportTime(100).grantLeftMs(SUPPORT_MS)).to.equal(100);
     expect(createSupportTime(2_000).grantLeftMs(SUPPORT_MS)).to.be.below(SUPPORT_MS - HEARTBEAT_MS);
--- a/packages/routing/src/two_choices.ts
+++ b/packages/routing/src/two_choices.ts
@@ -31,6 +31,13 @@
 const LOCAL_SLOTS_SHARE = 0.5;
 /** A local server is preferred while it is expected to respond at most this factor later than another. */
 const LOCAL_DELAY_FACTOR = 1.5;
+/** The server beside this daemon counts as responding sooner by this time, in milliseconds: nobody forwards its requests. */
+const FORWARDING_MS = 20;
+/**
+ * A local server is also preferred while it is expected to respond within this share of the time until the target: a
+ * caller gains little by a response that comes sooner.
+ */
+const TARGET_SHARE = 0.5;
 /** Smallest concurrency that is assumed for a server with a request limit, so that its expected time is finite. */
 const CONCURRENCY_MIN = 0.02;
 const MS_PER_SECOND = 1_000;
@@ -65,6 +72,8 @@
   loadOf?: (server: Address) => ServerLoad | undefined;
   /** Whether a server is in this daemon's data centre; where left out, all servers are. */
   isLocal?: (server: Address) => boolean;
+  /** Address of this daemon, whose own server needs no forwarding; undefined where it has none. */
+  self?: Address;
   /** Time within which a second request goes to the server of the first, in milliseconds; 0, also where left out, for never. */
   pairMs?: number;
 }
@@ -80,15 +89,18 @@
     this.#options = options;
   }
 
-  /** Returns the chosen server, followed by one to try after it. */
-  choose(servers: Address[]): Address[] {
+  /**
+   * Returns the chosen server, followed by one to try after it. `targetMs` is the time until the response should come,
+   * in milliseconds.
+   */
+  choose(servers: Address[], options: { targetMs?: number } = {}): Address[] {
     const usable = servers.filter((server) => this.#isUsable(server));
     const pool = usable.length > 0 ? usable : servers;
     const paired = this.#takePaired(pool);
     if (paired !== undefined) {
       return [paired, ...this.#chooseOfTwo(pool.filter((server) => server !== paired)).slice(0, 1)];
     }
-    const chosen = this.#chooseAnew(pool);
+    const chosen = this.#chooseAnew(pool, options);
     this.#first = chosen.length > 0 ? { server: chosen[0], at: this.#options.now() } : undefined;
     return chosen;
   }
@@ -108,18 +120,39 @@
   }
 
   /** Chooses by the expected response times alone. */
-  #chooseAnew(pool: Address[]): Address[] {
+  #chooseAnew(pool: Address[], { targetMs = 0 }: { targetMs?: number }): Address[] {
     if (pool.length < 2) {
       return pool;
     }
-    const { isLocal = () => true } = this.#options;
-    const [local] = this.#chooseOfTwo(pool.filter(isLocal));
+    const { isLocal = () => true, self } = this.#options;
+    const own = self !== undefined && pool.includes(self) ? self : undefined;
+    const [sampled] = this.#chooseOfTwo(pool.filter((server) => server !== own && isLocal(server)));
+    const local = this.#choosePreferred(own, sampled);
     const [other] = this.#chooseOfTwo(pool.filter((server) => server !== local));
-    const isLocalPreferred = local !== undefined && this.#hasSpareSlots(local) &&
-      this.#cost(local) <= this.#cost(other) * LOCAL_DELAY_FACTOR;
+    if (local === undefined) {
+      return this.#chooseOfTwo(pool);
+    }
+    const isSoonEnough = this.#reports(local) && this.#cost(local) <= targetMs * TARGET_SHARE;
+    const isLocalPreferred = isSoonEnough ||
+      (this.#hasSpareSlots(local) && this.#cost(local) <= this.#cost(other) * LOCAL_DELAY_FACTOR);
     return isLocalPreferred ? [local, other] : this.#chooseOfTwo(pool);
   }
 
+  /** Returns the own server where that is expected to respond about as soon as another local one. */
+  #choosePreferred(own: Address | undefined, sampled: Address | undefined): Address | undefined {
+    if (own === undefined || sampled === undefined) {
+      return own ?? sampled;
+    }
+    const isOwnPreferred = this.#hasSpareSlots(own) &&
+      this.#cost(own) <= this.#cost(sampled) + FORWARDING_MS;
+    return isOwnPreferred ? own : sampled;
+  }
+
+  #reports(server: Address): boolean {
+    const load = this.#options.loadOf?.(server);
+    return load !== undefined && load.serviceMs > 0;
+  }
+
   /** Whether a server reports its load and has enough free slots to be preferred for being local. */
   #hasSpareSlots(server: Address): boolean {
     const load = this.#options.loadOf?.(server);
--- a/packages/types/src/mod.ts
+++ b/packages/types/src/mod.ts
@@ -53,6 +53,7 @@
 }
 export { ADDRESS_MESSAGE, isAddress } from "./address.ts";
 export type { CallPeer } from "./call_peer.ts";
+export { everyTicks, pause, TICK_MS } from "./ticks.ts";
 export { createStop, now, sleep } from "./time.ts";
 export { createRandom, type Random } from "./random.ts";
 export { waitForChange, type WaitOptions } from "./wait.ts";
