Place requests by what they cost, and let large machines be the hubs of services on small ones

Change: where the settings call for it, the duration of a request is estimated from its route and the length of its body, and the daemon beside a server tells when it could begin one more request. The queue, the choice among servers and the load of keys use these estimates. Members state their cores; daemons with three times the typical ones of a service without keys become its hubs.

--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -37,7 +37,8 @@
 export interface Slot {
   /** Time that the request was queued, in milliseconds. */
   waitedMs: number;
-  release: () => void;
+  /** `isAnswered` says whether the server answered the request, by default true. */
+  release: (result?: { isAnswered?: boolean }) => void;
 }
 
 /** Options of `Admission`. */
--- a/packages/admission/src/gate.ts
+++ b/packages/admission/src/gate.ts
@@ -10,7 +10,9 @@
 import type { Slot } from "./admission.ts";
 import { AdmissionError, AdmissionErrorKind } from "./errors.ts";
 import { RecentStarts } from "./recent_starts.ts";
+import type { RequestCosts } from "./request_costs.ts";
 import { StartRate } from "./start_rate.ts";
+import { startInMs } from "./work_left.ts";
 
 /** Weight of the newest service time in the moving means. */
 const SERVICE_WEIGHT = 0.08;
@@ -50,6 +52,8 @@
 export interface GateRequest {
   /** Class of work; the service time is tracked for each class. */
   workClass: string;
+  /** Length of the request's body; 0 where it is left out. */
+  bytes?: number;
   /** 0 is the most urgent. */
   priority: number;
   /** When the response should reach the caller. */
@@ -66,6 +70,8 @@
   limit: () => number;
   /** Returns the requests a second that the backend server accepts; undefined, also where left out, for no limit. */
   perSecond?: () => number | undefined;
+  /** Estimates of single requests, which the gate teaches; by default all requests of a class count as equal. */
+  costs?: RequestCosts;
   /** Returns how much longer than usual work takes at the server now; by default as long as usual. */
   slowness?: () => number;
   /** Returns a random number from 0 to 1. */
@@ -74,7 +80,7 @@
 
 /** A running request. */
 interface Run {
-  workClass: string;
+  request: GateRequest;
   startedAt: number;
   /** Slowness of the server at that time. */
   slowness: number;
@@ -128,6 +134,11 @@
     return this.#serviceMs * this.#slowness * this.#slowdownFactor;
   }
 
+  /** The same while the server works as usual. */
+  get usualServiceMs(): number {
+    return this.#serviceMs;
+  }
+
   get #slowness(): number {
     return this.#options.slowness?.() ?? 1;
   }
@@ -148,9 +159,9 @@
   /** Determines the slowdown, which takes a look at each running request. */
   #measureSlowdown(at: number): number {
     let sum = 0;
-    for (const { workClass, startedAt, slowness } of this.#runs) {
+    for (const { request, startedAt, slowness } of this.#runs) {
       const slownessNow = Math.max(slowness, this.#slowness);
-      const usualMs = (this.#serviceMsOf.get(workClass) ?? this.#serviceMs) * slownessNow;
+      const usualMs = (this.#usualMsFor(request) ?? this.#serviceMs) * slownessNow;
       const ageMs = (at - startedAt) / MEAN_AGE_SHARE;
       sum += usualMs > 0 ? Math.min(AGE_FACTOR_MAX, ageMs / usualMs) : 1;
     }
@@ -162,9 +173,15 @@
     return this.serviceMs > 0 ? this.serviceMs : ASSUMED_SERVICE_MS;
   }
 
-  /** Expected service time of a class; grows with that of all classes when the server becomes slow. */
-  #serviceMsFor(workClass: string): number {
-    const trackedMs = this.#serviceMsOf.get(workClass);
+  /** Time that requests like this one take while the server works as usual; undefined before the first. */
+  #usualMsFor({ workClass, bytes }: GateRequest): number | undefined {
+    return this.#options.costs?.expectedMs({ route: workClass, bytes }) ??
+      this.#serviceMsOf.get(workClass);
+  }
+
+  /** Expected service time of a request; grows with that of all requests when the server becomes slow. */
+  #serviceMsFor(request: GateRequest): number {
+    const trackedMs = this.#usualMsFor(request);
     return trackedMs === undefined
       ? this.#meanServiceMs
       : trackedMs * this.#slowness * this.#slowdownFactor;
@@ -193,7 +210,7 @@
     waitMs: number,
     options: { marginShare: number },
   ): boolean {
-    const serviceMs = this.#serviceMsFor(request.workClass);
+    const serviceMs = this.#serviceMsFor(request);
     const at = this.#options.now();
     const respondedAt = at + waitMs + serviceMs;
     // Short requests delay others little, so the mean service time of all classes is the least margin.
@@ -226,7 +243,7 @@
       return rateMs;
     }
     const workMs = ahead.reduce(
-      (sum, queued) => sum + this.#serviceMsFor(queued.request.workClass),
+      (sum, queued) => sum + this.#serviceMsFor(queued.request),
       this.#meanServiceMs,
     );
     const shareLeft = this.#recentWork.shareLeft(rank, slots * MS_PER_SECOND);
@@ -234,9 +251,9 @@
   }
 
   /** Requests of a lower rank run first: the more urgent ones, and of these the ones that can meet their target. */
-  #rankOf({ priority, targetAt, workClass }: GateRequest, now: number): number {
-    const canMeetTarget = targetAt >= now + this.#serviceMsFor(workClass);
-    return 2 * priority + (canMeetTarget ? 0 : 1);
+  #rankOf(request: GateRequest, now: number): number {
+    const canMeetTarget = request.targetAt >= now + this.#serviceMsFor(request);
+    return 2 * request.priority + (canMeetTarget ? 0 : 1);
   }
 
   /** Whether one request should run before another. */
@@ -299,8 +316,8 @@
     const ahead: QueuedRequest[] = [];
     for (const { queued, rank } of ranked) {
       const waitMs = this.#waitBehindMs(ahead, rank);
-      const { deadline, workClass } = queued.request;
-      if (at + waitMs + this.#serviceMsFor(workClass) * MIN_SERVICE_SHARE <= deadline) {
+      const { deadline } = queued.request;
+      if (at + waitMs + this.#serviceMsFor(queued.request) * MIN_SERVICE_SHARE <= deadline) {
         ahead.push(queued);
       } else {
         this.#remove(queued);
@@ -311,20 +328,24 @@
 
   #takeSlot(request: GateRequest, since: number): Slot {
     const { now } = this.#options;
-    const { workClass } = request;
     const startedAt = now();
     const rank = this.#rankOf(request, startedAt);
-    this.#recentWork.record(rank, this.#serviceMsFor(workClass));
+    this.#recentWork.record(rank, this.#serviceMsFor(request));
     this.#startRate.recordStart(rank);
-    const run = { workClass, startedAt, slowness: this.#slowness };
+    const run = { request, startedAt, slowness: this.#slowness };
     this.#runs.add(run);
     this.#slowdown.at = Number.NEGATIVE_INFINITY;
-    const release = () => {
+    const release = ({ isAnswered = true }: { isAnswered?: boolean } = {}) => {
       if (!this.#runs.delete(run)) {
         return;
       }
       const slowness = (run.slowness + this.#slowness) / 2;
-      this.#recordServiceTime(workClass, (now() - startedAt) / slowness);
+      const ms = (now() - startedAt) / slowness;
+      const { workClass, bytes } = request;
+      this.#recordServiceTime(workClass, ms);
+      if (isAnswered) {
+        this.#options.costs?.record({ route: workClass, bytes }, ms);
+      }
       this.#dispatch();
     };
     return { waitedMs: startedAt - since, release };
@@ -361,6 +382,17 @@
     }
   }
 
+  /** Expected time until the server could begin a request that is run after all others here, in milliseconds. */
+  get startInMs(): number {
+    const at = this.#options.now();
+    const running = [...this.#runs].map(({ request, startedAt }) => ({
+      ageMs: at - startedAt,
+      expectedMs: this.#serviceMsFor(request),
+    }));
+    const queuedMs = this.#queue.map(({ request }) => this.#serviceMsFor(request));
+    return startInMs(running, queuedMs, { slots: this.#options.limit() });
+  }
+
   /** Rejects all queued requests. */
   close(): void {
     for (const queued of [...this.#queue]) {
--- a/packages/deployment/src/settings.ts
+++ b/packages/deployment/src/settings.ts
@@ -51,11 +51,15 @@
     /** Largest record that the store accepts, in bytes. */
     recordBytes: number;
   };
+  /** Processor time that the process may take, in cores; undefined where it is not known. */
+  cores?: number;
   /** Memory that the process may take, in bytes. */
   memoryBytes: number;
   /** Number of sockets that the process may have. */
   socketsMax: number;
   grantDelivery: GrantDelivery;
+  /** Whether requests are placed by their estimated cost rather than by their number; by default they are not. */
+  usesRequestCosts?: boolean;
   /** Interval between the status reports of a backend server. */
   reportEveryMs: number;
   bounds: {
--- a/packages/membership_beats/src/heartbeat_peers.ts
+++ b/packages/membership_beats/src/heartbeat_peers.ts
@@ -5,6 +5,8 @@
  * daemon of a service, so that they have the status of all its servers; and two of the hubs of each service without
  * keys, which report the status of those servers, one of them in the daemon's own data centre. Hubs are the responsive
  * daemons with the lowest addresses in different data centres; the next one replaces a hub that becomes unresponsive.
+ * Where a service without keys runs on small machines only, daemons of other services with much more processor time are
+ * its hubs, since a hub hears from every daemon several times a second.
  */
 import type { Address } from "@bulrushwood/types";
 import type { Member } from "./members.ts";
@@ -15,6 +17,8 @@
 const OWN_HUB_COUNT = 3;
 /** Number of hubs of a service without keys from which a daemon gets the status of that service's servers. */
 const SOURCE_COUNT = 2;
+/** Multiple of the processor time of most daemons of a service from which on others are preferred as its hubs. */
+const ROOMY_FACTOR = 3;
 /** Number of daemons chosen as possible voters; a tenure names these and the daemon itself. */
 const VOTER_COUNT = 8;
 
@@ -58,13 +62,13 @@
   if (!unkeyedServices.has(service)) {
     ranked.slice(0, VOTER_COUNT)
       .forEach((address) => peers.set(address, HeartbeatPeerRole.Voter));
-    hubsOf(responsive, service)
+    hubsOf(responsive, service, { isKeyed: true })
       .forEach((address) => peers.set(address, HeartbeatPeerRole.Hub));
   }
   const dataCentreOf = new Map(members.map((member) => [member.address, member.dataCentre]));
   const isLocal = (address: Address) => dataCentreOf.get(address) === dataCentre;
   for (const unkeyed of unkeyedServices) {
-    const hubs = hubsOf(responsive, unkeyed).sort((one, other) =>
+    const hubs = hubsOf(responsive, unkeyed, { isKeyed: false }).sort((one, other) =>
       Number(isLocal(other)) - Number(isLocal(one)) || byRank(one, other)
     );
     hubs.slice(0, SOURCE_COUNT)
@@ -77,15 +81,28 @@
 }
 
 /** Returns the hubs of a service: the first daemons of its data centres, as far as these suffice. */
-function hubsOf(members: Member[], service: string): Address[] {
-  const ordered = members.filter((member) => member.service === service)
+function hubsOf(members: Member[], service: string, { isKeyed }: { isKeyed: boolean }): Address[] {
+  const own = members.filter((member) => member.service === service)
     .sort((one, other) => one.address < other.address ? -1 : 1);
+  const ordered = isKeyed ? own : [...findRoomy(members, own), ...own];
   const isFirst = (member: Member) =>
     ordered.find(({ dataCentre }) => dataCentre === member.dataCentre) === member;
   const firsts = ordered.filter(isFirst);
-  return [...firsts, ...ordered.filter((member) => !firsts.includes(member))]
-    .slice(0, OWN_HUB_COUNT)
-    .map(({ address }) => address);
+  const addresses = [...firsts, ...ordered].map(({ address }) => address);
+  return [...new Set(addresses)].slice(0, OWN_HUB_COUNT);
+}
+
+/** Returns the daemons with much more processor time than most of a service, those of the service first. */
+function findRoomy(members: Member[], own: Member[]): Member[] {
+  const coresOf = ({ cores = 0 }: Member) => cores;
+  const typical = own.map(coresOf).sort((one, other) => one - other)[Math.floor(own.length / 2)];
+  const roomy = members.filter((member) =>
+    typical > 0 && coresOf(member) >= typical * ROOMY_FACTOR
+  );
+  const isOwn = (member: Member) => Number(own.includes(member));
+  // Services on small machines share the large ones of others, each in an order of its own.
+  const rank = (member: Member) => rankOf(own[0]?.service ?? "", member.address);
+  return roomy.sort((one, other) => isOwn(other) - isOwn(one) || rank(one) - rank(other));
 }
 
 /** Creates the order of one daemon, which computes the rank of each other daemon once. */
--- a/packages/membership_beats/src/heartbeat_peers_test.ts
+++ b/packages/membership_beats/src/heartbeat_peers_test.ts
@@ -92,6 +92,24 @@
     }
   });
 
+  // Guards against small machines that spend their time on the heartbeats of all others.
+  it("takes large machines of other services as hubs of a service on small ones", () => {
+    const members = createMembers(61).map((member, index) => ({
+      ...member,
+      cores: index % 10 === 0 ? 1.35 : 0.27,
+    }));
+    const coresOf = new Map(members.map(({ address, cores }) => [address, cores]));
+    const uses = new Set<string>();
+    for (const self of members) {
+      const sources = withRole(choose(members, self), HeartbeatPeerRole.Source);
+      sources.forEach((address) => uses.add(address));
+      expect(sources.every((address) => coresOf.get(address) === 1.35), self.address).to.equal(
+        true,
+      );
+    }
+    expect(uses.size).to.be.within(3, 6);
+  });
+
   // Guards against two daemons that report to all others, beside servers that get as many requests as the rest.
   it("shares the daemons that ask for the status of a service among its hubs", () => {
     const members = createMembers(61);
--- a/packages/membership_beats/src/heartbeats.ts
+++ b/packages/membership_beats/src/heartbeats.ts
@@ -131,6 +131,8 @@
   /** Incarnation of the daemon that was last heard at each address. */
   readonly #incarnations = new Map<Address, string>();
   readonly #receivedAt = new Map<Address, number>();
+  /** When a peer was last heard by this daemon itself. */
+  readonly #heardAt = new Map<Address, number>();
   /** When a peer was first found unreachable. */
   readonly #unreachableSince = new Map<Address, number>();
   /** When a heartbeat peer was last marked unresponsive. */
@@ -337,6 +339,7 @@
   #recordReceived(peer: Address, incarnation: string): void {
     this.#recordIncarnation(peer, incarnation);
     this.#receivedAt.set(peer, this.#options.now());
+    this.#heardAt.set(peer, this.#options.now());
     this.#unresponsiveAt.delete(peer);
     this.#unreachableSince.delete(peer);
   }
@@ -379,9 +382,16 @@
     );
   }
 
+  /** Whether a peer has sent heartbeats or replies to this daemon itself within the silence timeout. */
+  #isHeardDirectly(peer: Address): boolean {
+    const heardAt = this.#heardAt.get(peer) ?? Number.NEGATIVE_INFINITY;
+    return this.#options.now() - heardAt < this.silenceTimeoutMs;
+  }
+
   /** Returns what a heartbeat asks for: this daemon's status, or also that of its service's other daemons. */
   #updatesFor(heartbeat: Heartbeat): StatusUpdate[] {
     const { status, service, now } = this.#options;
+    const { newsOf = [service] } = heartbeat;
     if (!heartbeat.wantsStatus) {
       return [];
     }
@@ -390,7 +400,9 @@
       return [own];
     }
     const others = [...this.#peers.values()]
-      .filter((peer) => peer.status.service === service && this.isResponsive(peer.status.address))
+      .filter(({ status: { service: other, address } }) =>
+        newsOf.includes(other) && this.#isHeardDirectly(address)
+      )
       .map(({ status: { server, ...daemon }, receivedAt }) => ({
         ...daemon,
         server: server && { ...server, load: { ...server.load, pieces: [] } },
--- a/packages/membership_beats/src/members.ts
+++ b/packages/membership_beats/src/members.ts
@@ -18,6 +18,8 @@
   service: z.string(),
   dataCentre: z.string(),
   instance: z.string(),
+  /** Processor time that the daemon may take, in cores; left out where it is not known. */
+  cores: z.number().positive().optional(),
 });
 
 /** A daemon of the deployment, as recorded in the store. */
--- a/packages/membership_beats/src/messages.ts
+++ b/packages/membership_beats/src/messages.ts
@@ -20,6 +20,8 @@
   workMs: z.number().nonnegative().optional(),
   running: z.number(),
   waiting: z.number(),
+  /** Time until the server could begin one more request, in milliseconds; left out where costs are not estimated. */
+  startInMs: z.number().nonnegative().optional(),
   /** How much longer than usual work took when the load was measured; left out where the server does not say. */
   slowness: z.number().positive().optional(),
   /** The server's own keys, as spans of about equal load with the requests per second for each. */
@@ -87,8 +89,10 @@
    * from all daemons.
    */
   wantsStatus: z.boolean(),
-  /** Whether the reply should also include the status of all servers of the receiver's service. */
+  /** Whether the reply should also include the status of all servers that the receiver hears from itself. */
   wantsNews: z.boolean(),
+  /** Services whose servers this is about; left out by daemons that ask for the receiver's own. */
+  newsOf: z.array(z.string()).optional(),
 });
 
 /** Schema of the reply to a heartbeat. */
--- a/packages/planner_ranges/src/load_meter.ts
+++ b/packages/planner_ranges/src/load_meter.ts
@@ -23,9 +23,9 @@
     this.#decayedAt = now();
   }
 
-  /** Adds one request for a key. */
-  record(key: number): void {
-    this.#weights[key]++;
+  /** Adds one request for a key; `weight` is its load in mean requests. */
+  record(key: number, weight = 1): void {
+    this.#weights[key] += weight;
   }
 
   /** Cuts spans into pieces of about equal load. */
--- a/packages/protocol/src/codec.ts
+++ b/packages/protocol/src/codec.ts
@@ -73,6 +73,7 @@
   retryAfterMs: optional(isNumber),
   isUnframed: optional(isBoolean),
   bodyBytes: optional(isNumber),
+  ranMs: optional(isNumber),
   owner: optional(isString),
   leavingServer: optional(isString),
 };
--- a/packages/protocol/src/frames.ts
+++ b/packages/protocol/src/frames.ts
@@ -111,6 +111,8 @@
   isUnframed?: boolean;
   /** Length of a body that follows in parts, in bytes; absent for others, and in heads of older daemons. */
   bodyBytes?: number;
+  /** Time for which the server worked on the request while it works as usual, in milliseconds; absent where not measured. */
+  ranMs?: number;
   /** Owner of the key of a request that the daemon does not hold, as far as it knows. */
   owner?: string;
   /** Name of the server incarnation that announced with this response that it leaves. */
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -14,6 +14,7 @@
   type RequestHead,
 } from "@bulrushwood/protocol";
 import {
+  type ChoiceOptions,
   notRun,
   type RetryBudget,
   type RoutedResponse,
@@ -26,6 +27,7 @@
 import { LeavingServers } from "./leaving_servers.ts";
 import { OverloadBackoff } from "./overload_backoff.ts";
 import { RequestStage } from "./request_stage.ts";
+import { ServiceCosts } from "./service_costs.ts";
 import { toQuarantineRejection } from "./runner.ts";
 
 /** Largest number of times that one request is sent to an owner of its key. */
@@ -89,7 +91,7 @@
   choose: (
     service: string,
     mayUse: (address: Address) => boolean,
-    options: { targetMs: number },
+    options: ChoiceOptions,
   ) => Address[];
   /** Records that a request was sent to a server; the returned function is called once, when it has ended. */
   begin: (address: Address) => (succeeded: boolean) => void;
@@ -132,6 +134,7 @@
   /** Requests with an earlier attempt that may have run. */
   readonly #mayHaveRun = new WeakSet<DispatchRequest>();
   readonly #backoff = new OverloadBackoff(now);
+  readonly #costs = new ServiceCosts();
   readonly #leavingServers: LeavingServers;
 
   constructor(options: DispatcherOptions) {
@@ -262,7 +265,9 @@
     while (tried.size < request.route.attemptsMax && !request.signal.aborted) {
       const mayUse = (address: Address) =>
         !tried.has(address) && this.#backoffMs(request, address) === 0;
-      const [server] = choice.choose(pool, mayUse, { targetMs: request.targetAt - now() });
+      const targetMs = request.targetAt - now();
+      const costRatio = this.#costs.ratioOf(request);
+      const [server] = choice.choose(pool, mayUse, { targetMs, costRatio });
       if (server === undefined) {
         return tried.size > 0 ? response : this.#withoutServer(request, response);
       }
@@ -270,6 +275,7 @@
       const end = choice.begin(server);
       response = await this.#attempt(request, server);
       end(response.head.outcome === undefined && response.head.status < 500);
+      this.#costs.record(request, response);
       const isFinal = response.head.outcome === undefined || now() >= request.deadline ||
         response.head.reason === Reason.Cancelled || response.head.reason === Reason.Quarantined;
       if (isFinal) {
--- a/packages/router/src/metrics.ts
+++ b/packages/router/src/metrics.ts
@@ -12,6 +12,7 @@
 
 const LATENCY_BUCKETS_MS = [5, 10, 25, 50, 100, 200, 300, 400, 500, 700, 1_000, 1_500, 2_500];
 /** Time between measurements of the event loop's delay, in milliseconds; each one wakes the process. */
+const COST_RATIO_BUCKETS = [0.25, 0.5, 0.75, 1, 1.5, 2, 4, 8];
 const LOOP_DELAY_INTERVAL_MS = 300;
 /** Outcome label of requests that a backend server responded to. */
 const RESPONDED = "answered";
@@ -66,6 +67,7 @@
   readonly #shed: Counter;
   readonly #refusedBodies: Counter;
   readonly #malformedNotices: Counter;
+  readonly #costs: Histogram;
 
   constructor() {
     const registers = [this.registry];
@@ -152,6 +154,14 @@
       labelNames: ["listener", "closed"],
       registers,
     });
+    this.#costs = new Histogram({
+      name: "bulrushwood_request_cost_ratio",
+      help:
+        "Measured cost of requests at the backend server, as a multiple of the one that was expected",
+      labelNames: ["route"],
+      buckets: COST_RATIO_BUCKETS,
+      registers,
+    });
     this.#malformedNotices = new Counter({
       name: "bulrushwood_malformed_notices_total",
       help: "Responses of the backend server whose load or request limit cannot be read",
@@ -195,6 +205,12 @@
     this.#shed.inc({ origin, priority });
   }
 
+  /** Records what a request cost and what was expected, in milliseconds. */
+  recordCost(head: RequestHead, costs: { measuredMs: number; expectedMs: number }): void {
+    const { measuredMs, expectedMs } = costs;
+    this.#costs.observe({ route: head.workClass }, measuredMs / Math.max(1, expectedMs));
+  }
+
   /** Counts a response of the backend server whose load or request limit cannot be read. */
   recordMalformedNotice(): void {
     this.#malformedNotices.inc();
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -375,6 +375,8 @@
         return owner === self ? null : owner;
       },
       grantLeftMs: () => this.#supportTime.grantLeftMs(this.#tenure.votedMs),
+      usesRequestCosts: settings.usesRequestCosts,
+      onCost: (head, costs) => this.#metrics.recordCost(head, costs),
       isEvacuated: () => this.#mustReceiveNothing,
       ends: this.#ends,
       drainMs: settings.bounds.drainMs,
@@ -525,6 +527,7 @@
       service,
       dataCentre,
       instance,
+      cores: this.#settings.cores,
     };
     const { signal } = this.#stop;
     this.#tasks.push(
@@ -704,6 +707,7 @@
       entry: isToPlanner ? this.#tenure.pendingEntry ?? null : null,
       wantsStatus: !isFullMesh,
       wantsNews: role === HeartbeatPeerRole.Source,
+      newsOf: role === HeartbeatPeerRole.Source ? [...this.#unkeyedServices] : undefined,
     };
   }
 
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -7,6 +7,7 @@
   type AdmissionError,
   AdmissionErrorKind,
   Gate,
+  RequestCosts,
   Slowness,
   TimelyLimit,
   WorkTail,
@@ -40,6 +41,8 @@
 /** Weight of the newest interval of 300 ms in the moving average of the request rate. */
 const RATE_WEIGHT = 0.3;
 const SERVER_FAILURE = 500;
+/** Range of the load that one request counts for, in mean requests: an odd estimate must not move all keys. */
+const WEIGHT_RANGE = { least: 0.1, most: 10 };
 const MS_PER_SECOND = 1_000;
 
 export interface RunnerOptions {
@@ -53,6 +56,10 @@
   ownerOf: (key: number) => Address | null;
   /** Returns the time that a grant must have left for work to begin, in milliseconds. */
   grantLeftMs: () => number;
+  /** Whether requests are placed by their estimated cost; by default they are not. */
+  usesRequestCosts?: boolean;
+  /** Called with the measured duration of a request and the one that was expected, in milliseconds. */
+  onCost?: (head: RequestHead, costs: { measuredMs: number; expectedMs: number }) => void;
   /** Returns whether the server must get nothing, as operators ask for its data centre. */
   isEvacuated?: () => boolean;
   ends: Pick<ServerEnds, "quarantinedMs" | "recordLost" | "recordCompleted">;
@@ -77,6 +84,8 @@
   waiting: number;
   /** How much longer than usual work takes now. */
   slowness: number;
+  /** Time until the server could begin one more request, in milliseconds; undefined where costs are not estimated. */
+  startInMs?: number;
 }
 
 /** Runs requests at this daemon's backend server, within its slots. */
@@ -85,6 +94,7 @@
   readonly #gate: Gate;
   readonly #meter = new LoadMeter(now);
   readonly #slowness = new Slowness(now);
+  readonly #costs: RequestCosts | undefined;
   #timelyLimit = new TimelyLimit();
   #workTail = new WorkTail();
   /** Incarnation of the server that the limit is for. */
@@ -98,8 +108,10 @@
 
   constructor(options: RunnerOptions) {
     this.#options = options;
-    const { watch } = options;
+    const { watch, usesRequestCosts = false } = options;
+    this.#costs = usesRequestCosts ? new RequestCosts() : undefined;
     this.#gate = new Gate({
+      costs: this.#costs,
       now,
       random: Math.random,
       limit: () => this.#concurrencyMax(),
@@ -147,7 +159,9 @@
     this.#rateUpdatedAt = now();
     const { running, waiting, serviceMs } = this.#gate;
     const { value: slowness } = this.#slowness;
-    return { rate: this.#rate, serviceMs, workMs: this.workMs, running, waiting, slowness };
+    const startInMs = this.#costs && this.#gate.startInMs;
+    const times = { serviceMs, workMs: this.workMs, startInMs };
+    return { ...times, rate: this.#rate, running, waiting, slowness };
   }
 
   /** Runs a request that this daemon or a peer received from a caller. */
@@ -176,7 +190,7 @@
     this.#arrivals++;
     const keyUntil = arrivedAt + this.#keyWaitMs(head);
     if (head.shard >= 0) {
-      this.#meter.record(head.shard);
+      this.#meter.record(head.shard, this.#weightOf(head, body));
       const isGranted = await this.#awaitKey(head, { until: keyUntil, signal });
       if (signal.aborted) {
         return cancel(RequestStage.Key);
@@ -194,6 +208,7 @@
     }
     const admitted = await this.#gate.enter({
       workClass: head.workClass,
+      bytes: body?.length,
       priority: head.priority ?? 0,
       targetAt: arrivedAt + (head.targetMs ?? head.remainingMs),
       deadline,
@@ -202,17 +217,28 @@
     if (admitted.isErr) {
       return signal.aborted ? cancel(RequestStage.Slot) : toRejection(admitted.error);
     }
+    let isAnswered = false;
     try {
       const response = await this.#run(head, body, { deadline, keyUntil, signal, memory });
+      isAnswered = response.head.outcome === undefined && response.head.status < SERVER_FAILURE;
       if (signal.aborted) {
         cancel(RequestStage.Server);
       }
       return response;
     } finally {
-      admitted.value.release();
+      admitted.value.release({ isAnswered });
     }
   }
 
+  /** Load of a request for its key, in mean requests of the server. */
+  #weightOf({ workClass }: RequestHead, body: Buffer | undefined): number {
+    const expectedMs = this.#costs?.expectedMs({ route: workClass, bytes: body?.length });
+    const meanMs = this.#gate.usualServiceMs;
+    return expectedMs === undefined || meanMs <= 0
+      ? 1
+      : Math.min(WEIGHT_RANGE.most, Math.max(WEIGHT_RANGE.least, expectedMs / meanMs));
+  }
+
   /** Rejects a request whose key this daemon does not hold, and names the owner. */
   #toOwner({ shard }: RequestHead): RoutedResponse {
     const detail = "This daemon does not hold the key";
@@ -295,6 +321,7 @@
         MOVE_RETRY_AFTER_MS,
       );
     }
+    const expectedMs = this.#costs?.expectedMs({ route: head.workClass, bytes: body?.length });
     const startedAt = now();
     const grantedUntil = grantManager.grantedUntil(head.shard);
     const { limit } = watch;
@@ -310,7 +337,11 @@
     }
     const result = await client.send({ head, headers, body, deadline, signal, memory })
       .finally(() => this.#runningKeys.delete(head));
+    const ranMs = (now() - startedAt) / this.#slowness.value;
     onResult(head, result, now() - startedAt);
+    if (result.outcome === ServerOutcome.Responded && expectedMs !== undefined) {
+      this.#options.onCost?.(head, { measuredMs: ranMs, expectedMs });
+    }
     // The server may count the grant from a moment before this daemon does.
     const hasOutlasted = result.status >= SERVER_FAILURE &&
       now() >= grantedUntil - GRANT_MARGIN_MS;
@@ -341,6 +372,9 @@
       }
     }
     const response = this.#toResponse(head, result, options);
+    if (this.#costs !== undefined && response.head.outcome === undefined) {
+      response.head.ranMs = Math.round(ranMs);
+    }
     if (result.notice?.isLeaving) {
       response.head.leavingServer = incarnationName(report);
     }
--- a/packages/router/src/server_view.ts
+++ b/packages/router/src/server_view.ts
@@ -94,7 +94,10 @@
     const { serviceMs, slowness = 1 } = load;
     const ageMs = isOwn ? 0 : now() - (heartbeats.peers.get(address)?.receivedAt ?? now());
     const agedMs = serviceMs / slowness * agedSlowness(slowness, ageMs);
-    return { running, waiting, slots, requestsPerSecond, serviceMs: agedMs };
+    const startInMs = load.startInMs === undefined
+      ? undefined
+      : Math.max(0, load.startInMs - ageMs);
+    return { running, waiting, slots, requestsPerSecond, serviceMs: agedMs, startInMs };
   }
 
   /**
@@ -178,7 +181,7 @@
     if (report === undefined) {
       return null;
     }
-    const { rate, serviceMs, workMs, running, waiting, slowness } = this.#measure();
+    const { rate, serviceMs, workMs, running, waiting, slowness, startInMs } = this.#measure();
     const pieces = options.withPieces ? this.#cutPieces() : [];
     return {
       id: report.id,
@@ -194,6 +197,7 @@
         workMs,
         running,
         waiting,
+        startInMs,
         slowness: slowness === 1 ? undefined : slowness,
         pieces,
       },
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -19,4 +19,4 @@
 export { RequestRecords, RequestState } from "./request_records.ts";
 export { RetryBudget } from "./retry_budget.ts";
 export { type RouteMatch, RouteTable } from "./route_table.ts";
-export { type ServerLoad, TwoChoices } from "./two_choices.ts";
+export { type ChoiceOptions, type ServerLoad, TwoChoices } from "./two_choices.ts";
--- a/packages/routing/src/two_choices.ts
+++ b/packages/routing/src/two_choices.ts
@@ -52,6 +52,16 @@
   requestsPerSecond?: number;
   /** Mean service time of one request, in milliseconds; 0 while unknown. */
   serviceMs: number;
+  /** Time until the server could begin one more request, in milliseconds; undefined where costs are not estimated. */
+  startInMs?: number;
+}
+
+/** What is known of the request that a server is chosen for. */
+export interface ChoiceOptions {
+  /** Time until the response should come, in milliseconds. */
+  targetMs?: number;
+  /** Expected service time, as a multiple of that of the service's requests; by default that of a mean request. */
+  costRatio?: number;
 }
 
 interface ServerStats {
@@ -82,6 +92,8 @@
 export class TwoChoices {
   readonly #options: TwoChoicesOptions;
   readonly #stats = new Map<Address, ServerStats>();
+  /** Cost of the request that a server is being chosen for, as a multiple of the mean. */
+  #costRatio = 1;
   /** Server of the last request that may be the first of a pair, and when it was chosen. */
   #first: { server: Address; at: number } | undefined;
 
@@ -89,11 +101,9 @@
     this.#options = options;
   }
 
-  /**
-   * Returns the chosen server, followed by one to try after it. `targetMs` is the time until the response should come,
-   * in milliseconds.
-   */
-  choose(servers: Address[], options: { targetMs?: number } = {}): Address[] {
+  /** Returns the chosen server, followed by one to try after it. */
+  choose(servers: Address[], options: ChoiceOptions = {}): Address[] {
+    this.#costRatio = options.costRatio ?? 1;
     const usable = servers.filter((server) => this.#isUsable(server));
     const pool = usable.length > 0 ? usable : servers;
     const paired = this.#takePaired(pool);
@@ -120,7 +130,7 @@
   }
 
   /** Chooses by the expected response times alone. */
-  #chooseAnew(pool: Address[], { targetMs = 0 }: { targetMs?: number }): Address[] {
+  #chooseAnew(pool: Address[], { targetMs = 0 }: ChoiceOptions): Address[] {
     if (pool.length < 2) {
       return pool;
     }
@@ -194,7 +204,7 @@
     const stats = this.#statsOf(server);
     const load = this.#options.loadOf?.(server);
     if (load !== undefined && load.serviceMs > 0) {
-      return expectedMs(load, stats.inFlight);
+      return expectedMs(load, { inFlight: stats.inFlight, costRatio: this.#costRatio });
     }
     return (stats.inFlight + 1) * (stats.latencyMs + 1);
   }
@@ -254,10 +264,20 @@
 }
 
 /** Expected time until a server responds to one more request, in milliseconds. */
-function expectedMs(load: ServerLoad, inFlight: number): number {
+function expectedMs(
+  load: ServerLoad,
+  { inFlight, costRatio }: { inFlight: number; costRatio: number },
+): number {
   const slots = concurrencyOf(load);
   const ahead = openRequests(load, inFlight);
-  const queued = Math.max(0, ahead + 1 - slots) / slots;
   const busy = Math.min(1, ahead / slots);
-  return load.serviceMs * (1 + queued + BUSY_PENALTY * busy);
+  const ownMs = load.serviceMs * costRatio * (1 + BUSY_PENALTY * busy);
+  if (load.startInMs === undefined) {
+    const queued = Math.max(0, ahead + 1 - slots) / slots;
+    return ownMs + load.serviceMs * queued;
+  }
+  // Requests that were sent since the server reported its load may have taken its free slots.
+  const unreported = Math.max(0, inFlight - load.running - load.waiting);
+  const queued = load.startInMs > 0 ? unreported / slots : Math.max(0, ahead + 1 - slots) / slots;
+  return ownMs + load.startInMs + load.serviceMs * queued;
 }
