Let calls go before the runs that wait for them, and pause while the store lacks what was read

A follower whose offset the store no longer has read all newest records again without a pause.

Change: a route whose target is at most a third of the usual one of more urgent routes has the priority of the most urgent of them, and goes first. A follower pauses and logs it.

Tests: manifest_routes_test, keyed_follower_pace_test.

--- a/packages/ledger_store/src/keyed_follower.ts
+++ b/packages/ledger_store/src/keyed_follower.ts
@@ -27,6 +27,8 @@
    * deployment are read together; no delay by default.
    */
   paceMs?: () => number;
+  /** Called while the topic ends before records that were read from it, with both offsets. */
+  onWentBack?: (offsets: { end: Offset; read: Offset }) => void;
   /** Called when the store becomes reachable or unreachable. */
   onReachable: (isReachable: boolean, reason: string) => void;
 }
@@ -39,6 +41,8 @@
   readonly #removals = new Subject<Item>();
   readonly #stop = createStop();
   #end: Offset = 0;
+  /** End of the topic when all newest records were last read. */
+  #newestEnd: Offset = 0;
   #confirmedAt = Number.NEGATIVE_INFINITY;
   #repliedAt = Number.NEGATIVE_INFINITY;
   #isReachable = false;
@@ -129,6 +133,11 @@
     }
     if (signal.aborted || read.error.kind === StoreErrorKind.Expired) {
       await this.#readAllNewest();
+      if (!signal.aborted && this.#newestEnd < this.#end) {
+        // The store came back from an older copy. Reading again at once would get the same response, without end.
+        this.#options.onWentBack?.({ end: this.#newestEnd, read: this.#end });
+        await sleep(RETRY_DELAY_MS, this.#stop.signal);
+      }
       return;
     }
     this.#recordFailure(read.error);
@@ -174,6 +183,7 @@
       after = page.value.after;
       end ??= page.value.end;
     } while (after !== undefined);
+    this.#newestEnd = end;
     this.#end = Math.max(this.#end, end);
     this.#removeUnread(read, end);
     return undefined;
--- a/packages/ledger_store/src/keyed_follower_pace_test.ts
+++ b/packages/ledger_store/src/keyed_follower_pace_test.ts
@@ -1,5 +1,7 @@
 import { Buffer } from "node:buffer";
 import { expect } from "chai";
+import { Result } from "true-myth";
+import { StoreError, StoreErrorKind } from "@bulrushwood/deployment";
 import { KeyedStoreService } from "@bulrushwood/stand_ins";
 import { now, sleep } from "@bulrushwood/types";
 import { KeyedFollower } from "./mod.ts";
@@ -44,4 +46,35 @@
     expect(applied.length).to.be.at.most(5);
     await follower.close();
   });
+
+  // Guards against reads without end while the store, back from an older copy, does not have the offset.
+  it("pauses between reads of a topic that ends before what was read", async () => {
+    const service = new KeyedStoreService({ sleep });
+    const store = service.connect();
+    let reads = 0;
+    const follower = new KeyedFollower({
+      store: {
+        append: store.append.bind(store),
+        close: store.close.bind(store),
+        readNewest: () => {
+          reads++;
+          const end = reads === 1 ? 50 : 10;
+          return Promise.resolve(Result.ok({ items: [], after: undefined, end }));
+        },
+        read: () => Promise.resolve(Result.err(new StoreError(StoreErrorKind.Expired, "410"))),
+      },
+      topic: TOPIC,
+      now,
+      sleep,
+      waitMs: () => 500,
+      onReachable: () => {},
+      onWentBack: (offsets) => wentBack.push(offsets),
+    });
+    const wentBack: unknown[] = [];
+    await follower.start();
+    await sleep(700);
+    await follower.close();
+    expect(reads).to.be.at.most(6);
+    expect(wentBack[0]).to.deep.equal({ end: 10, read: 50 });
+  });
 });
--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -258,8 +258,9 @@
       return;
     }
     const { shedder } = this.#options;
-    if (!shedder.mayAccept(route.priority)) {
-      this.#options.onShed?.(route.priority);
+    const priority = this.#routesFor(manifest).priorityOf(route);
+    if (!shedder.mayAccept(priority)) {
+      this.#options.onShed?.(priority);
       const routed = notRun(
         Reason.Overloaded,
         "This daemon lacks processor time",
@@ -319,7 +320,7 @@
       memory,
       stage: RequestStage.Arrival,
     };
-    await this.#options.eventLoop.nextPoll(urgencyRank(route.priority));
+    await this.#options.eventLoop.nextPoll(urgencyRank(head.priority ?? route.priority));
     const routed = await this.#dispatch(dispatched);
     this.#options.onResponse(route, routed, now() - arrivedAt);
     this.#logFailure(routed, dispatched, { ms: now() - arrivedAt });
@@ -412,7 +413,7 @@
       remainingMs: 0,
       idempotencyKey: "",
       firstAttempt: false,
-      priority: route.priority,
+      priority: this.#routes?.priorityOf(route) ?? route.priority,
     };
   }
 
--- a/packages/router/src/event_log.ts
+++ b/packages/router/src/event_log.ts
@@ -19,6 +19,7 @@
   StoreRelayed = "store-relayed",
   StoreReconnected = "store-reconnected",
   StoreLost = "store-lost",
+  StoreWentBack = "store-went-back",
   ManifestApplied = "manifest-applied",
   ManifestRejected = "manifest-refused",
   EvacuationChanged = "evacuation-changed",
--- a/packages/router/src/store_access.ts
+++ b/packages/router/src/store_access.ts
@@ -102,6 +102,7 @@
       sleep,
       waitMs: () => this.#readWaitMs(topic),
       paceMs: () => this.#readPaceMs(topic),
+      onWentBack: (offsets) => log(Event.StoreWentBack, { topic, ...offsets }),
       onReachable: (isReachable, reason) => {
         log(isReachable ? Event.StoreReachable : Event.StoreLost, { topic, reason });
       },
--- a/packages/routing/src/manifest_routes_test.ts
+++ b/packages/routing/src/manifest_routes_test.ts
@@ -44,6 +44,20 @@
     });
   }
 
+  // Guards against runs that are begun while the calls of others wait, and against calls that are rejected first.
+  it("lets routes with short targets go before the urgent routes whose servers call them", () => {
+    const [look, order, history, check] = [
+      route("look", { targetMs: 400 }),
+      route("order", { targetMs: 500, priority: 1 }),
+      route("history", { targetMs: 1_500, priority: 2 }),
+      route("check", { targetMs: 120, priority: 1 }),
+    ];
+    const table = routes(look, order, history, check);
+    expect([look, order, history].map((one) => table.priorityOf(one))).to.deep.equal([0, 1, 2]);
+    expect(table.priorityOf(check)).to.be.below(0);
+    expect(routes(order, check).priorityOf(check)).to.equal(1);
+  });
+
   it("divides requests by weight, also over short spans", () => {
     const split = route("split", {
       shares: [{ service: "one", weight: 90 }, { service: "two", weight: 10 }],
