--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -191,6 +191,25 @@
   );
 }
 
+/** Finds runs that began past the bound of an evacuation. */
+function findRunsInEvacuations({ history, requests }: Observed): Finding[] {
+  return requests.sent.flatMap((request) =>
+    requests.runsOf(request.id).flatMap((run) => {
+      const evacuation = history.evacuations.find(({ machines, from, until }) =>
+        machines.includes(run.machine) && run.startedAt < until &&
+        run.startedAt > from + BOUNDS.evacuationMs + history.stalledMs(from, run.startedAt)
+      );
+      const since = run.startedAt - BOUNDS.stableWindowMs - BOUNDS.evacuationMs;
+      if (evacuation === undefined || history.isOutOfTouch(run.machine, since, run.startedAt)) {
+        return [];
+      }
+      const ms = Math.round(run.startedAt - evacuation.from);
+      const detail = `reached a server ${ms} ms after the evacuation of its data centre`;
+      return [createFinding(Rule.Evacuation, request, detail, [run])];
+    })
+  );
+}
+
 /** Finds probes that a daemon answered by an older version than one whose effect was seen there before. */
 function findRegressions({ history, requests, versions }: Observed): Finding[] {
   const findings: Finding[] = [];
@@ -246,5 +265,10 @@
       return detail === undefined ? [] : [createFinding(rule, request, detail, runs)];
     })
   );
-  return [...found, ...findRegressions(observed), ...findLateRuns(observed)];
+  return [
+    ...found,
+    ...findRegressions(observed),
+    ...findLateRuns(observed),
+    ...findRunsInEvacuations(observed),
+  ];
 }
--- a/packages/soak/src/checks_test.ts
+++ b/packages/soak/src/checks_test.ts
@@ -56,6 +56,20 @@
 
   beforeEach(() => scenario = new Scenario());
 
+  // Guards against a check of evacuations that finds nothing.
+  it("find a run that began past the bound of an evacuation of its data centre", () => {
+    const request = scenario.add(Ending.Answered, { status: 200, hasOriginMarker: true });
+    request.body = bodyOf(request.id);
+    scenario.addRun(request);
+    const { evacuations } = scenario.history;
+    evacuations.push({ machines: ["b"], from: 5_100, until: Infinity });
+    expect(scenario.rules).to.deep.equal([]);
+    evacuations[0].from = 5_000;
+    expect(scenario.rules).to.deep.equal([Rule.Evacuation]);
+    evacuations[0].until = 10_000;
+    expect(scenario.rules).to.deep.equal([]);
+  });
+
   it("accept a whole response of the request's own run", () => {
     const request = scenario.add(Ending.Answered, { status: 200, hasOriginMarker: true });
     request.body = bodyOf(request.id);
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -17,6 +17,8 @@
   Config = "CONFIG",
   /** A request reached a server long after a daemon had acknowledged that it leaves. */
   Drain = "DRAIN",
+  /** A request reached a server long after the evacuation of its data centre was acknowledged. */
+  Evacuation = "EVAC",
 }
 
 /** Shortest stall of the stand-ins that is recorded, in milliseconds. */
@@ -56,6 +58,14 @@
   until: number;
 }
 
+/** Span in which the servers of some machines must get nothing, from the acknowledgement of an evacuation on. */
+export interface EvacuationSpan {
+  machines: string[];
+  from: number;
+  /** Infinite until the evacuation ends. */
+  until: number;
+}
+
 /** Record of one soak. Times are in milliseconds of the process's clock. */
 export class History {
   readonly startedAt = now();
@@ -63,6 +73,7 @@
   readonly findings: Finding[] = [];
   /** When the leave of each server was first acknowledged, by its id. */
   readonly leaveAcks = new Map<string, number>();
+  readonly evacuations: EvacuationSpan[] = [];
   readonly #disruptions: Disruption[] = [];
   /** Spans in which the soak's own process did not run, so that its times are wrong. */
   readonly stalls: Stall[] = [];
--- a/packages/soak/src/machine.ts
+++ b/packages/soak/src/machine.ts
@@ -21,6 +21,8 @@
   /** Time for which two servers may hold a key that neither uses. */
   sharedKeyMs: 500,
   grantMsMax: 10_000,
+  /** Time after the ack of an evacuation from which no request may reach a server in the data centre. */
+  evacuationMs: 5_000,
 };
 
 /** Interval between the status reports of a server, in milliseconds. */
@@ -93,6 +95,7 @@
       retryShare: 0.2,
       retryExtra: 58,
       retryWindowMs: 10_000,
+      evacuationMs: BOUNDS.evacuationMs,
     },
   };
   return { name: settings.instance, host, settings, server, paths };
--- a/packages/soak/src/manifests.ts
+++ b/packages/soak/src/manifests.ts
@@ -2,6 +2,7 @@
  * The manifests that the operator of a soak writes. Each version has a route of its own, so that callers can tell
  * which versions are in force.
  */
+import { Buffer } from "node:buffer";
 import { type Manifest, type Route, RouteKind } from "@bulrushwood/deployment";
 import type { KeyedStoreService } from "@bulrushwood/stand_ins";
 import { now } from "@bulrushwood/types";
@@ -127,6 +128,14 @@
     return this.versions.at(-1)?.version ?? FIRST_VERSION;
   }
 
+  /** Evacuates a data centre, or ends that; resolves once the store has acknowledged it. */
+  async evacuate(dataCentre: string, isEvacuated: boolean): Promise<void> {
+    const { topic } = this.#outside.manifestLocation;
+    const key = this.#outside.evacuationKey(dataCentre);
+    const value = Buffer.from(isEvacuated ? "{}" : "");
+    await this.#store.connect().append(topic, { key, value }, { timeoutMs: STORE_TIMEOUT_MS });
+  }
+
   /** Writes the next version, and resolves to it once the store has acknowledged it. */
   async publish(): Promise<number> {
     const version = this.versions.length === 0 ? FIRST_VERSION : this.newest + 1;
--- a/packages/soak/src/outside.ts
+++ b/packages/soak/src/outside.ts
@@ -57,6 +57,8 @@
   storeListener(store: Store): RequestListener;
   manifestLocation: { topic: string; key: string };
   encodeManifest(manifest: Manifest): Buffer;
+  /** Returns the key of the record by which an operator evacuates a data centre, in the topic of the manifest. */
+  evacuationKey(dataCentre: string): string;
   report(report: ServerReport): ReportCall;
   farewell(id: string): ReportCall;
   callerHeaders(request: { id: string; deadlineMs: number; key?: number }): OutgoingHttpHeaders;
