--- a/scripts/capacity.ts
+++ b/scripts/capacity.ts
@@ -277,13 +277,16 @@
 They are figures of the daemon on the product's own protocols. The daemon on the users' platform
 ([design](design/platform.md)) has not been measured at this size. From its design:
 
-- Beyond 30 daemons, each sends heartbeats to at most 13 heartbeat peers, 8 of them 3.3 times a second and 5
-  1.7 times, so 35 a second and as many replies, in 3.3 wake-ups a second, whatever the number of daemons.
-- A hub of a service gets 1.7 heartbeats a second from each daemon of the service, 1,480 at 890 daemons. A small
-  instance cannot handle that; the heartbeats would have to be aggregated for each data centre first.
+- Beyond 30 daemons, each sends heartbeats to at most 13 heartbeat peers, 8 of them 3.3 times a second, or 1.7
+  times where its server's work is long, and 5 1.7 times at most, so 35 or 22 a second and as many replies, in 3.3
+  wake-ups a second, whatever the number of daemons.
+- A hub of a service gets 1.7 heartbeats a second from each daemon of the service, 1,480 at 890 daemons, and one
+  of a service without keys also from those of other services in its data centre. A small instance cannot handle
+  that, so large ones are preferred; at that size the heartbeats would have to be aggregated first.
 - The ownership table is some 0.1 KB for each daemon, and each change writes the whole table.
-- Each daemon reads each change, at most twice a second, so a few daemons will have to read and send the
-  changes to the others ([limits at size](measurements/large.md)).
+- Each daemon reads the changes once in 2 s at most, the planner twice a second; new owners get the table from its
+  writer. At this size a few daemons will have to read and send the changes to the others ([limits at
+  size](measurements/large.md)). No sweep has been played since this changed.
 
 ## Control
 
