--- a/packages/membership_beats/src/heartbeat_peers.ts
+++ b/packages/membership_beats/src/heartbeat_peers.ts
@@ -85,10 +85,13 @@
   const own = members.filter((member) => member.service === service)
     .sort((one, other) => one.address < other.address ? -1 : 1);
   const ordered = isKeyed ? own : [...findRoomy(members, own), ...own];
-  const isFirst = (member: Member) =>
-    ordered.find(({ dataCentre }) => dataCentre === member.dataCentre) === member;
-  const firsts = ordered.filter(isFirst);
-  const addresses = [...firsts, ...ordered].map(({ address }) => address);
+  const firsts = new Map<string, Member>();
+  for (const member of ordered) {
+    if (!firsts.has(member.dataCentre)) {
+      firsts.set(member.dataCentre, member);
+    }
+  }
+  const addresses = [...firsts.values(), ...ordered].map(({ address }) => address);
   return [...new Set(addresses)].slice(0, OWN_HUB_COUNT);
 }
 
