--- a/packages/lease_ranges/src/grant_manager.ts
+++ b/packages/lease_ranges/src/grant_manager.ts
@@ -41,7 +41,7 @@
 import type { TenureManager } from "./tenure_manager.ts";
 
 /** Longest time between renewals, in milliseconds; grants are also renewed with each vote. */
-const RENEW_INTERVAL_MS = 300;
+const RENEW_INTERVAL_MS = 350;
 
 /**
  * Time between writes of transferred keys, in milliseconds for each host: all hosts read each change of the table, so the
--- a/packages/lease_ranges/src/tenure_manager.ts
+++ b/packages/lease_ranges/src/tenure_manager.ts
@@ -17,7 +17,7 @@
 import { endOfGrant } from "./grant_channel.ts";
 
 /** Time between checks of the tenure, in milliseconds. */
-const CHECK_INTERVAL_MS = 200;
+const CHECK_INTERVAL_MS = 150;
 /** Time without support after which a voter is replaced, in milliseconds; longer than a restart takes. */
 const VOTER_TIMEOUT_MS = 1_600;
 /** Timeout of a new tenure's wait for enough voters, in milliseconds; after it the tenure starts with fewer. */
--- a/packages/planner_ranges/src/range_planner.ts
+++ b/packages/planner_ranges/src/range_planner.ts
@@ -31,7 +31,7 @@
 } from "@bulrushwood/types";
 
 /** Time between planning rounds, in milliseconds. */
-const PLAN_INTERVAL_MS = 300;
+const PLAN_INTERVAL_MS = 250;
 /** Time without a new daemon after which first owners are chosen, in milliseconds. */
 const SETTLE_MS = 1_000;
 /** Longest time without a new daemon for which first owners wait for those that have not entered, in milliseconds. */
