--- a/packages/admission/src/gate.ts
+++ b/packages/admission/src/gate.ts
@@ -86,6 +86,14 @@
   slowness: number;
 }
 
+/** Work that is run before a request. */
+interface Backlog {
+  /** Number of queued requests. */
+  count: number;
+  /** Expected service time of these and of one running request, in milliseconds. */
+  workMs: number;
+}
+
 interface QueuedRequest {
   request: GateRequest;
   since: number;
@@ -225,7 +233,13 @@
   /** Expected time until a new request starts, in milliseconds. */
   #expectedWaitMs(request: GateRequest): number {
     const at = this.#options.now();
-    const ahead = this.#queue.filter((queued) => this.#precedes(queued.request, request, at));
+    const ahead: Backlog = { count: 0, workMs: this.#meanServiceMs };
+    for (const queued of this.#queue) {
+      if (this.#precedes(queued.request, request, at)) {
+        ahead.count++;
+        ahead.workMs += this.#serviceMsFor(queued.request);
+      }
+    }
     const waitMs = this.#waitBehindMs(ahead, this.#rankOf(request, at));
     // A request that becomes too late for its target while it waits has the rank of late requests from then on.
     return Math.max(waitMs, this.#waitBehindMs(ahead, this.#rankOf(request, at + waitMs)));
@@ -236,16 +250,12 @@
    * where the slots are taken, the work ahead and one running request, divided by the slots. Requests of a lower rank
    * that arrive later start first, so the wait is longer by what they took recently.
    */
-  #waitBehindMs(ahead: QueuedRequest[], rank: number): number {
+  #waitBehindMs({ count, workMs }: Backlog, rank: number): number {
     const slots = Math.max(1, this.#options.limit());
-    const rateMs = this.#startRate.expectedMs(ahead.length, rank);
-    if (this.running + ahead.length < slots) {
+    const rateMs = this.#startRate.expectedMs(count, rank);
+    if (this.running + count < slots) {
       return rateMs;
     }
-    const workMs = ahead.reduce(
-      (sum, queued) => sum + this.#serviceMsFor(queued.request),
-      this.#meanServiceMs,
-    );
     const shareLeft = this.#recentWork.shareLeft(rank, slots * MS_PER_SECOND);
     return Math.max(rateMs, workMs / (slots * shareLeft));
   }
@@ -313,12 +323,13 @@
     ranked.sort((one, other) =>
       one.rank - other.rank || one.queued.request.targetAt - other.queued.request.targetAt
     );
-    const ahead: QueuedRequest[] = [];
+    const ahead: Backlog = { count: 0, workMs: this.#meanServiceMs };
     for (const { queued, rank } of ranked) {
       const waitMs = this.#waitBehindMs(ahead, rank);
-      const { deadline } = queued.request;
-      if (at + waitMs + this.#serviceMsFor(queued.request) * MIN_SERVICE_SHARE <= deadline) {
-        ahead.push(queued);
+      const serviceMs = this.#serviceMsFor(queued.request);
+      if (at + waitMs + serviceMs * MIN_SERVICE_SHARE <= queued.request.deadline) {
+        ahead.count++;
+        ahead.workMs += serviceMs;
       } else {
         this.#remove(queued);
         queued.settle(this.#reject(waitMs));
