Keep the priority that a request was accepted with

It was computed again after the body, for a request whose manifest may have been replaced meanwhile; such a request now keeps its first priority.

--- a/packages/router/src/caller_server.ts
+++ b/packages/router/src/caller_server.ts
@@ -90,6 +90,8 @@
   route: Route;
   manifest: Manifest;
   key: number | undefined;
+  /** 0 is the most urgent. */
+  priority: number;
   /** Time that the caller waits, in milliseconds; undefined if it does not say. */
   deadlineMs: number | undefined;
   arrivedAt: number;
@@ -278,8 +280,8 @@
     }
     const memory = this.#options.bodyMemory.open();
     try {
-      const options = { id, route, manifest, key, deadlineMs, arrivedAt, deadline, exchange };
-      await this.#handleAccepted(request, response, { ...options, memory });
+      const accepted = { id, route, manifest, key, priority, deadlineMs, arrivedAt, deadline };
+      await this.#handleAccepted(request, response, { ...accepted, exchange, memory });
     } finally {
       memory.release();
     }
@@ -291,7 +293,8 @@
     response: ServerResponse,
     options: AcceptedRequest,
   ): Promise<void> {
-    const { id, route, manifest, key, deadlineMs, arrivedAt, deadline, exchange, memory } = options;
+    const { id, route, manifest, key, priority, deadlineMs } = options;
+    const { arrivedAt, deadline, exchange, memory } = options;
     const waitMs = deadline - arrivedAt;
     const received = hasBody(request)
       ? await collectBody(request, {
@@ -309,9 +312,9 @@
     const body = received?.value;
     const service = this.#routesFor(manifest).chooseService(route) ?? "";
     const isKeyed = manifest.services.get(service)?.isKeyed ?? false;
-    const head = this.#toHead(request, { id, route, service, key: isKeyed ? key : undefined });
+    const target = { id, route, service, key: isKeyed ? key : undefined, priority };
     const dispatched: DispatchRequest = {
-      head: { ...head, remainingMs: waitMs },
+      head: { ...this.#toHead(request, target), remainingMs: waitMs },
       route,
       body,
       targetAt: arrivedAt + route.targetMs - this.#elapsedBeforeMs(route, deadlineMs ?? waitMs),
@@ -320,7 +323,7 @@
       memory,
       stage: RequestStage.Arrival,
     };
-    await this.#options.eventLoop.nextPoll(urgencyRank(head.priority ?? route.priority));
+    await this.#options.eventLoop.nextPoll(urgencyRank(priority));
     const routed = await this.#dispatch(dispatched);
     this.#options.onResponse(route, routed, now() - arrivedAt);
     this.#logFailure(routed, dispatched, { ms: now() - arrivedAt });
@@ -395,9 +398,9 @@
 
   #toHead(
     request: IncomingMessage,
-    options: { id: string; route: Route; service: string; key: number | undefined },
+    options: Pick<AcceptedRequest, "id" | "route" | "key" | "priority"> & { service: string },
   ): RequestHead {
-    const { id, route, service, key } = options;
+    const { id, route, service, key, priority } = options;
     return {
       id,
       pool: service,
@@ -413,7 +416,7 @@
       remainingMs: 0,
       idempotencyKey: "",
       firstAttempt: false,
-      priority: this.#routes?.priorityOf(route) ?? route.priority,
+      priority,
     };
   }
 
