--- a/packages/routing/src/two_choices.ts
+++ b/packages/routing/src/two_choices.ts
@@ -92,8 +92,6 @@
 export class TwoChoices {
   readonly #options: TwoChoicesOptions;
   readonly #stats = new Map<Address, ServerStats>();
-  /** Cost of the request that a server is being chosen for, as a multiple of the mean. */
-  #costRatio = 1;
   /** Server of the last request that may be the first of a pair, and when it was chosen. */
   #first: { server: Address; at: number } | undefined;
 
@@ -102,15 +100,15 @@
   }
 
   /** Returns the chosen server, followed by one to try after it. */
-  choose(servers: Address[], options: ChoiceOptions = {}): Address[] {
-    this.#costRatio = options.costRatio ?? 1;
+  choose(servers: Address[], { targetMs = 0, costRatio = 1 }: ChoiceOptions = {}): Address[] {
     const usable = servers.filter((server) => this.#isUsable(server));
     const pool = usable.length > 0 ? usable : servers;
     const paired = this.#takePaired(pool);
     if (paired !== undefined) {
-      return [paired, ...this.#chooseOfTwo(pool.filter((server) => server !== paired)).slice(0, 1)];
+      const others = pool.filter((server) => server !== paired);
+      return [paired, ...this.#chooseOfTwo(others, costRatio).slice(0, 1)];
     }
-    const chosen = this.#chooseAnew(pool, options);
+    const chosen = this.#chooseAnew(pool, { targetMs, costRatio });
     this.#first = chosen.length > 0 ? { server: chosen[0], at: this.#options.now() } : undefined;
     return chosen;
   }
@@ -130,31 +128,37 @@
   }
 
   /** Chooses by the expected response times alone. */
-  #chooseAnew(pool: Address[], { targetMs = 0 }: ChoiceOptions): Address[] {
+  #chooseAnew(pool: Address[], { targetMs, costRatio }: Required<ChoiceOptions>): Address[] {
     if (pool.length < 2) {
       return pool;
     }
     const { isLocal = () => true, self } = this.#options;
     const own = self !== undefined && pool.includes(self) ? self : undefined;
-    const [sampled] = this.#chooseOfTwo(pool.filter((server) => server !== own && isLocal(server)));
-    const local = this.#choosePreferred(own, sampled);
-    const [other] = this.#chooseOfTwo(pool.filter((server) => server !== local));
+    const locals = pool.filter((server) => server !== own && isLocal(server));
+    const [sampled] = this.#chooseOfTwo(locals, costRatio);
+    const local = this.#choosePreferred(own, sampled, costRatio);
     if (local === undefined) {
-      return this.#chooseOfTwo(pool);
+      return this.#chooseOfTwo(pool, costRatio);
     }
-    const isSoonEnough = this.#reports(local) && this.#cost(local) <= targetMs * TARGET_SHARE;
-    const isLocalPreferred = isSoonEnough ||
-      (this.#hasSpareSlots(local) && this.#cost(local) <= this.#cost(other) * LOCAL_DELAY_FACTOR);
-    return isLocalPreferred ? [local, other] : this.#chooseOfTwo(pool);
+    const [other] = this.#chooseOfTwo(pool.filter((server) => server !== local), costRatio);
+    const localCost = this.#cost(local, costRatio);
+    const isSoonEnough = this.#reports(local) && localCost <= targetMs * TARGET_SHARE;
+    const isLocalPreferred = isSoonEnough || (this.#hasSpareSlots(local) &&
+      localCost <= this.#cost(other, costRatio) * LOCAL_DELAY_FACTOR);
+    return isLocalPreferred ? [local, other] : this.#chooseOfTwo(pool, costRatio);
   }
 
   /** Returns the own server where that is expected to respond about as soon as another local one. */
-  #choosePreferred(own: Address | undefined, sampled: Address | undefined): Address | undefined {
+  #choosePreferred(
+    own: Address | undefined,
+    sampled: Address | undefined,
+    costRatio: number,
+  ): Address | undefined {
     if (own === undefined || sampled === undefined) {
       return own ?? sampled;
     }
     const isOwnPreferred = this.#hasSpareSlots(own) &&
-      this.#cost(own) <= this.#cost(sampled) + FORWARDING_MS;
+      this.#cost(own, costRatio) <= this.#cost(sampled, costRatio) + FORWARDING_MS;
     return isOwnPreferred ? own : sampled;
   }
 
@@ -171,13 +175,14 @@
   }
 
   /** Returns two random servers, the one that is expected to respond sooner first. */
-  #chooseOfTwo(pool: Address[]): Address[] {
+  #chooseOfTwo(pool: Address[], costRatio: number): Address[] {
     if (pool.length < 2) {
       return pool;
     }
     const first = this.#pickRandom(pool);
     const second = this.#pickRandom(pool.filter((server) => server !== first));
-    return this.#cost(first) <= this.#cost(second) ? [first, second] : [second, first];
+    const isFirstSooner = this.#cost(first, costRatio) <= this.#cost(second, costRatio);
+    return isFirstSooner ? [first, second] : [second, first];
   }
 
   #pickRandom(servers: Address[]): Address {
@@ -200,11 +205,12 @@
     return stats;
   }
 
-  #cost(server: Address): number {
+  /** Expected time until a server responds, or a measure that orders servers alike where it reports no load. */
+  #cost(server: Address, costRatio: number): number {
     const stats = this.#statsOf(server);
     const load = this.#options.loadOf?.(server);
     if (load !== undefined && load.serviceMs > 0) {
-      return expectedMs(load, { inFlight: stats.inFlight, costRatio: this.#costRatio });
+      return expectedMs(load, { inFlight: stats.inFlight, costRatio });
     }
     return (stats.inFlight + 1) * (stats.latencyMs + 1);
   }
