--- a/packages/membership_beats/src/heartbeat_peers.ts
+++ b/packages/membership_beats/src/heartbeat_peers.ts
@@ -63,25 +63,25 @@
     ranked.slice(0, VOTER_COUNT)
       .forEach((address) => peers.set(address, HeartbeatPeerRole.Voter));
     hubsOf(responsive, service, { isKeyed: true })
-      .forEach((address) => peers.set(address, HeartbeatPeerRole.Hub));
+      .forEach(({ address }) => peers.set(address, HeartbeatPeerRole.Hub));
   }
-  const dataCentreOf = new Map(members.map((member) => [member.address, member.dataCentre]));
-  const isLocal = (address: Address) => dataCentreOf.get(address) === dataCentre;
+  const isLocal = (member: Member) => member.dataCentre === dataCentre;
   for (const unkeyed of unkeyedServices) {
     const hubs = hubsOf(responsive, unkeyed, { isKeyed: false }).sort((one, other) =>
-      Number(isLocal(other)) - Number(isLocal(one)) || byRank(one, other)
+      Number(isLocal(other)) - Number(isLocal(one)) || byRank(one.address, other.address)
     );
     hubs.slice(0, SOURCE_COUNT)
-      .forEach((address) => peers.set(address, HeartbeatPeerRole.Source));
+      .forEach(({ address }) => peers.set(address, HeartbeatPeerRole.Source));
     if (unkeyed === service) {
-      hubs.slice(SOURCE_COUNT).forEach((address) => peers.set(address, HeartbeatPeerRole.Hub));
+      hubs.slice(SOURCE_COUNT)
+        .forEach(({ address }) => peers.set(address, HeartbeatPeerRole.Hub));
     }
   }
   return peers;
 }
 
 /** Returns the hubs of a service: the first daemons of its data centres, as far as these suffice. */
-function hubsOf(members: Member[], service: string, { isKeyed }: { isKeyed: boolean }): Address[] {
+function hubsOf(members: Member[], service: string, { isKeyed }: { isKeyed: boolean }): Member[] {
   const own = members.filter((member) => member.service === service)
     .sort((one, other) => one.address < other.address ? -1 : 1);
   const ordered = isKeyed ? own : [...findRoomy(members, own), ...own];
@@ -91,20 +91,21 @@
       firsts.set(member.dataCentre, member);
     }
   }
-  const addresses = [...firsts.values(), ...ordered].map(({ address }) => address);
-  return [...new Set(addresses)].slice(0, OWN_HUB_COUNT);
+  return [...new Set([...firsts.values(), ...ordered])].slice(0, OWN_HUB_COUNT);
 }
 
 /** Returns the daemons with much more processor time than most of a service, those of the service first. */
 function findRoomy(members: Member[], own: Member[]): Member[] {
   const coresOf = ({ cores = 0 }: Member) => cores;
   const typical = own.map(coresOf).sort((one, other) => one - other)[Math.floor(own.length / 2)];
-  const roomy = members.filter((member) =>
-    typical > 0 && coresOf(member) >= typical * ROOMY_FACTOR
-  );
-  const isOwn = (member: Member) => Number(own.includes(member));
+  if (own.length === 0 || typical === 0) {
+    return [];
+  }
+  const roomy = members.filter((member) => coresOf(member) >= typical * ROOMY_FACTOR);
+  const [{ service }] = own;
+  const isOwn = (member: Member) => Number(member.service === service);
   // Services on small machines share the large ones of others, each in an order of its own.
-  const rank = (member: Member) => rankOf(own[0]?.service ?? "", member.address);
+  const rank = (member: Member) => rankOf(service, member.address);
   return roomy.sort((one, other) => isOwn(other) - isOwn(one) || rank(one) - rank(other));
 }
 
