--- a/packages/soak/src/crowd.ts
+++ b/packages/soak/src/crowd.ts
@@ -62,21 +62,19 @@
     this.#sockets.push(socket);
     const headers = outside.callerHeaders({ id: `${name}-${index}`, deadlineMs: DEADLINE_MS });
     const { announcedBytes, sentBytes, partBytes, pauseMs = 0 } = body;
-    const framing = announcedBytes === undefined
-      ? "transfer-encoding: chunked"
-      : `content-length: ${announcedBytes}`;
+    const isChunked = announcedBytes === undefined;
+    const framing = isChunked ? "transfer-encoding: chunked" : `content-length: ${announcedBytes}`;
     const lines = Object.entries(headers).map(([header, value]) => `${header}: ${value}\r\n`);
     socket.write(
       `POST ${path} HTTP/1.1\r\nhost: ${HOST_NAME}\r\n${lines.join("")}${framing}\r\n\r\n`,
     );
-    const part = createPart(partBytes, { isChunked: announcedBytes === undefined });
+    const part = createPart(partBytes, { isChunked });
     const partsPerWrite = Math.max(1, Math.floor(WRITE_BYTES / part.length));
     for (let sent = 0; sent < sentBytes;) {
       const parts = Math.min(partsPerWrite, Math.ceil((sentBytes - sent) / partBytes));
       const isWhole = sent + parts * partBytes <= sentBytes;
       const bytes = Buffer.concat(Array.from({ length: parts }, () => part));
-      const isAnnounced = announcedBytes !== undefined;
-      socket.write(isWhole || !isAnnounced ? bytes : bytes.subarray(0, sentBytes - sent));
+      socket.write(isWhole || isChunked ? bytes : bytes.subarray(0, sentBytes - sent));
       sent += parts * partBytes;
       if (!await waitForRoom(socket)) {
         return;
@@ -105,14 +103,12 @@
     return true;
   }
   return await new Promise((resolve) => {
-    const timer = setTimeout(() => resolve(false), STALLED_MS);
-    socket.once("drain", () => {
+    const settle = () => {
       clearTimeout(timer);
-      resolve(true);
-    });
-    socket.once("close", () => {
-      clearTimeout(timer);
-      resolve(false);
-    });
+      socket.off("drain", settle).off("close", settle);
+      resolve(socket.writable && !socket.writableNeedDrain);
+    };
+    const timer = setTimeout(settle, STALLED_MS);
+    socket.on("drain", settle).on("close", settle);
   });
 }
--- a/packages/soak/src/deployment.ts
+++ b/packages/soak/src/deployment.ts
@@ -88,11 +88,9 @@
     const store = { host: STORE_HOST, port };
     const network = 1 + options.seed % NETWORKS;
     const random = createRandom(options.seed);
-    const { hasProxies, memoryBytes, socketsMax } = options;
-    const machineOptions = { network, store, hasProxies, memoryBytes, socketsMax };
     const indices = Array.from({ length: options.daemons }, (_, index) => index);
     deployment.nodes = await Promise.all(indices.map(async (index) => {
-      const machine = await createMachine(index, machineOptions);
+      const machine = await createMachine(index, { ...options, network, store });
       return await deployment.#startNode(machine, index, random);
     }));
     const isReady = await Promise.all(
