--- a/packages/admission/src/mod.ts
+++ b/packages/admission/src/mod.ts
@@ -17,7 +17,7 @@
 export { Quarantine, type ServerEnd, type SuspectRun } from "./quarantine.ts";
 export { agedSlowness, Slowness } from "./slowness.ts";
 export { RequestCosts, type RequestTraits } from "./request_costs.ts";
-export { restMs, type RunningWork, startInMs } from "./work_left.ts";
+export { type RunningWork, startInMs } from "./work_left.ts";
 export { StartRate, type StartRateOptions } from "./start_rate.ts";
 export { TimelyLimit } from "./timely_limit.ts";
 export { WorkTail } from "./work_tail.ts";
--- a/packages/admission/src/work_left.ts
+++ b/packages/admission/src/work_left.ts
@@ -16,7 +16,7 @@
 }
 
 /** Returns the expected rest of a running request, in milliseconds. */
-export function restMs({ ageMs, expectedMs }: RunningWork): number {
+function restMs({ ageMs, expectedMs }: RunningWork): number {
   return Math.max(expectedMs * REST_MIN_SHARE, expectedMs - ageMs);
 }
 
--- a/packages/router/src/dispatcher.ts
+++ b/packages/router/src/dispatcher.ts
@@ -298,7 +298,7 @@
 
   /** Response to a request for which no server may be used: each is unreachable or overloaded. */
   #withoutServer(request: DispatchRequest, unreachable: RoutedResponse): RoutedResponse {
-    const servers = this.#options.choice.choose(request.head.pool, () => true, { targetMs: 0 });
+    const servers = this.#options.choice.choose(request.head.pool, () => true, {});
     return servers.length === 0 ? unreachable : overloaded(
       "All servers of the service are overloaded",
       Math.min(...servers.map((address) => this.#backoffMs(request, address))),
--- a/packages/router/src/metrics.ts
+++ b/packages/router/src/metrics.ts
@@ -11,9 +11,9 @@
 import { type ServerResult } from "./server_client.ts";
 
 const LATENCY_BUCKETS_MS = [5, 10, 25, 50, 100, 200, 300, 400, 500, 700, 1_000, 1_500, 2_500];
-/** Time between measurements of the event loop's delay, in milliseconds; each one wakes the process. */
 /** Upper bounds of the histogram of measured by expected costs. */
 const COST_RATIO_BUCKETS = [0.25, 0.5, 0.75, 1, 1.5, 2, 4, 8];
+/** Time between measurements of the event loop's delay, in milliseconds; each one wakes the process. */
 const LOOP_DELAY_INTERVAL_MS = 300;
 /** Outcome label of requests that a backend server responded to. */
 const RESPONDED = "answered";
