--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -439,11 +439,18 @@
 
   #agents = new Map();
 
-  /** Sends a request from a client on a machine; resolves when it has ended. */
-  send(machine, { key, kind = "safe", deadlineMs = 1000 }) {
+  /** Creates the entry of a request that a client on a machine is about to send. */
+  newRequest(machine, { key, kind }) {
     const id = (this.#count++).toString(16).padStart(16, "0");
     const request = { id, key, kind, machine: machine.name, status: undefined, runs: [] };
     this.requests.push(request);
+    return request;
+  }
+
+  /** Sends a request from a client on a machine; resolves when it has ended. */
+  send(machine, { key, kind = "safe", deadlineMs = 1000 }) {
+    const request = this.newRequest(machine, { key, kind });
+    const { id } = request;
     const agent = this.#agents.get(machine) ?? new Agent({ keepAlive: true });
     this.#agents.set(machine, agent);
     return new Promise((resolve) => {
--- a/review/lib-2/upstream.mjs
+++ b/review/lib-2/upstream.mjs
@@ -22,7 +22,7 @@
 
   /**
    * Options: id, born, service, zone, host, port, control {host, port}, heartbeatMs, slots, workMs, record(line),
-   * onGrant(upstream, grant), onRun(upstream, run), sendReport(call, send).
+   * onGrant(upstream, grant), onRun(upstream, run), sendReport(call, send), answer(id, response).
    */
   constructor(options) {
     this.options = { slots: 12, workMs: 120, heartbeatMs: 870, ...options };
@@ -129,6 +129,10 @@
     this.options.onRun?.(this, { id, key, epoch: this.epochs[key] });
     await sleep(this.options.workMs);
     this.running[key]--;
+    if (this.options.answer !== undefined) {
+      this.options.answer(id, response);
+      return;
+    }
     const body = Buffer.from(`ran ${id} at ${this.name}`);
     response.writeHead(200, {
       ...headers,
