--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,7 +1,7 @@
 /**
- * The daemon of one machine is stopped and started by plan. While it is stopped, the store is away for a second and comes
- * back from a copy that is some three seconds old, from before the daemon handed its keys over. Later the same daemon is
- * stopped and started by plan again, a few times.
+ * The daemon of one machine is stopped and started by plan. When it has handed its keys over, the store is away for a
+ * moment and comes back from a copy that is three seconds old, from before the handover. Later the same daemon is stopped
+ * and started by plan again, a few times.
  */
 import process from "node:process";
 import { dirname, join } from "node:path";
@@ -10,9 +10,12 @@
 import { inflateRawSync } from "node:zlib";
 import { Deployment } from "../lib-2/deployment.mjs";
 
+/** Time from the copy to the signal to stop, and from there until the store goes away. */
+const BEFORE_STOP_MS = 1_400;
+const DRILL_AFTER_MS = 1_600;
 /** Time for which the store is away. */
-const AWAY_MS = 1_000;
-const RESTARTS = 4;
+const AWAY_MS = 800;
+const RESTARTS = 6;
 /** Time between two restarts. */
 const GAP_MS = 5_000;
 const hasTrouble = process.env.TROUBLE !== "0";
@@ -60,8 +63,9 @@
 const copy = store.copy();
 const copiedAt = performance.now();
 deployment.record("copy of the store");
-await sleep(200);
-await machine.stop();
+await sleep(BEFORE_STOP_MS);
+const stopped = machine.stop();
+await sleep(DRILL_AFTER_MS);
 if (hasTrouble) {
   const seconds = ((performance.now() - copiedAt) / 1_000).toFixed(1);
   const lost = store.topics.get("keyed.bulrushwood").length - copy.get("keyed.bulrushwood").length;
@@ -73,6 +77,7 @@
   store.restoreCopy(copy);
   deployment.record(`the store is back, with Store-Era ${store.era}`);
 }
+await stopped;
 await awaitReady(machine);
 for (let restart = 0; restart < RESTARTS && deployment.broken.length === 0; restart++) {
   await sleep(GAP_MS);
