--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -246,8 +246,9 @@
   #reported = new Set();
   #count = 0;
 
-  constructor({ machines, recordPath, memoryMb = 350 }) {
+  constructor({ machines, recordPath, memoryMb = 350, timeoutMs = 1_000 }) {
     this.size = machines;
+    this.timeoutMs = timeoutMs;
     this.memoryMb = memoryMb;
     this.recordPath = recordPath;
     this.network = 60 + Math.floor(Math.random() * 150);
@@ -296,7 +297,7 @@
     return {
       version: version.toString(16).padStart(8, "0"),
       routes: [
-        route("r-quote", "/lohu930/", "safe", 1000),
+        route("r-quote", "/lohu930/", "safe", this.timeoutMs),
         route("r-booking", "/pufi791/", "unsafe", 1200),
       ],
       services: [{
