--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -41,6 +41,8 @@
 /** Time for which two upstreams may hold a key that neither uses, in milliseconds (OWNER). */
 const SHARED_MS_MAX = 500;
 const SAMPLE_MS = 40;
+/** Time after which a script ends, in milliseconds. */
+const TIMEOUT_MS = 112_000;
 
 /** Returns the command of the deploy file, split at spaces. */
 function deployedCommand() {
@@ -255,6 +257,16 @@
     this.folder = mkdtempSync(join(tmpdir(), "review-2-"));
     process.once("SIGTERM", () => this.exit(2));
     process.once("SIGINT", () => this.exit(2));
+    const fail = (error) => {
+      this.record(`the script failed: ${error?.stack ?? error}`);
+      this.exit(2);
+    };
+    process.once("uncaughtException", fail);
+    process.once("unhandledRejection", fail);
+    setTimeout(() => {
+      this.record("the script took too long");
+      this.exit(this.broken.length > 0 ? 1 : 2);
+    }, TIMEOUT_MS).unref();
   }
 
   /** Adds a line to the record. */
@@ -498,6 +510,9 @@
 
   /** Ends all processes, writes the record and exits. */
   async exit(code) {
+    if (this.isClosed) {
+      return;
+    }
     this.isClosed = true;
     const children = this.machines.map(({ child }) => child).filter((child) => child);
     children.forEach((child) => child.exitCode ?? child.signalCode ?? child.kill("SIGKILL"));
