--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -9,8 +9,9 @@
 import { fileURLToPath } from "node:url";
 import { Deployment, HOST_NAME } from "../lib-2/deployment.mjs";
 
-/** Share of the answers of two upstreams that are broken off. */
+/** Share of the answers of two upstreams that are broken off, and for how long. */
 const SHARE = 0.02;
+const SPOIL_MS = 5_000;
 const BODY_BYTES = 1_500;
 const REQUESTS = 3_000;
 const CLIENTS = 12;
@@ -25,6 +26,7 @@
 }
 
 let spoiltCount = 0;
+const spoilUntil = performance.now() + SPOIL_MS;
 
 /** Answers without a length; breaks off in the middle of the body with a reset, or ends the connection after all of it. */
 function answerUnframed(id, socket) {
@@ -46,7 +48,7 @@
 deployment.upstreams.forEach((upstream, index) => {
   upstream.options.workMs = 5;
   upstream.options.answer = (id, response) => {
-    if (index % 2 === 0 && Math.random() < SHARE) {
+    if (index % 2 === 0 && performance.now() < spoilUntil && Math.random() < SHARE) {
       answerUnframed(id, response.socket);
       return;
     }
