Store: keep the owners of keys when it comes back from an older copy

Cause: nothing read the era that the store names in its responses, and an offset counted as age for good. Daemons that ran kept the newer table and dropped all records at offsets that they had read before; a daemon that started later took the copied table for the newest once the topic was as long as before.

Records now have positions, era before offset. The first record of an era marks where it begins, so that daemons know which records the copy lacks and write them again: departures, ends and members by their daemon, the ownership table by the planner after it asked its peers. Nobody changes the table of an earlier era before that. Epochs that may be lost are skipped, and a daemon that knows newer epochs than a table that it reads keeps them. Operators' records that the copy lacks stay in force until they are written again, at most 5 s. This works since servers hold keys whatever the store says, so the store has to catch up.

--- a/packages/deployment/src/adapter.ts
+++ b/packages/deployment/src/adapter.ts
@@ -7,7 +7,7 @@
 import type { Manifest } from "./manifest.ts";
 import type { ServerWire } from "./server_wire.ts";
 import type { DeploymentSettings } from "./settings.ts";
-import type { Item, Store } from "./store.ts";
+import type { KeyedValue, Store } from "./store.ts";
 
 /** Whether nothing may be sent to the backend servers of a data centre. */
 export interface EvacuationOrder {
@@ -27,7 +27,7 @@
   /** Decodes a manifest; the error names the invalid field and the expected value. */
   readManifest(value: Buffer): Result<Manifest, Error>;
   /** Decodes a record of the topic of the manifest that evacuates a data centre or ends its evacuation; undefined for others. */
-  readEvacuation?(item: Pick<Item, "key" | "value">): EvacuationOrder | undefined;
+  readEvacuation?(item: KeyedValue): EvacuationOrder | undefined;
   callers: CallerWire;
   servers: ServerWire;
 }
--- a/packages/deployment/src/mod.ts
+++ b/packages/deployment/src/mod.ts
@@ -37,8 +37,10 @@
   type Item,
   type KeyedPage,
   type KeyedRead,
+  type KeyedValue,
   type Store,
   StoreError,
   StoreErrorKind,
+  type StoreResponse,
 } from "./store.ts";
 export type { Adapter, EvacuationOrder } from "./adapter.ts";
--- a/packages/deployment/src/store.ts
+++ b/packages/deployment/src/store.ts
@@ -23,31 +23,47 @@
 /** A failed call to the store. */
 export class StoreError extends Error {
   readonly kind: StoreErrorKind;
+  /** Era that the response names; undefined if there was no response, or it names none. */
+  readonly era: number | undefined;
 
-  constructor(kind: StoreErrorKind, message: string) {
+  constructor(kind: StoreErrorKind, message: string, options: { era?: number } = {}) {
     super(message);
     this.name = "StoreError";
     this.kind = kind;
+    this.era = options.era;
   }
 }
 
-/** A keyed record of a topic. */
-export interface Item {
+/** A key and its value. */
+export interface KeyedValue {
   key: string;
-  /** Value of the record; empty if the key was deleted. */
+  /** Empty if the key was deleted. */
   value: Buffer;
+}
+
+/** A keyed record of a topic. */
+export interface Item extends KeyedValue {
   offset: Offset;
 }
 
+/** What all responses of the store have in common. */
+export interface StoreResponse {
+  /**
+   * Number that rises each time the store comes back from an older copy, which lacks the last records that it had
+   * acknowledged; their offsets are assigned again. Undefined if the store does not name one.
+   */
+  era?: number;
+}
+
 /** Records that were appended after an offset. */
-export interface KeyedRead {
+export interface KeyedRead extends StoreResponse {
   items: Item[];
   /** Offset at which the next read starts. */
   next: Offset;
 }
 
 /** The newest records of some keys, in order of key. */
-export interface KeyedPage {
+export interface KeyedPage extends StoreResponse {
   items: Item[];
   /** Key after which the next page starts; undefined on the last page. */
   after: string | undefined;
@@ -55,7 +71,7 @@
 }
 
 /** Offsets after a successful append. */
-export interface Appended {
+export interface Appended extends StoreResponse {
   offset: Offset;
   /** Offset of the next append. */
   end: Offset;
@@ -66,7 +82,7 @@
   /** Appends one record; with `expectedEnd`, only if the topic ends at that offset. */
   append(
     topic: string,
-    item: { key: string; value: Buffer },
+    item: KeyedValue,
     options: { expectedEnd?: Offset; timeoutMs: number },
   ): Promise<Result<Appended, StoreError>>;
   /**
--- a/packages/ledger_store/src/mod.ts
+++ b/packages/ledger_store/src/mod.ts
@@ -1,7 +1,12 @@
 /**
  * The ownership table of keys, and access to it in the deployment's store.
  */
-export { KeyedFollower, type KeyedFollowerOptions } from "./keyed_follower.ts";
+export {
+  type EraChange,
+  KeyedFollower,
+  type KeyedFollowerOptions,
+  type KeyedRecord,
+} from "./keyed_follower.ts";
 export {
   assign,
   type Assignment,
@@ -25,11 +30,12 @@
   type VoterIdentity,
   without,
 } from "./ownership_table.ts";
+export { offsetOf, type Position, positionOf } from "./position.ts";
 export { appendUntilAccepted, parseRecord, SYSTEM_TOPIC } from "./system_records.ts";
 export { formatTable, parseTable } from "./table_format.ts";
 export {
   handleStoreCall,
-  itemSchema,
+  keyedRecordSchema,
   READ_OVERDUE_MS,
   RelayedStore,
   type RelayedStoreOptions,
--- a/packages/ledger_store/src/ownership_table.ts
+++ b/packages/ledger_store/src/ownership_table.ts
@@ -191,6 +191,60 @@
   return merged.length === table.ranges.length ? table : { ...table, ranges: merged };
 }
 
+/** Epochs that are skipped at the begin of an era; far more than the store takes writes in the seconds that it loses. */
+const EPOCHS_SKIPPED = 65_536;
+
+/** Skips the epochs that changes may have had which the store lost. */
+export function skipEpochs(table: OwnershipTable): OwnershipTable {
+  return { ...table, epoch: table.epoch + EPOCHS_SKIPPED };
+}
+
+/** Assigns all keys to their owners again, with a new epoch. */
+export function renewEpochs(table: OwnershipTable): OwnershipTable {
+  return assign(
+    table,
+    table.ranges.map(({ first, last, owner }) => ({ first, last, to: owner, handover: null })),
+  );
+}
+
+/**
+ * Returns a table with those ranges of another whose keys have a newer epoch there, and with the hosts that they belong
+ * to; the table itself if there are none.
+ */
+export function keepNewerRanges(table: OwnershipTable, other: OwnershipTable): OwnershipTable {
+  const newer: Range[] = [];
+  let index = 0;
+  for (const range of other.ranges) {
+    while (table.ranges[index].last < range.first) {
+      index++;
+    }
+    for (let at = index; at < table.ranges.length && table.ranges[at].first <= range.last; at++) {
+      const { first, last, epoch } = table.ranges[at];
+      if (range.epoch > epoch) {
+        newer.push({
+          ...range,
+          first: Math.max(first, range.first),
+          last: Math.min(last, range.last),
+        });
+      }
+    }
+  }
+  if (newer.length === 0) {
+    return table;
+  }
+  const ranges = table.ranges.flatMap((range) =>
+    without(range, newer).map((span) => ({ ...range, ...span }))
+  ).concat(newer).sort((left, right) => left.first - right.first);
+  const owners = newer.flatMap(({ owner }) => owner ?? []).filter((owner) => owner in other.hosts);
+  const hosts = Object.fromEntries(owners.map((owner) => [owner, other.hosts[owner]]));
+  return {
+    ...table,
+    epoch: Math.max(table.epoch, other.epoch),
+    hosts: { ...hosts, ...table.hosts },
+    ranges: mergeEqual(ranges),
+  };
+}
+
 /**
  * Enters a daemon or its new tenure. A new incarnation of its server gets a new epoch for its keys. Votes for earlier
  * tenures at the address may last longer than those for the new one.
--- a/packages/ledger_store/src/relayed_store.ts
+++ b/packages/ledger_store/src/relayed_store.ts
@@ -15,6 +15,7 @@
   type Store,
   StoreError,
   StoreErrorKind,
+  type StoreResponse,
 } from "@bulrushwood/deployment";
 import type { Address, CallPeer, Clock, Offset } from "@bulrushwood/types";
 
@@ -40,8 +41,10 @@
 
 const bytes = z.custom<Buffer>((value) => Buffer.isBuffer(value));
 const offset = z.number().int().nonnegative();
+const era = z.number().int().nonnegative().optional();
+const itemSchema = z.object({ key: z.string(), value: bytes, offset });
 /** Schema of a record in messages between daemons. */
-export const itemSchema = z.object({ key: z.string(), value: bytes, offset });
+export const keyedRecordSchema = z.object({ key: z.string(), value: bytes, position: offset });
 
 const appendCall = z.object({
   topic: z.string(),
@@ -56,10 +59,15 @@
   timeoutMs: z.number(),
 });
 
-const failure = z.object({ kind: z.enum(StoreErrorKind), message: z.string() });
-const appended = z.object({ offset, end: offset });
-const read = z.object({ items: z.array(itemSchema), next: offset });
-const page = z.object({ items: z.array(itemSchema), after: z.string().optional(), end: offset })
+const failure = z.object({ kind: z.enum(StoreErrorKind), message: z.string(), era });
+const appended = z.object({ offset, end: offset, era });
+const read = z.object({ items: z.array(itemSchema), next: offset, era });
+const page = z.object({
+  items: z.array(itemSchema),
+  after: z.string().optional(),
+  end: offset,
+  era,
+})
   .transform(({ after, ...rest }): KeyedPage => ({ ...rest, after }));
 
 /** Direct store and peers of a relayed store. */
@@ -73,10 +81,12 @@
   onDirect: (isDirect: boolean, reason: string) => void;
   /** Called when a call had its reply only on a new connection, with what failed before. */
   onReconnected?: (reason: string) => void;
+  /** Called with the era of each response that names one. */
+  onEra?: (era: number) => void;
 }
 
 /** One call to the store, made directly or through a peer. */
-interface Call<T> {
+interface Call<T extends StoreResponse> {
   direct: () => Promise<Result<T, StoreError>>;
   /** Makes the call again on a new connection; the same as `direct` by default. */
   directAgain?: () => Promise<Result<T, StoreError>>;
@@ -178,7 +188,19 @@
     }
   }
 
-  async #perform<T>(call: Call<T>): Promise<Result<T, StoreError>> {
+  async #perform<T extends StoreResponse>(call: Call<T>): Promise<Result<T, StoreError>> {
+    const result = await this.#performAnywhere(call);
+    const { era } = result.isOk ? result.value : result.error;
+    if (era !== undefined) {
+      this.#options.onEra?.(era);
+    }
+    return result;
+  }
+
+  /** Makes a call directly or through a peer. */
+  async #performAnywhere<T extends StoreResponse>(
+    call: Call<T>,
+  ): Promise<Result<T, StoreError>> {
     let mayHaveApplied = false;
     let failed = new StoreError(
       StoreErrorKind.Unavailable,
@@ -209,7 +231,7 @@
   }
 
   /** Makes a direct call, once more if the first had no reply though the store was reachable until then. */
-  async #callDirect<T>(call: Call<T>): Promise<Result<T, StoreError>> {
+  async #callDirect<T extends StoreResponse>(call: Call<T>): Promise<Result<T, StoreError>> {
     const { direct, directAgain = direct, signal } = call;
     const result = await direct();
     const mayBeSilent = result.isErr && result.error.kind === StoreErrorKind.Unknown &&
@@ -249,7 +271,10 @@
     }
   }
 
-  async #callPeer<T>(peer: Address, call: Call<T>): Promise<Result<T, StoreError>> {
+  async #callPeer<T extends StoreResponse>(
+    peer: Address,
+    call: Call<T>,
+  ): Promise<Result<T, StoreError>> {
     const { method, payload, replySchema } = call;
     const timeoutMs = call.timeoutMs + RELAY_MARGIN_MS;
     const called = await this.#options.call(peer, method, payload, { timeoutMs });
@@ -258,7 +283,8 @@
     }
     const failed = failure.safeParse(called.value);
     if (failed.success) {
-      return failWith(failed.data.kind, failed.data.message);
+      const { kind, message, era } = failed.data;
+      return failWith(kind, message, { era });
     }
     const parsed = replySchema.safeParse(called.value);
     return parsed.success
@@ -298,7 +324,11 @@
 }
 
 function toPayload(result: Result<unknown, StoreError>): unknown {
-  return result.isOk ? result.value : { kind: result.error.kind, message: result.error.message };
+  if (result.isOk) {
+    return result.value;
+  }
+  const { kind, message, era } = result.error;
+  return era === undefined ? { kind, message } : { kind, message, era };
 }
 
 /** Returns whether the call may succeed through a peer. */
@@ -306,8 +336,12 @@
   return kind === StoreErrorKind.Unavailable || kind === StoreErrorKind.Unknown;
 }
 
-function failWith(kind: StoreErrorKind, message: string): Result<never, StoreError> {
-  return Result.err(new StoreError(kind, `Store call through ${message}`));
+function failWith(
+  kind: StoreErrorKind,
+  message: string,
+  response: StoreResponse = {},
+): Result<never, StoreError> {
+  return Result.err(new StoreError(kind, `Store call through ${message}`, response));
 }
 
 function untilAborted<T>(
--- a/packages/ledger_store/src/relayed_store_test.ts
+++ b/packages/ledger_store/src/relayed_store_test.ts
@@ -33,7 +33,7 @@
     const service = new KeyedStoreService({ sleep });
     const { store, state } = createRelayed(service, service.connect());
     const appended = await store.append(TOPIC, ITEM, { expectedEnd: 0, timeoutMs: 100 });
-    expect(appended.unwrapOr(undefined!)).to.deep.equal({ offset: 0, end: 1 });
+    expect(appended.unwrapOr(undefined!)).to.deep.equal({ offset: 0, end: 1, era: 1 });
     const read = await store.read(TOPIC, 0, { waitMs: 100, signal: SIGNAL });
     expect(read.unwrapOr(undefined!).items.map(({ key }) => key)).to.deep.equal(["k"]);
     const newest = await store.readNewest(TOPIC, { timeoutMs: 100 });
--- a/packages/ledger_store/src/system_records.ts
+++ b/packages/ledger_store/src/system_records.ts
@@ -5,8 +5,9 @@
 import type { Buffer } from "node:buffer";
 import { Result } from "true-myth";
 import type { z } from "zod";
-import type { Item, Store } from "@bulrushwood/deployment";
+import type { KeyedValue, Store } from "@bulrushwood/deployment";
 import type { Sleep } from "@bulrushwood/types";
+import type { KeyedFollower } from "./keyed_follower.ts";
 
 /** Topic of all ownership tables, and of the records of all daemons. */
 export const SYSTEM_TOPIC = "keyed.bulrushwood";
@@ -25,24 +26,24 @@
 
 /**
  * Appends a record to the system topic, and retries until the store accepts it. `nextItem` returns what is to be
- * written at each try; undefined ends the tries. Resolves to the record; to undefined if the tries ended before.
+ * written at each try; undefined ends the tries. The follower gets the record at once.
  */
 export async function appendUntilAccepted(
   store: Store,
-  nextItem: () => { key: string; value: Buffer } | undefined,
-  options: { sleep: Sleep; signal: AbortSignal },
-): Promise<Item | undefined> {
-  const { sleep, signal } = options;
+  nextItem: () => KeyedValue | undefined,
+  options: { follower: KeyedFollower; sleep: Sleep; signal: AbortSignal },
+): Promise<void> {
+  const { follower, sleep, signal } = options;
   while (!signal.aborted) {
     const item = nextItem();
     if (item === undefined) {
-      return undefined;
+      return;
     }
     const appended = await store.append(SYSTEM_TOPIC, item, { timeoutMs: APPEND_TIMEOUT_MS });
     if (appended.isOk) {
-      return { ...item, offset: appended.value.offset };
+      follower.applyAppended(item, appended.value);
+      return;
     }
     await sleep(RETRY_MS, signal);
   }
-  return undefined;
 }
--- a/packages/membership_beats/src/members.ts
+++ b/packages/membership_beats/src/members.ts
@@ -5,8 +5,8 @@
 import { Buffer } from "node:buffer";
 import type { Result } from "true-myth";
 import { z } from "zod";
-import type { Item, Store } from "@bulrushwood/deployment";
-import { appendUntilAccepted, parseRecord } from "@bulrushwood/ledger_store";
+import type { KeyedValue, Store } from "@bulrushwood/deployment";
+import { appendUntilAccepted, type KeyedFollower, parseRecord } from "@bulrushwood/ledger_store";
 import { ADDRESS_MESSAGE, isAddress, type Sleep } from "@bulrushwood/types";
 
 /** Prefix of the keys of member records, followed by the daemon's address. */
@@ -33,7 +33,7 @@
 }
 
 /** Returns the member in a record of the system topic, or undefined for other and corrupt records. */
-export function readMember({ key, value }: Item): Member | undefined {
+export function readMember({ key, value }: KeyedValue): Member | undefined {
   const member = key.startsWith(MEMBER_KEY_PREFIX) ? parseMember(value) : undefined;
   return member?.isOk ? member.value : undefined;
 }
@@ -42,7 +42,7 @@
 export async function addMember(
   store: Store,
   member: Member,
-  options: { sleep: Sleep; signal: AbortSignal },
+  options: { follower: KeyedFollower; sleep: Sleep; signal: AbortSignal },
 ): Promise<void> {
   const item = {
     key: MEMBER_KEY_PREFIX + member.address,
--- a/packages/membership_beats/src/members_test.ts
+++ b/packages/membership_beats/src/members_test.ts
@@ -11,7 +11,7 @@
 };
 
 function read(text: string): Member | undefined {
-  return readMember({ key: "member/x", value: Buffer.from(text), offset: 0 });
+  return readMember({ key: "member/x", value: Buffer.from(text) });
 }
 
 describe("records of members", () => {
--- a/packages/router/src/current_manifest.ts
+++ b/packages/router/src/current_manifest.ts
@@ -2,8 +2,8 @@
  * Tracks the newest manifest. Versions only increase; a malformed manifest is logged and skipped.
  */
 import { Subject } from "rxjs";
-import type { Adapter, Item, Manifest } from "@bulrushwood/deployment";
-import type { KeyedFollower } from "@bulrushwood/ledger_store";
+import type { Adapter, Manifest } from "@bulrushwood/deployment";
+import { type KeyedFollower, type KeyedRecord, offsetOf } from "@bulrushwood/ledger_store";
 import { Event, type EventLog } from "./event_log.ts";
 
 export interface CurrentManifestOptions {
@@ -22,9 +22,9 @@
   constructor(options: CurrentManifestOptions) {
     this.#options = options;
     const { key } = options.adapter.manifestLocation;
-    this.#subscription = options.follower.changes.subscribe((item) => {
-      if (item.key === key) {
-        this.#apply(item);
+    this.#subscription = options.follower.changes.subscribe((record) => {
+      if (record.key === key) {
+        this.#apply(record);
       }
     });
   }
@@ -44,18 +44,19 @@
     return this.#manifest?.version ?? 0;
   }
 
-  #apply(item: Item): void {
+  #apply(record: KeyedRecord): void {
     const { adapter, log } = this.#options;
-    const decoded = adapter.readManifest(item.value);
+    const decoded = adapter.readManifest(record.value);
+    const offset = offsetOf(record.position);
     if (decoded.isErr) {
-      log(Event.ManifestRejected, { offset: item.offset, reason: decoded.error.message });
+      log(Event.ManifestRejected, { offset, reason: decoded.error.message });
       return;
     }
     if (decoded.value.version <= this.version) {
       return;
     }
     this.#manifest = decoded.value;
-    log(Event.ManifestApplied, { version: decoded.value.version, offset: item.offset });
+    log(Event.ManifestApplied, { version: decoded.value.version, offset });
     this.#changes.next(decoded.value);
   }
 
--- a/packages/router/src/departures.ts
+++ b/packages/router/src/departures.ts
@@ -6,7 +6,7 @@
 import { Buffer } from "node:buffer";
 import { Subject, type Subscription } from "rxjs";
 import { z } from "zod";
-import { isSameIncarnation, type Item, type Store } from "@bulrushwood/deployment";
+import { isSameIncarnation, type KeyedValue, type Store } from "@bulrushwood/deployment";
 import { appendUntilAccepted, type KeyedFollower, parseRecord } from "@bulrushwood/ledger_store";
 import {
   type Address,
@@ -82,7 +82,7 @@
     return this.#unstored === undefined;
   }
 
-  #apply({ key, value }: Item): void {
+  #apply({ key, value }: KeyedValue): void {
     if (key !== this.#key) {
       return;
     }
@@ -112,10 +112,7 @@
       return departure && { key: this.#key, value: Buffer.from(JSON.stringify(departure)) };
     };
     while (this.#unstored !== undefined && !signal.aborted) {
-      const appended = await appendUntilAccepted(store, nextItem, { sleep, signal });
-      if (appended !== undefined) {
-        follower.applyAppended(appended);
-      }
+      await appendUntilAccepted(store, nextItem, { follower, sleep, signal });
     }
     this.#isWriting = false;
   }
--- a/packages/router/src/evacuations.ts
+++ b/packages/router/src/evacuations.ts
@@ -4,7 +4,7 @@
  * servers that would reject their requests.
  */
 import { Subject, type Subscription } from "rxjs";
-import type { Adapter, Item } from "@bulrushwood/deployment";
+import type { Adapter, KeyedValue } from "@bulrushwood/deployment";
 import type { KeyedFollower } from "@bulrushwood/ledger_store";
 import type { Clock } from "@bulrushwood/types";
 import { Event, type EventLog } from "./event_log.ts";
@@ -52,7 +52,7 @@
     return since === undefined ? 0 : this.#options.now() - since;
   }
 
-  #apply(item: Item): void {
+  #apply(item: KeyedValue): void {
     const { readEvacuation, dataCentres, now, log } = this.#options;
     const order = readEvacuation?.(item);
     if (order === undefined) {
--- a/packages/router/src/evacuations_test.ts
+++ b/packages/router/src/evacuations_test.ts
@@ -20,6 +20,7 @@
     now,
     sleep,
     waitMs: () => READ_WAIT_MS,
+    isReadOnly: true,
     onReachable: () => {},
   });
   const evacuations = new Evacuations({
@@ -68,6 +69,37 @@
     await close();
   });
 
+  // Guards against operators' records that count as outdated since their offsets were assigned before.
+  it("follow what operators write after the store came back from an older copy", async () => {
+    const { service, evacuations, write, close } = await start();
+    await write("out/north", "{}");
+    const copy = service.copy();
+    for (let count = 0; count < 5; count++) {
+      await write("other", String(count));
+    }
+    service.restore(copy);
+    await sleep(READ_WAIT_MS);
+    await write("out/north", "");
+    await write("out/south", "{}");
+    expect([evacuations.has("north"), evacuations.has("south")]).to.deep.equal([false, true]);
+    await close();
+  });
+
+  // Guards against requests to an evacuated data centre until the operator has written the evacuation again.
+  it("last until they are written again if a copy of the store lacks them", async () => {
+    const { service, evacuations, write, close } = await start();
+    await write("other", "{}");
+    const copy = service.copy();
+    await write("out/north", "{}");
+    service.restore(copy);
+    await sleep(4 * READ_WAIT_MS);
+    expect(evacuations.has("north"), "before it is written again").to.equal(true);
+    await write("out/north", "{}");
+    await write("out/north", "");
+    expect(evacuations.has("north")).to.equal(false);
+    await close();
+  });
+
   it("of unknown data centres are logged and ignored", async () => {
     const { evacuations, events, write, close } = await start();
     await write("out/east", "{}");
--- a/packages/router/src/event_log.ts
+++ b/packages/router/src/event_log.ts
@@ -19,6 +19,7 @@
   StoreRelayed = "store-relayed",
   StoreReconnected = "store-reconnected",
   StoreLost = "store-lost",
+  StoreEra = "store-era",
   StoreWentBack = "store-went-back",
   ManifestApplied = "manifest-applied",
   ManifestRejected = "manifest-refused",
--- a/packages/router/src/metrics.ts
+++ b/packages/router/src/metrics.ts
@@ -69,6 +69,8 @@
   readonly #refusedBodies: Counter;
   readonly #malformedNotices: Counter;
   readonly #costs: Histogram;
+  readonly #storeEras: Counter;
+  readonly #rewrittenRecords: Counter;
 
   constructor() {
     const registers = [this.registry];
@@ -163,6 +165,17 @@
       buckets: COST_RATIO_BUCKETS,
       registers,
     });
+    this.#storeEras = new Counter({
+      name: "bulrushwood_store_eras_total",
+      help: "Times that the store came back from an older copy",
+      registers,
+    });
+    this.#rewrittenRecords = new Counter({
+      name: "bulrushwood_rewritten_records_total",
+      help:
+        "Records that this daemon wrote to the store again after it came back from an older copy",
+      registers,
+    });
     this.#malformedNotices = new Counter({
       name: "bulrushwood_malformed_notices_total",
       help: "Responses of the backend server whose load or request limit cannot be read",
@@ -212,6 +225,12 @@
     this.#costs.observe({ route: head.workClass }, measuredMs / Math.max(1, expectedMs));
   }
 
+  /** Counts an era of the store that began while this daemon ran, and the records that it has written again. */
+  recordStoreRecovery({ rewritten, isStart }: { rewritten: number; isStart: boolean }): void {
+    this.#storeEras.inc(isStart ? 0 : 1);
+    this.#rewrittenRecords.inc(rewritten);
+  }
+
   /** Counts a response of the backend server whose load or request limit cannot be read. */
   recordMalformedNotice(): void {
     this.#malformedNotices.inc();
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -10,7 +10,7 @@
   type Adapter,
   type DeploymentSettings,
   GrantDelivery,
-  type Item,
+  type KeyedValue,
   ServerState,
   type Service,
 } from "@bulrushwood/deployment";
@@ -66,6 +66,7 @@
 import { ServerWatch } from "./server_watch.ts";
 import { handleReadiness, handleReports, SideServer } from "./side_servers.ts";
 import { StoreAccess } from "./store_access.ts";
+import { StoreRecovery } from "./store_recovery.ts";
 
 /** Longest time for which the response to a report is held open, as a share of the report interval. */
 const REPORT_HOLD_SHARE = 0.8;
@@ -147,6 +148,7 @@
     onOverload: (isOverloaded) => this.#log(Event.Overloaded, { isOverloaded }),
   });
   readonly #storeAccess: StoreAccess;
+  readonly #storeRecovery: StoreRecovery;
   readonly #currentManifest: CurrentManifest;
   readonly #evacuations: Evacuations;
   readonly #relay: Relay;
@@ -235,9 +237,9 @@
       isFullMesh: () => this.#heartbeats.isFullMesh,
       isReader: () => this.#view.isReader,
       isPlanner: () => this.#planner.isPlanner,
-      onWritten: (item, tables) => {
+      onWritten: (record, tables) => {
         const receivers = changedHosts(tables).filter((address) => address !== this.#self);
-        this.#relay.pass(item, { follower: this.#storeAccess.system, receivers });
+        this.#relay.pass(record, { follower: this.#storeAccess.system, receivers });
       },
       onCall: (call) => this.#metrics.recordStoreCall(call),
       log,
@@ -253,6 +255,22 @@
     });
     const followers = [manifests, system];
     this.#relay = new Relay({ followers, call });
+    this.#storeRecovery = new StoreRecovery({
+      self: this.#self,
+      service: settings.service,
+      store,
+      follower: system,
+      tables: () => this.#storeAccess.tables,
+      peers: () => this.#heartbeats.responsivePeers,
+      requestRecords: (peers, from) => this.#relay.requestFrom(peers, { follower: system, from }),
+      isPlanner: () => this.#planner.isPlanner,
+      grantMsMax: settings.bounds.grantMsMax,
+      now,
+      sleep,
+      random: Math.random,
+      onRecovered: (result) => this.#metrics.recordStoreRecovery(result),
+      log,
+    });
     this.#watch = new ServerWatch({ ...settings, now, coldPerSecond: () => this.#coldPerSecond });
     this.#departures = new Departures({
       self: this.#self,
@@ -532,7 +550,11 @@
     const { signal } = this.#stop;
     this.#tasks.push(
       this.#storeAccess.start(),
-      addMember(this.#storeAccess.store, member, { sleep, signal }),
+      addMember(this.#storeAccess.store, member, {
+        follower: this.#storeAccess.system,
+        sleep,
+        signal,
+      }),
     );
     this.#acceptance.start();
     this.#keyTransfers.start();
@@ -727,7 +749,7 @@
   }
 
   /** Starts to exchange heartbeats with a daemon that is listed in the store. */
-  #addMember(item: Item): void {
+  #addMember(item: KeyedValue): void {
     const member = readMember(item);
     if (member !== undefined) {
       this.#heartbeats.add(member);
@@ -880,6 +902,7 @@
       this.#tenure.close(),
       this.#storeAccess.stop(),
     ]);
+    this.#storeRecovery.close();
     this.#keyTransfers.close();
     this.#departures.close();
     this.#ends.close();
--- a/packages/router/src/router_test.ts
+++ b/packages/router/src/router_test.ts
@@ -957,3 +957,40 @@
     await closeAll(instances);
   });
 });
+
+/** Time in which daemons write to the store again what it lost, and enter the ownership table; a restart takes longer. */
+const RECOVERY_MS = 2_500;
+
+describe("router: a store that comes back from an older copy", () => {
+  // Guards against owners of before a hand-over that become owners again: their keys would be held by two servers, or
+  // later hand-overs fail and leave keys without an owner.
+  it("leaves the owners of keys as they are, and later hand-overs working", async () => {
+    const store = new KeyedStoreService({ sleep });
+    const [first, second, third] = await startThree(GrantDelivery.Orders, store);
+    const copy = store.copy();
+    first.stopReports();
+    await first.router.leave();
+    await first.router.close();
+    const owners = [second, third];
+    await waitUntilServed(owners, second);
+    store.isDown = true;
+    await sleep(300);
+    store.restore(copy, { rewritten: ["manifest"] });
+    store.isDown = false;
+    const until = now() + RECOVERY_MS;
+    while (now() < until) {
+      for (const key of SOME_KEYS) {
+        expect(owners.filter(({ server }) => server.holds(key)), "holders").to.have.length(1);
+      }
+      await sleep(20);
+    }
+    const started = await startInstance(3, store, GrantDelivery.Orders);
+    await sleep(RECOVERY_MS);
+    second.stopReports();
+    await second.router.leave();
+    await waitUntilServed([third, started], third);
+    expect(await readMetric(third, "bulrushwood_store_eras_total")).to.equal(1);
+    await closeAll([second, third, started]);
+    first.server.close();
+  });
+});
--- a/packages/router/src/server_ends.ts
+++ b/packages/router/src/server_ends.ts
@@ -10,7 +10,7 @@
 import {
   incarnationName,
   isSameIncarnation,
-  type Item,
+  type KeyedValue,
   type ServerIdentity,
   type Store,
 } from "@bulrushwood/deployment";
@@ -220,7 +220,7 @@
   }
 
   /** Applies a record of the store; the daemon's own is from before it restarted. */
-  #apply({ key, value }: Item): void {
+  #apply({ key, value }: KeyedValue): void {
     const { self, quarantine, wallClock = Date.now, log } = this.#options;
     if (!key.startsWith(KEY_PREFIX)) {
       return;
@@ -251,7 +251,7 @@
 
   /** Writes this daemon's record, until the store has the newest one. */
   async #write(): Promise<void> {
-    const { self, store, sleep } = this.#options;
+    const { self, store, follower, sleep } = this.#options;
     const { signal } = this.#stop;
     this.#mustWrite = true;
     if (this.#isWriting) {
@@ -263,7 +263,7 @@
       return { key: KEY_PREFIX + self, value: Buffer.from(JSON.stringify(this.#own)) };
     };
     while (this.#mustWrite && !signal.aborted) {
-      await appendUntilAccepted(store, nextItem, { sleep, signal });
+      await appendUntilAccepted(store, nextItem, { follower, sleep, signal });
     }
     this.#isWriting = false;
   }
--- a/packages/router/src/store_access.ts
+++ b/packages/router/src/store_access.ts
@@ -2,10 +2,11 @@
  * One daemon's access to the store: the client, which goes through peers while the store is out of reach, the followers
  * of the topics, and the ownership tables of all services.
  */
-import type { Adapter, DeploymentSettings, Item, Store } from "@bulrushwood/deployment";
+import type { Adapter, DeploymentSettings, Store } from "@bulrushwood/deployment";
 import {
   handleStoreCall,
   KeyedFollower,
+  type KeyedRecord,
   type OwnershipTable,
   READ_OVERDUE_MS,
   RelayedStore,
@@ -60,7 +61,10 @@
   /** Whether this daemon plans, so that its view of the owners should be new. */
   isPlanner: () => boolean;
   /** Called with each record of an ownership table that this daemon wrote, and the tables before and after it. */
-  onWritten: (item: Item, tables: { before: OwnershipTable; after: OwnershipTable }) => void;
+  onWritten: (
+    record: KeyedRecord,
+    tables: { before: OwnershipTable; after: OwnershipTable },
+  ) => void;
   log: EventLog;
 }
 
@@ -88,6 +92,7 @@
       peers,
       onDirect: (isDirect, reason) => log(Event.StoreRelayed, { isRelayed: !isDirect, reason }),
       onReconnected: (reason) => log(Event.StoreReconnected, { reason }),
+      onEra: (era) => [this.manifests, this.system].forEach((follower) => follower.noteEra(era)),
     });
     this.manifests = this.#follow(adapter.manifestLocation.topic);
     this.system = this.#follow(SYSTEM_TOPIC);
@@ -102,6 +107,7 @@
       sleep,
       waitMs: () => this.#readWaitMs(topic),
       paceMs: () => this.#readPaceMs(topic),
+      isReadOnly: topic !== SYSTEM_TOPIC,
       onWentBack: (offsets) => log(Event.StoreWentBack, { topic, ...offsets }),
       onReachable: (isReachable, reason) => {
         log(isReachable ? Event.StoreReachable : Event.StoreLost, { topic, reason });
@@ -150,6 +156,11 @@
     return table;
   }
 
+  /** Ownership tables that this daemon follows, by service. */
+  get tables(): ReadonlyMap<string, TableStore> {
+    return this.#tables;
+  }
+
   /** Whether the store responds; an overdue read is noticed here before it times out. */
   get isReachable(): boolean {
     const sinceMs = now() - this.system.repliedAt;
--- a/packages/soak/src/deployment.ts
+++ b/packages/soak/src/deployment.ts
@@ -154,6 +154,11 @@
     }
   }
 
+  /** Number of keys that no server holds. */
+  get unheldKeys(): number {
+    return this.#ownership.unheldKeys;
+  }
+
   async #sampleUntilClosed(): Promise<void> {
     while (!this.#isClosed) {
       this.nodes.forEach(({ daemon, machine }) => {
--- a/packages/soak/src/faults/mod.ts
+++ b/packages/soak/src/faults/mod.ts
@@ -8,6 +8,7 @@
 import { RESOURCES } from "./resources.ts";
 import { SERVERS } from "./servers.ts";
 import { SIGNALS } from "./signals.ts";
+import { STORE } from "./store.ts";
 
 /** Faults of each area. */
 export const FAULTS: Record<string, Fault[]> = {
@@ -17,6 +18,7 @@
   network: NETWORK,
   durability: DURABILITY,
   resources: RESOURCES,
+  store: STORE,
 };
 
 /** Returns the faults that have one of the names, or are of one of the areas. */
--- a/packages/soak/src/held_keys.ts
+++ b/packages/soak/src/held_keys.ts
@@ -92,6 +92,12 @@
     this.#live.delete(keys);
   }
 
+  /** Number of keys that no server holds. */
+  get unheldKeys(): number {
+    return Array.from({ length: KEYS }, (_, key) => key)
+      .filter((key) => ![...this.#live].some((keys) => keys.has(key))).length;
+  }
+
   /** Checks a grant that a server has taken. */
   recordGrant(keys: HeldKeys, { first, last, epoch }: GrantOrder): void {
     let broken = 0;
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -21,6 +21,8 @@
 /** Longest time until the last requests have ended, in milliseconds. */
 const LAST_REQUESTS_MS = 7_000;
 const POLL_MS = 50;
+/** Longest time from then on in which keys may have no server: that of a recovery from the last fault, in milliseconds. */
+const HELD_MS_MAX = 3_000;
 
 /** Options of a soak. */
 export interface SoakOptions {
@@ -95,6 +97,18 @@
   }
 }
 
+/** Checks that all keys are held again once the faults have ended. */
+async function checkHeldKeys(deployment: Deployment): Promise<void> {
+  const until = now() + HELD_MS_MAX;
+  while (deployment.unheldKeys > 0 && now() < until) {
+    await sleep(POLL_MS);
+  }
+  const { unheldKeys, history, names } = deployment;
+  if (unheldKeys > 0) {
+    history.report(Rule.Owner, names, `${unheldKeys} keys are held by no server`);
+  }
+}
+
 async function checkReadiness({ nodes, history }: Deployment): Promise<void> {
   await Promise.all(nodes.map(async ({ daemon }) => {
     if (!await daemon.waitUntilReady()) {
@@ -129,7 +143,11 @@
     await play(deployment, schedule);
     await sleep(CALM_MS);
     nodes.forEach(({ callers }) => callers.stop());
-    await Promise.all([waitForLastRequests(deployment), checkReadiness(deployment)]);
+    await Promise.all([
+      waitForLastRequests(deployment),
+      checkReadiness(deployment),
+      checkHeldKeys(deployment),
+    ]);
   } finally {
     await deployment.close();
   }
--- a/packages/stand_ins/src/keyed_store.ts
+++ b/packages/stand_ins/src/keyed_store.ts
@@ -1,7 +1,7 @@
 /**
  * In-memory stand-in for the deployment's store: keyed topics with conditional appends. It simulates the faults of the
- * real store: outages, lost requests and responses, appends that take effect late, history that is dropped, and
- * connections that go silent while new ones work.
+ * real store: outages, lost requests and responses, appends that take effect late, history that is dropped, connections
+ * that go silent while new ones work, and a return from an older copy.
  */
 import { Buffer } from "node:buffer";
 import { Result } from "true-myth";
@@ -13,6 +13,7 @@
   type Store,
   StoreError,
   StoreErrorKind,
+  type StoreResponse,
 } from "@bulrushwood/deployment";
 import type { Offset, Sleep } from "@bulrushwood/types";
 
@@ -49,6 +50,9 @@
   waiting: Set<() => void>;
 }
 
+/** Records of some topics at one time. */
+export type StoreCopy = ReadonlyMap<string, Item[]>;
+
 /** Records of all topics, shared by the `Store` objects of all daemons. */
 export class KeyedStoreService {
   readonly #options: KeyedStoreOptions;
@@ -57,6 +61,7 @@
   isDown = false;
   /** Callbacks that silence the calls in flight. */
   readonly #silencers = new Set<() => void>();
+  #era = 1;
 
   constructor(options: KeyedStoreOptions) {
     this.#options = options;
@@ -104,6 +109,32 @@
     return result ?? fail(StoreErrorKind.Unknown);
   }
 
+  /** Number that rises each time the store comes back from a copy. */
+  get era(): number {
+    return this.#era;
+  }
+
+  /** Returns a copy of all records. */
+  copy(): StoreCopy {
+    return new Map([...this.#topics].map(([name, { items }]) => [name, [...items]]));
+  }
+
+  /**
+   * Comes back with the records of a copy. What was appended to the topics in `rewritten` since is appended again, as by
+   * systems that remember it.
+   */
+  restore(copy: StoreCopy, options: { rewritten?: string[] } = {}): void {
+    const { rewritten = [] } = options;
+    this.#era++;
+    this.#topics.forEach((topic, name) => {
+      const kept = copy.get(name) ?? [];
+      const lost = rewritten.includes(name) ? topic.items.slice(kept.length) : [];
+      topic.items = [...kept, ...lost];
+      topic.first = Math.min(topic.first, topic.items.length);
+      this.#wakeReaders(topic);
+    });
+  }
+
   /** Drops the history of a topic: reads from older offsets expire; the newest record of each key stays. */
   dropHistory(name: string): void {
     const topic = this.#topicOf(name);
@@ -164,11 +195,11 @@
     const topic = this.#topicOf(name);
     const offset = topic.items.length;
     if (expectedEnd !== undefined && expectedEnd !== offset) {
-      return fail(StoreErrorKind.Conflict);
+      return fail(StoreErrorKind.Conflict, { era: this.#era });
     }
     topic.items.push({ ...item, offset });
     this.#wakeReaders(topic);
-    return Result.ok({ offset, end: offset + 1 });
+    return Result.ok({ offset, end: offset + 1, era: this.#era });
   }
 
   #wakeReaders(topic: Topic): void {
@@ -185,7 +216,7 @@
     const { sleep, callMs = 0 } = this.#options;
     await sleep(callMs);
     const topic = this.#topicOf(name);
-    if (topic.items.length <= from && !options.signal.aborted) {
+    if (topic.items.length === from && !options.signal.aborted) {
       const waitEnd = new AbortController();
       const wake = () => waitEnd.abort();
       topic.waiting.add(wake);
@@ -197,10 +228,11 @@
     if (this.#isUnreachable(options.isReachable) || options.signal.aborted) {
       return fail(StoreErrorKind.Unavailable);
     }
-    if (from < topic.first) {
-      return fail(StoreErrorKind.Expired);
+    if (from < topic.first || from > topic.items.length) {
+      return fail(StoreErrorKind.Expired, { era: this.#era });
     }
-    return Result.ok({ items: topic.items.slice(from), next: Math.max(from, topic.items.length) });
+    const { items } = topic;
+    return Result.ok({ items: items.slice(from), next: items.length, era: this.#era });
   }
 
   async #readNewest(
@@ -214,10 +246,12 @@
     }
     const { items } = this.#topicOf(name);
     const newest = new Map(items.filter(({ key }) => key !== "").map((item) => [item.key, item]));
-    return Result.ok({ items: [...newest.values()], after: undefined, end: items.length });
+    const page = { items: [...newest.values()], after: undefined, end: items.length };
+    return Result.ok({ ...page, era: this.#era });
   }
 }
 
-function fail(kind: StoreErrorKind): Result<never, StoreError> {
-  return Result.err(new StoreError(kind, `The stand-in store returned the error: ${kind}`));
+function fail(kind: StoreErrorKind, response: StoreResponse = {}): Result<never, StoreError> {
+  const message = `The stand-in store returned the error: ${kind}`;
+  return Result.err(new StoreError(kind, message, response));
 }
--- a/packages/stand_ins/src/mod.ts
+++ b/packages/stand_ins/src/mod.ts
@@ -16,5 +16,10 @@
 export { Network, type NetworkHost } from "./network.ts";
 export { findFreePort } from "./ports.ts";
 export { blockEventLoop } from "./stall.ts";
-export { AppendFault, type KeyedStoreOptions, KeyedStoreService } from "./keyed_store.ts";
+export {
+  AppendFault,
+  type KeyedStoreOptions,
+  KeyedStoreService,
+  type StoreCopy,
+} from "./keyed_store.ts";
 export { Direction, TcpProxy } from "./tcp_proxy.ts";
