Soak: wait until daemons are stable before all keys must be held

The check that no key is left without a server counted from the last fault, which ends before the daemon that it stopped has started again. It now counts from when all daemons are ready: the stable window of 3 s and the 2 s in which a key may be without an owner.

--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -10,6 +10,7 @@
 import type { Fault } from "./faults/fault.ts";
 import { type Finding, type History, Rule } from "./history.ts";
 import type { Outside } from "./outside.ts";
+import { BOUNDS } from "./machine.ts";
 import { Ending, type SentRequest } from "./requests.ts";
 
 /** Time before the first fault in which grants of keys reach the servers, in milliseconds. */
@@ -21,8 +22,8 @@
 /** Longest time until the last requests have ended, in milliseconds. */
 const LAST_REQUESTS_MS = 7_000;
 const POLL_MS = 50;
-/** Longest time from then on in which keys may have no server: that of a recovery from the last fault, in milliseconds. */
-const HELD_MS_MAX = 3_000;
+/** Longest time in which keys may have no server once all daemons are stable, in milliseconds. */
+const UNHELD_MS_MAX = 2_000;
 
 /** Options of a soak. */
 export interface SoakOptions {
@@ -97,9 +98,9 @@
   }
 }
 
-/** Checks that all keys are held again once the faults have ended. */
+/** Checks that all keys are held again once the faults have ended and all daemons are ready. */
 async function checkHeldKeys(deployment: Deployment): Promise<void> {
-  const until = now() + HELD_MS_MAX;
+  const until = now() + BOUNDS.stableWindowMs + UNHELD_MS_MAX;
   while (deployment.unheldKeys > 0 && now() < until) {
     await sleep(POLL_MS);
   }
@@ -145,8 +146,7 @@
     nodes.forEach(({ callers }) => callers.stop());
     await Promise.all([
       waitForLastRequests(deployment),
-      checkReadiness(deployment),
-      checkHeldKeys(deployment),
+      checkReadiness(deployment).then(() => checkHeldKeys(deployment)),
     ]);
   } finally {
     await deployment.close();
