Ownership table: let tables be new in a later era, and ignore marks of no era

A service that is added after the store came back from a copy has no table yet, and nobody would write it again for a new era: its keys would never get owners. A table without a record counts as new 3 s after the begin of an era. Marks of eras that the store has not reached, which another writer may leave in the topic, are ignored. A daemon that starts in a later era logs it only if it wrote something again.

--- a/packages/ledger_store/src/keyed_follower.ts
+++ b/packages/ledger_store/src/keyed_follower.ts
@@ -91,6 +91,7 @@
   readonly #eras = new Subject<EraChange>();
   readonly #stop = createStop();
   #era = 0;
+  #eraSince = Number.NEGATIVE_INFINITY;
   /** Highest era that a response of the store named. */
   #namedEra = 0;
   /** Offsets at which eras begin. */
@@ -141,6 +142,11 @@
     return this.#items.values();
   }
 
+  /** When this follower entered the era; in the past if it has entered none. */
+  get eraSince(): number {
+    return this.#eraSince;
+  }
+
   /** Position after the last record that was read. */
   get end(): Position {
     return this.#end;
@@ -290,6 +296,7 @@
     }
     const change = { from: this.#era, to: snapshot.era, end: this.#end, isStart };
     this.#era = snapshot.era;
+    this.#eraSince = now();
     if (isReadOnly && !isStart) {
       this.#restoredAt = now() + RESTORE_MS;
       sleep(RESTORE_MS, this.#stop.signal).then(() => this.refresh());
@@ -333,7 +340,7 @@
 
   #applySnapshot({ items, end, era }: Snapshot): void {
     if (!this.#options.isReadOnly) {
-      this.#marks = readMarks(items);
+      this.#marks = readMarks(items, era);
     }
     this.#newestEnd = positionOf(era, end);
     this.#end = Math.max(this.#end, this.#newestEnd);
@@ -475,13 +482,13 @@
   }
 }
 
-/** Returns the offsets at which the marks of eras are. */
-function readMarks(items: Item[]): Map<number, Offset> {
+/** Returns the offsets at which the marks of eras are; other writers may have left marks of no era up to `eraMax`. */
+function readMarks(items: Item[], eraMax: number): Map<number, Offset> {
+  const marks = items.filter(({ key }) => key.startsWith(ERA_KEY_PREFIX)).map((
+    { key, offset },
+  ) => [Number(key.slice(ERA_KEY_PREFIX.length)), offset] as const);
   return new Map(
-    items.filter(({ key }) => key.startsWith(ERA_KEY_PREFIX)).map(({ key, offset }) => [
-      Number(key.slice(ERA_KEY_PREFIX.length)),
-      offset,
-    ]),
+    marks.filter(([era]) => Number.isInteger(era) && era >= FIRST_ERA && era <= eraMax),
   );
 }
 
--- a/packages/ledger_store/src/mod.ts
+++ b/packages/ledger_store/src/mod.ts
@@ -40,4 +40,10 @@
   RelayedStore,
   type RelayedStoreOptions,
 } from "./relayed_store.ts";
-export { type Change, ChangeOutcome, TableStore, type TableStoreOptions } from "./table_store.ts";
+export {
+  type Change,
+  ChangeOutcome,
+  NEW_TABLE_MS,
+  TableStore,
+  type TableStoreOptions,
+} from "./table_store.ts";
--- a/packages/ledger_store/src/store_era_test.ts
+++ b/packages/ledger_store/src/store_era_test.ts
@@ -139,6 +139,33 @@
     await closeAll([...daemons, started]);
   });
 
+  // Guards against services that are added after a return of the store, whose keys would never get owners.
+  it("may be new in a later era", async () => {
+    const service = new KeyedStoreService({ sleep });
+    service.restore(service.copy());
+    const daemon = await followTable(service);
+    expect(daemon.follower.era).to.equal(2);
+    expect(await daemon.table.change(moveTo("a"))).to.equal(ChangeOutcome.Done);
+    expect((await readStored(service)).owner).to.equal("a");
+    await daemon.close();
+  });
+
+  it("ignores marks of eras that other writers left", async () => {
+    const service = new KeyedStoreService({ sleep });
+    const daemon = await followTable(service);
+    await daemon.table.change(moveTo("a"));
+    for (const era of ["9", "x", "-1", "1.5", ""]) {
+      const item = { key: `era/${era}`, value: Buffer.from("{}") };
+      await service.connect().append(SYSTEM_TOPIC, item, { timeoutMs: 100 });
+    }
+    const started = await followTable(service);
+    await daemon.table.change(moveTo("b"));
+    await waitUntil(() => ownerAt(started) === "b");
+    expect(await started.table.change(moveTo("c"))).to.equal(ChangeOutcome.Done);
+    await waitUntil(() => ownerAt(daemon) === "c");
+    await closeAll([daemon, started]);
+  });
+
   it("completes a change whose append the store lost", async () => {
     const service = new KeyedStoreService({ sleep, callMs: 20 });
     const daemons = [await followTable(service), await followTable(service)];
--- a/packages/ledger_store/src/table_store.ts
+++ b/packages/ledger_store/src/table_store.ts
@@ -38,6 +38,8 @@
 const READ_CHECK_MS = 15;
 /** Number of such checks after which the read is made anew, since it may be paced or its connection silent. */
 const READ_CHECKS = 4;
+/** Time after the begin of an era from which a table without a record is a new one, in milliseconds. */
+export const NEW_TABLE_MS = 3_000;
 /** Time between checks whether the table was written in the current era, in milliseconds. */
 const UNSETTLED_CHECK_MS = 30;
 
@@ -118,10 +120,14 @@
    * other daemons, so that it must not be changed.
    */
   get isSettled(): boolean {
-    const { follower } = this.#options;
+    const { follower, now } = this.#options;
     const record = follower.get(this.key);
-    return !follower.hasCopiedRecords ||
-      (record !== undefined && !follower.isLost(record) && eraOf(record.position) === follower.era);
+    if (!follower.hasCopiedRecords) {
+      return true;
+    }
+    return record === undefined
+      ? now() - follower.eraSince > NEW_TABLE_MS
+      : !follower.isLost(record) && eraOf(record.position) === follower.era;
   }
 
   #load(value: Buffer): void {
--- a/packages/router/src/store_recovery.ts
+++ b/packages/router/src/store_recovery.ts
@@ -9,6 +9,7 @@
   type EraChange,
   type KeyedFollower,
   type KeyedRecord,
+  NEW_TABLE_MS,
   offsetOf,
   type Position,
   SYSTEM_TOPIC,
@@ -30,8 +31,6 @@
 const OTHER_SERVICE_MS = 1_000;
 /** Margin beyond the longest grant after which a daemon that knows no earlier era writes a table, in milliseconds. */
 const GRANT_MARGIN_MS = 2_000;
-/** Time for which it waits if the store has no table, in milliseconds; longer than others take to write theirs. */
-const NO_TABLE_MS = 3_000;
 
 export interface StoreRecoveryOptions {
   self: Address;
@@ -87,7 +86,9 @@
     const otherRecords = isStart ? [] : await this.#writeLost(() => true, { era: to });
     const rewritten = [...ownRecords, ...tables, ...otherRecords];
     onRecovered({ rewritten: rewritten.length, isStart });
-    log(Event.StoreEra, { old: from, new: to, end: offsetOf(follower.end), isStart, rewritten });
+    if (!isStart || rewritten.length > 0) {
+      log(Event.StoreEra, { old: from, new: to, end: offsetOf(follower.end), isStart, rewritten });
+    }
   }
 
   #isOwn({ key }: KeyedRecord): boolean {
@@ -174,7 +175,7 @@
     const { isPlanner, grantMsMax, peers, random } = this.#options;
     if (options.isStart) {
       // Servers may still have keys of the table that the store lost.
-      return table.isStored ? grantMsMax + GRANT_MARGIN_MS : NO_TABLE_MS;
+      return table.isStored ? grantMsMax + GRANT_MARGIN_MS : NEW_TABLE_MS;
     }
     const spreadMs = random() * Math.min(SPREAD_MS_MAX, peers().length * SPREAD_MS_PER_PEER);
     if (options.service !== this.#options.service) {
