Store recovery: leave tables to others until one was seen settled

A daemon that started after a return of the store knows the ownership table only from the copy. If the store came back a second time before anybody had written the table again, such a daemon counted as one that knows the earlier era, and wrote the copied table at once: keys could have two owners. It now counts so for each table that it has not seen settled, and a recovery ends with its era.

--- a/packages/router/src/store_recovery.ts
+++ b/packages/router/src/store_recovery.ts
@@ -59,6 +59,8 @@
   readonly #options: StoreRecoveryOptions;
   readonly #subscriptions: Subscription[];
   readonly #stop = createStop();
+  /** Services whose tables this daemon knows only from a copy, so that others may know later changes. */
+  readonly #copiedTables = new Set<string>();
   #isWritingOwn = false;
 
   constructor(options: StoreRecoveryOptions) {
@@ -151,34 +153,56 @@
   async #settleTables(change: EraChange): Promise<string[]> {
     const written = await Promise.all(
       [...this.#options.tables()].map(async ([service, table]) => {
-        await this.#awaitOthers(table, { ...change, service });
-        const isWritten = await table.settle({ renewsEpochs: change.isStart });
+        const isWritten = await this.#settleTable(service, table, change);
         return isWritten ? [table.key] : [];
       }),
     );
     return written.flat();
   }
 
+  async #settleTable(
+    service: string,
+    table: TableStore,
+    { to, isStart }: EraChange,
+  ): Promise<boolean> {
+    const { follower } = this.#options;
+    if (isStart) {
+      this.#copiedTables.add(service);
+    }
+    const isCopied = this.#copiedTables.has(service);
+    await this.#awaitOthers(table, { era: to, delayMs: this.#delayMs(service, table) });
+    if (follower.era !== to || this.#stop.signal.aborted) {
+      return false;
+    }
+    const isWritten = await table.settle({ renewsEpochs: isCopied });
+    if (table.isSettled) {
+      this.#copiedTables.delete(service);
+    }
+    return isWritten;
+  }
+
   /** Waits for a daemon that should write a table before this one does. */
   async #awaitOthers(
     table: TableStore,
-    { to, service, isStart }: EraChange & { service: string },
+    { era, delayMs }: { era: number; delayMs: number },
   ): Promise<void> {
     const { now, sleep, follower } = this.#options;
-    const until = now() + this.#delayMs(table, { service, isStart });
-    while (!table.isSettled && follower.era === to && now() < until && !this.#stop.signal.aborted) {
+    const until = now() + delayMs;
+    while (
+      !table.isSettled && follower.era === era && now() < until && !this.#stop.signal.aborted
+    ) {
       await sleep(Math.min(RETRY_MS, until - now()), this.#stop.signal);
     }
   }
 
-  #delayMs(table: TableStore, options: { service: string; isStart: boolean }): number {
+  #delayMs(service: string, table: TableStore): number {
     const { isPlanner, grantMsMax, peers, random } = this.#options;
-    if (options.isStart) {
+    if (this.#copiedTables.has(service)) {
       // Servers may still have keys of the table that the store lost.
       return table.isStored ? grantMsMax + GRANT_MARGIN_MS : NEW_TABLE_MS;
     }
     const spreadMs = random() * Math.min(SPREAD_MS_MAX, peers().length * SPREAD_MS_PER_PEER);
-    if (options.service !== this.#options.service) {
+    if (service !== this.#options.service) {
       return OTHER_SERVICE_MS + spreadMs;
     }
     return isPlanner() ? 0 : PLANNER_FIRST_MS + spreadMs;
--- a/packages/router/src/store_recovery_test.ts
+++ b/packages/router/src/store_recovery_test.ts
@@ -116,6 +116,9 @@
     const later = await startDaemon(service, { self: "10.0.0.2:7000" });
     await sleep(RECOVERY_MS);
     expect(later.table.isSettled).to.equal(false);
+    service.restore(service.copy());
+    await sleep(RECOVERY_MS);
+    expect(later.table.isSettled, "after a second return").to.equal(false);
     await later.close();
   });
 });
